--- /dev/null
+++ b/include/peppertack/coordination/control_core.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "peppertack/coordination/lease_book.hpp"
+#include "peppertack/coordination/messages.hpp"
+#include "peppertack/coordination/placement.hpp"
+#include "peppertack/coordination/replica.hpp"
+#include "peppertack/state/control_state.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace peppertack {
+
+struct control_options {
+    replica_options replication;
+    lease_timing lease;
+    placement_options placement;
+    duration placement_interval = std::chrono::milliseconds(50);
+    duration balance_interval = std::chrono::seconds(5);
+    duration key_retention = std::chrono::minutes(10);
+    std::uint64_t entries_per_snapshot = 10'000;
+    std::size_t push_to_all_below = 200; ///< with more nodes, only those concerned are pushed to
+};
+
+/// Answer to a command that an operator submitted.
+struct submit_answer {
+    std::uint64_t ticket = 0;
+    error_kind error = error_kind::none;
+    bool certain = true; ///< false: leadership was lost on the way; it may still take effect
+    std::uint64_t version = 0;
+    std::optional<change_answer> change;
+};
+
+/// What the leader last heard from a node.
+struct node_report {
+    node_address address;
+    target_number number = no_target;
+    std::uint64_t table_version = 0;
+    std::uint64_t map_version = 0;
+    instant heard{};
+};
+
+/// The control part of one voter: replicates decisions and, while it leads, makes them. Grants
+/// leases, gives every range one owner, drives planned stops, records why. Deterministic; not thread
+/// safe: it belongs to the control thread.
+class control_core {
+public:
+    using audit_sink = std::function<bool(const audit_record &)>;
+
+    /// Precondition: `log` outlives the object. `audit` is called for each decision as it is applied
+    /// and may see the same record again after a restart. Yields nothing, with the reason, if the
+    /// log's snapshot can't be read.
+    static std::unique_ptr<control_core> make(control_options options, durable_log &log,
+                                              audit_sink audit, moment at, std::string &reason);
+
+    void tick(moment at);
+    void receive(const node_address &from, const message &body, moment at);
+
+    /// Proposes a command. The answer comes by `take_answers` under the yielded ticket.
+    std::uint64_t submit(command value, moment at);
+    /// Replaces a voter; see `replica::replace_voter`.
+    bool replace_voter(const node_address &learner, const std::optional<node_address> &replaces,
+                       moment at);
+
+    std::vector<outgoing> take_outgoing();
+    std::vector<submit_answer> take_answers();
+
+    /// Leads and knows all earlier decisions.
+    bool established() const { return m_established; }
+    const control_state &state() const { return m_state; }
+    const replica &replication() const { return *m_replica; }
+    const std::map<node_address, node_report> &nodes() const { return m_nodes; }
+    const lease_book &leases() const { return m_leases; }
+
+private:
+    control_core(control_options options, durable_log &log, audit_sink audit, instant now);
+
+    struct waiting_renewal {
+        std::uint64_t round = 0;
+        node_address from;
+        renew_request request;
+    };
+    struct service_load {
+        std::unordered_map<std::uint64_t, double> rates;
+        std::unordered_map<std::uint64_t, double> hot;
+        instant updated{};
+    };
+
+    void settle(moment at);
+    void apply_committed(moment at);
+    void apply_entry(const log_entry &entry);
+    void update_leadership(moment at);
+    void answer_renewals(moment at);
+    void answer_renewal(const waiting_renewal &waiting, moment at);
+    void take_reports(const renew_request &request, const target_record &record, moment at);
+    void take_loads(const renew_request &request, const target_record &record, moment at);
+    void register_node(const renew_request &request, const node_address &from, moment at);
+    const target_record *registration_of(const renew_request &request) const;
+    map_update update_since(std::uint64_t version) const;
+    map_update whole_map() const;
+    void push_updates(moment at);
+    void end_leases(moment at);
+    void place(moment at);
+    void place_service(const std::string &service, moment at, bool balance_due);
+    void choose_standbys(moment at);
+    void finish_stops(moment at);
+    void close_memory_windows(moment at);
+    placement_view view_of(const std::string &service) const;
+    target_number standby_for(const target_record &record,
+                              const std::map<target_number, std::size_t> &duties) const;
+    void propose(moment at, std::string actor, std::string cause, command_body body);
+    void compact_if_due();
+
+    control_options m_options;
+    std::unique_ptr<replica> m_replica;
+    control_state m_state;
+    audit_sink m_audit;
+    lease_book m_leases;
+    greedy_placement m_placement;
+    bool m_established = false;
+    std::uint64_t m_last_proposed = 0;
+    std::uint64_t m_last_compacted = 0;
+    std::uint64_t m_last_pushed = 0;
+    std::uint64_t m_next_ticket = 1;
+    instant m_place_at{};
+    instant m_balance_at{};
+    std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> m_tickets; ///< index: term, ticket
+    std::vector<submit_answer> m_answers;
+    std::vector<waiting_renewal> m_renewals;
+    std::map<node_address, node_report> m_nodes;
+    std::unordered_set<std::string> m_registering;
+    std::unordered_map<std::string, service_load> m_loads;
+    std::vector<outgoing> m_outgoing;
+};
+
+/// The part of a target's record that nodes need.
+target_route route_of(const target_record &record);
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/coordination/key_memory.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "peppertack/coordination/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peppertack {
+
+/// Idempotency keys with what became of them. A key is kept for the whole retention; when the
+/// memory is full new keys are refused, since forgetting one early could run a request twice. Not
+/// thread safe.
+class key_memory {
+public:
+    struct options {
+        std::size_t most_keys = 200'000;
+        std::size_t most_answer_bytes = 64U << 20U; ///< answers' bodies; the keys stay
+        std::size_t largest_answer = 256U << 10U;   ///< larger bodies are not kept
+        std::int64_t retention_ms = 600'000;
+    };
+
+    explicit key_memory(options settings) : m_options(settings) {}
+    key_memory() : key_memory(options{}) {}
+
+    /// Null if the key is not known.
+    const remembered_key *find(const std::string &service, const std::string &key) const;
+    /// Adds or replaces a key. False if it is new and the memory is full.
+    bool put(remembered_key value);
+    void erase(const std::string &service, const std::string &key);
+    /// Keys of a service with `first <= hash <= last`.
+    std::vector<remembered_key> in_range(const std::string &service, std::uint64_t first,
+                                         std::uint64_t last) const;
+    std::vector<remembered_key> all() const;
+    void erase_range(const std::string &service, std::uint64_t first, std::uint64_t last);
+    /// Forgets keys whose retention has passed.
+    void expire(std::int64_t wall_ms);
+    void clear();
+    std::size_t size() const { return m_keys.size(); }
+
+private:
+    void drop_body(remembered_key &value);
+
+    options m_options;
+    std::unordered_map<std::string, remembered_key> m_keys; ///< by service and key
+    std::multimap<std::int64_t, std::string> m_by_time;
+    std::size_t m_answer_bytes = 0;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "peppertack/coordination/node_options.hpp"
+#include "peppertack/coordination/route_map.hpp"
+#include "peppertack/state/table.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace peppertack {
+
+/// A node's side of its target's lease: finds the leader, renews, follows map and table. The lease
+/// runs from when the renewal was sent. Not thread safe.
+class lease_client {
+public:
+    /// Puts what the other parts of the node have to report into a renewal.
+    using fill_report = std::function<void(renew_request &, instant)>;
+
+    explicit lease_client(const node_options &options);
+
+    void announce(const target_announcement &announcement, moment at);
+    /// The target is gone: nothing is served from now on and the lease is given up.
+    void give_up(moment at);
+    void begin_stop() { m_stopping = true; }
+
+    /// What changed by a step.
+    struct change {
+        bool map = false;
+        bool registration = false; ///< a new number, or none any more
+        bool table = false;
+    };
+    change receive(const node_address &from, const renew_reply &reply, moment at);
+    change receive(const map_update &update);
+    void tick(moment at, const fill_report &fill, std::vector<outgoing> &messages);
+    /// Renew with the next tick; something is to be reported or learnt.
+    void hurry() { m_renew_at = {}; }
+
+    bool lease_valid(instant now) const { return m_number != no_target && now < m_lease_until; }
+    instant lease_until() const { return m_lease_until; }
+    target_number number() const { return m_number; }
+    const route_map &map() const { return m_map; }
+    const table &current_table() const { return m_table; }
+    std::uint64_t table_version() const { return m_table_version; }
+    const std::optional<target_announcement> &announcement() const { return m_announcement; }
+    const node_address &leader() const { return m_voters[m_voter]; }
+    const std::vector<node_address> &voters() const { return m_voters; }
+    bool giving_up() const { return m_giving_up; }
+    bool stopping() const { return m_stopping; }
+    bool draining() const { return m_stopping || (m_announcement && m_announcement->draining); }
+    std::uint64_t renewed() const { return m_renewed; }
+
+private:
+    struct sent_renewal {
+        instant at{};
+        target_number number = no_target;
+    };
+
+    void send(moment at, const fill_report &fill, std::vector<outgoing> &messages);
+    void next_voter(const node_address &hint, instant now);
+    void follow_voters(const node_address &leader, const std::vector<node_address> &voters);
+    void end_registration();
+    void take_table(const renew_reply &reply, change &changed);
+
+    const node_options &m_options;
+    std::vector<node_address> m_voters;
+    std::size_t m_voter = 0;
+    std::optional<target_announcement> m_announcement;
+    instant m_announced_at{};
+    std::uint64_t m_registration; ///< incarnation of the current or next registration
+    target_number m_number = no_target;
+    instant m_lease_until{};
+    bool m_giving_up = false;
+    bool m_stopping = false;
+    route_map m_map;
+    table m_table;
+    std::uint64_t m_table_version = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint64_t, sent_renewal> m_sent;
+    instant m_renew_at{};
+    instant m_answer_due{};
+    instant m_sent_last{};
+    bool m_waiting = false;
+    std::uint64_t m_renewed = 0;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/coordination/node_options.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "peppertack/coordination/admission.hpp"
+#include "peppertack/coordination/key_memory.hpp"
+#include "peppertack/coordination/lease_book.hpp"
+#include "peppertack/coordination/messages.hpp"
+#include "peppertack/coordination/retry_budget.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peppertack {
+
+struct node_options {
+    node_address self;
+    std::string failure_domain;
+    std::uint64_t incarnation = 1; ///< differs at each start of the process
+    std::vector<node_address> voters;
+    lease_timing lease;
+    duration renew_interval = std::chrono::milliseconds(200);
+    duration renew_timeout = std::chrono::milliseconds(150); ///< then the next voter is asked
+    duration announce_timeout = std::chrono::seconds(3); ///< a target silent for this long is lost
+    duration load_interval = std::chrono::seconds(1);
+    duration probe_after = std::chrono::milliseconds(200); ///< an answer this late is asked after
+    duration probe_interval = std::chrono::milliseconds(100);
+    duration reroute_interval = std::chrono::milliseconds(10);
+    duration owner_wait = std::chrono::seconds(3); ///< longest wait for a range to get an owner
+    duration standby_timeout = std::chrono::milliseconds(250);
+    duration resend_interval = std::chrono::milliseconds(100);
+    duration fate_retention = std::chrono::seconds(20); ///< how long answers can be asked after
+    std::size_t fate_bytes = 32U << 20U;
+    key_memory::options memory;
+    retry_budget::options retries;
+    std::uint64_t seed = 1;
+};
+
+/// What a target says of itself.
+struct target_announcement {
+    std::string name;
+    std::string service;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+    bool checks_tokens = false;
+    bool draining = false;
+
+    friend bool operator==(const target_announcement &, const target_announcement &) = default;
+};
+
+/// A request to be written to the local target. The executor looks at the clock directly before the
+/// write: at or after `not_after` it must not write, and reports `not_sent`.
+struct target_call {
+    std::uint64_t call = 0;
+    caller_request request;
+    fencing_token token = 0;
+    instant not_after{};
+    instant deadline{};
+};
+
+struct call_result {
+    enum class kind : std::uint8_t {
+        answered, ///< the whole answer is here
+        not_sent, ///< no byte reached the target
+        lost,     ///< something was sent and no whole answer came
+    };
+    kind result = kind::not_sent;
+    int status = 0;
+    std::vector<header_field> headers;
+    body_bytes body;
+};
+
+struct caller_answer {
+    std::uint64_t ticket = 0;
+    caller_response response;
+};
+
+/// What a node wants done. Collected by one step, carried out by whoever drives it.
+struct node_effects {
+    std::vector<outgoing> messages;
+    std::vector<target_call> calls;
+    std::vector<std::uint64_t> cancelled_calls;
+    std::vector<caller_answer> answers;
+};
+
+/// Counters since the start, for metrics and dumps.
+struct node_counters {
+    std::uint64_t requests = 0;
+    std::uint64_t local = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t probes = 0;
+    std::uint64_t shed = 0;
+    std::uint64_t resends_answered = 0;
+    std::uint64_t leases_renewed = 0;
+    std::uint64_t leases_lapsed = 0;
+    std::uint64_t ranges_released = 0;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/coordination/planted_defects.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+namespace peppertack {
+
+/// One-line faults that tests switch on to show that the oracle notices them. Without
+/// PEPPERTACK_PLANTED_DEFECTS every member is a constant `false` and the code compiles away.
+struct planted_defects {
+#ifdef PEPPERTACK_PLANTED_DEFECTS
+    bool lease_from_receipt = false;
+    bool no_leader_wait = false;
+    bool resend_unknown = false;
+    bool early_voter = false;
+    bool drop_handover_keys = false;
+    bool skip_standby_ack = false;
+    bool unconfirmed_leader = false;
+    bool ignore_lease_before_write = false;
+    bool forget_vote = false;
+    bool ignore_tombstone = false;
+#else
+    static constexpr bool lease_from_receipt = false;
+    static constexpr bool no_leader_wait = false;
+    static constexpr bool resend_unknown = false;
+    static constexpr bool early_voter = false;
+    static constexpr bool drop_handover_keys = false;
+    static constexpr bool skip_standby_ack = false;
+    static constexpr bool unconfirmed_leader = false;
+    static constexpr bool ignore_lease_before_write = false;
+    static constexpr bool forget_vote = false;
+    static constexpr bool ignore_tombstone = false;
+#endif
+};
+
+#ifdef PEPPERTACK_PLANTED_DEFECTS
+extern planted_defects g_defects;
+#else
+inline constexpr planted_defects g_defects{};
+#endif
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/state/control_state.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "peppertack/state/audit_record.hpp"
+#include "peppertack/state/command.hpp"
+#include "peppertack/state/error_kind.hpp"
+#include "peppertack/state/records.hpp"
+#include "peppertack/state/table.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peppertack {
+
+/// Answer to an operator's table change; remembered so that a resend gets the first answer again.
+struct change_answer {
+    error_kind error = error_kind::none;
+    std::uint64_t version = 0;    ///< version in force after the change was judged
+    std::string winner_change_id; ///< on a conflict: the change that holds that version
+    std::string winner_actor;
+
+    friend bool operator==(const change_answer &, const change_answer &) = default;
+};
+
+/// Where one range record is: nodes are sent what has been touched since the version they hold.
+struct touched_item {
+    std::uint64_t version = 0;
+    std::string service; ///< empty: a target was touched
+    std::uint64_t first = 0;
+    target_number number = no_target;
+};
+
+/// The replicated state machine: table, targets, ranges, and the head of the audit chain. Applying
+/// the same commands in the same order gives equal states everywhere; there is no other input.
+/// Not thread safe: it belongs to the control thread.
+class control_state {
+public:
+    control_state() = default;
+
+    struct applied {
+        error_kind error = error_kind::none;
+        std::optional<audit_record> audit; ///< nothing if the command had become void
+        std::optional<change_answer> answer;
+    };
+
+    /// Applies the command at `index` of the log. Precondition: `index` is above `version()`.
+    applied apply(std::uint64_t index, const command &value);
+    /// Passes an index that holds no command (an election or membership entry).
+    void skip(std::uint64_t index);
+
+    /// Index of the last log entry applied.
+    std::uint64_t version() const { return m_version; }
+    std::uint64_t table_version() const { return m_table_version; }
+    const table &current_table() const { return m_table; }
+    const std::string &table_change_id() const { return m_table_change_id; }
+    const std::string &table_actor() const { return m_table_actor; }
+    const std::map<target_number, target_record> &targets() const { return m_targets; }
+    const target_record *find_target(target_number number) const;
+    const target_record *find_target(std::string_view name) const;
+    const std::map<std::string, std::vector<range_record>> &ranges() const { return m_ranges; }
+    /// Range that holds `hash`, or null if the service is not in the table.
+    const range_record *find_range(const std::string &service, std::uint64_t hash) const;
+    const audit_head &audit() const { return m_audit; }
+    /// What changed after `version`; nothing if that is too long ago and a full map is needed.
+    std::optional<std::vector<touched_item>> touched_since(std::uint64_t version) const;
+    /// Answer given earlier to a change id, if it is remembered.
+    std::optional<change_answer> earlier_answer(const std::string &change_id) const;
+
+    /// JSON text of the whole state, for snapshots. The feed of touched items is not part of it.
+    std::string encode() const;
+    /// Reads what `encode` wrote. Yields nothing, with the reason, for anything else.
+    static std::optional<control_state> decode(std::string_view text, std::string &reason);
+
+private:
+    struct note {
+        std::string before;
+        std::string after;
+        std::string subject;
+    };
+    using service_ranges = std::vector<range_record>;
+
+    error_kind apply_body(const change_table &, const command &, note &, applied &);
+    error_kind apply_body(const register_target &, const command &, note &, applied &);
+    error_kind apply_body(const expire_target &, const command &, note &, applied &);
+    error_kind apply_body(const drain_target &, const command &, note &, applied &);
+    error_kind apply_body(const retire_target &, const command &, note &, applied &);
+    error_kind apply_body(const grant_ranges &, const command &, note &, applied &);
+    error_kind apply_body(const plan_moves &, const command &, note &, applied &);
+    error_kind apply_body(const release_range &, const command &, note &, applied &);
+    error_kind apply_body(const split_range &, const command &, note &, applied &);
+    error_kind apply_body(const merge_range &, const command &, note &, applied &);
+    error_kind apply_body(const set_standby &, const command &, note &, applied &);
+    error_kind apply_body(const restore_memory &, const command &, note &, applied &);
+
+    range_record *range_at(const std::string &service, std::uint64_t first);
+    target_record *live_target(target_number number);
+    void touch_range(const std::string &service, std::uint64_t first);
+    void touch_target(target_number number);
+    void lose_owner(range_record &range, const target_record &owner, std::int64_t wall_ms);
+    void cancel_moves_to(target_number number);
+    void prune_targets();
+    void drop_standby_of(target_number number);
+    void add_services();
+    void remember_answer(const std::string &change_id, const change_answer &answer);
+
+    std::uint64_t m_version = 0;
+    table m_table;
+    std::uint64_t m_table_version = 0;
+    std::string m_table_change_id;
+    std::string m_table_actor;
+    std::map<target_number, target_record> m_targets;
+    target_number m_last_number = 0;
+    std::map<std::string, service_ranges> m_ranges;
+    std::deque<std::pair<std::string, change_answer>> m_answers;
+    audit_head m_audit;
+    std::deque<touched_item> m_touched;
+    std::uint64_t m_touched_from = 0; ///< the feed is complete for versions above this
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/src/coordination/control_core.cpp
@@ -0,0 +1,651 @@
+#include "peppertack/coordination/control_core.hpp"
+
+#include "peppertack/coordination/planted_defects.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace peppertack {
+
+namespace {
+
+constexpr const char *placement_actor = "placement";
+constexpr const char *lease_actor = "leases";
+constexpr duration load_memory = std::chrono::seconds(10);
+constexpr double hot_share = 0.02;
+constexpr double least_hot_rate = 50;
+
+std::string registration_key(const target_record &record) {
+    return record.name + '\n' + std::to_string(record.incarnation);
+}
+
+} // namespace
+
+target_route route_of(const target_record &record) {
+    return {.number = record.number,
+            .name = record.name,
+            .service = record.service,
+            .failure_domain = record.failure_domain,
+            .address = record.node_address,
+            .phase = record.phase,
+            .standby = record.standby,
+            .standby_ready = record.standby_ready,
+            .standby_epoch = record.standby_epoch};
+}
+
+control_core::control_core(control_options options, durable_log &log, audit_sink audit,
+                           instant now)
+    : m_options(std::move(options)),
+      m_replica(std::make_unique<replica>(m_options.replication, log, now)),
+      m_audit(std::move(audit)), m_leases(m_options.lease), m_placement(m_options.placement) {}
+
+std::unique_ptr<control_core> control_core::make(control_options options, durable_log &log,
+                                                 audit_sink audit, moment at,
+                                                 std::string &reason) {
+    std::unique_ptr<control_core> core(
+        new control_core(std::move(options), log, std::move(audit), at.now));
+    if (log.snapshot()) {
+        std::optional<control_state> state = control_state::decode(log.snapshot()->state, reason);
+        if (!state) {
+            return nullptr;
+        }
+        core->m_state = std::move(*state);
+        core->m_last_compacted = core->m_state.version();
+    }
+    return core;
+}
+
+void control_core::tick(moment at) {
+    m_replica->tick(at.now);
+    if (m_established) {
+        end_leases(at); // walks all targets, so not on every message
+    }
+    settle(at);
+}
+
+void control_core::receive(const node_address &from, const message &body, moment at) {
+    if (const auto *renewal = std::get_if<renew_request>(&body)) {
+        if (!m_established) {
+            m_outgoing.push_back({from, renew_reply{.sequence = renewal->sequence,
+                                                    .leader_hint = m_replica->leader()}});
+            return;
+        }
+        // Answered only once a quorum has confirmed this leader after the renewal came: a leader
+        // that was replaced without noticing must not prolong a lease the new one waits out.
+        const std::uint64_t round =
+            g_defects.unconfirmed_leader ? 0 : m_replica->request_round();
+        m_renewals.push_back({round, from, *renewal});
+    } else {
+        m_replica->receive(from, body, at.now);
+    }
+    settle(at);
+}
+
+std::uint64_t control_core::submit(command value, moment at) {
+    const std::uint64_t ticket = m_next_ticket++;
+    value.wall_ms = at.wall_ms;
+    const std::optional<std::uint64_t> index =
+        m_established ? m_replica->propose(entry_kind::command, encode(value)) : std::nullopt;
+    if (!index) {
+        m_answers.push_back({.ticket = ticket, .error = error_kind::not_leader});
+        return ticket;
+    }
+    m_last_proposed = *index;
+    m_tickets[*index] = {m_replica->term(), ticket};
+    settle(at);
+    return ticket;
+}
+
+bool control_core::replace_voter(const node_address &learner,
+                                 const std::optional<node_address> &replaces, moment at) {
+    const bool taken = m_replica->replace_voter(learner, replaces);
+    settle(at);
+    return taken;
+}
+
+std::vector<outgoing> control_core::take_outgoing() {
+    std::vector<outgoing> result = m_replica->take_outgoing();
+    std::move(m_outgoing.begin(), m_outgoing.end(), std::back_inserter(result));
+    m_outgoing.clear();
+    return result;
+}
+
+std::vector<submit_answer> control_core::take_answers() {
+    return std::exchange(m_answers, {});
+}
+
+/// Brings everything that follows from new input to rest. One sync covers all that was proposed.
+void control_core::settle(moment at) {
+    m_replica->flush(at.now);
+    apply_committed(at);
+    update_leadership(at);
+    if (m_established) {
+        answer_renewals(at);
+        place(at);
+        m_replica->flush(at.now);
+        apply_committed(at);
+        push_updates(at);
+    }
+    compact_if_due();
+}
+
+// ---- the replicated state ----
+
+void control_core::apply_committed(moment) {
+    if (const std::optional<log_snapshot> installed = m_replica->take_installed()) {
+        std::string reason;
+        if (std::optional<control_state> state = control_state::decode(installed->state, reason)) {
+            m_state = std::move(*state);
+            m_last_compacted = m_state.version();
+        }
+    }
+    for (const log_entry &entry : m_replica->take_committed()) {
+        apply_entry(entry);
+    }
+}
+
+void control_core::apply_entry(const log_entry &entry) {
+    if (entry.index <= m_state.version()) {
+        return;
+    }
+    std::string reason;
+    std::optional<command> value;
+    if (entry.kind == entry_kind::command) {
+        value = decode_command(entry.payload, reason);
+    }
+    control_state::applied result;
+    if (value) {
+        result = m_state.apply(entry.index, *value);
+    } else {
+        m_state.skip(entry.index);
+    }
+    if (result.audit) {
+        m_audit(*result.audit);
+    }
+    if (value) {
+        if (const auto *body = std::get_if<register_target>(&value->body)) {
+            m_registering.erase(registration_key(body->record));
+        }
+        if (const auto *body = std::get_if<expire_target>(&value->body)) {
+            m_leases.forget(body->number);
+        }
+        if (const auto *body = std::get_if<retire_target>(&value->body)) {
+            m_leases.forget(body->number);
+        }
+    }
+    const auto ticket = m_tickets.find(entry.index);
+    if (ticket == m_tickets.end()) {
+        return;
+    }
+    const auto [term, number] = ticket->second;
+    m_tickets.erase(ticket);
+    if (term == entry.term) {
+        m_answers.push_back({.ticket = number,
+                             .error = result.error,
+                             .version = entry.index,
+                             .change = result.answer});
+    } else {
+        m_answers.push_back(
+            {.ticket = number, .error = error_kind::not_leader, .certain = false});
+    }
+}
+
+void control_core::update_leadership(moment at) {
+    const bool leads =
+        m_replica->leads() && m_replica->commit_index() >= m_replica->term_start();
+    if (leads == m_established) {
+        return;
+    }
+    m_established = leads;
+    m_leases.clear();
+    m_renewals.clear();
+    m_registering.clear();
+    m_nodes.clear();
+    m_loads.clear();
+    m_last_pushed = m_state.version();
+    m_last_proposed = m_state.version();
+    if (!leads) {
+        for (const auto &[index, waiting] : m_tickets) {
+            m_answers.push_back({.ticket = waiting.second,
+                                 .error = error_kind::not_leader,
+                                 .certain = false});
+        }
+        m_tickets.clear();
+        return;
+    }
+    m_place_at = at.now;
+    m_balance_at = at.now + m_options.balance_interval;
+    // The leader before may have renewed any lease a moment ago: each is taken as renewed now. A
+    // range given away before that has passed could have two owners.
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::gone) {
+            const instant from = g_defects.no_leader_wait ? instant{} : at.now;
+            m_leases.note_renewed(number, record.checks_tokens, from);
+        }
+    }
+}
+
+void control_core::propose(moment at, std::string actor, std::string cause, command_body body) {
+    const command value{at.wall_ms, std::move(actor), std::move(cause), std::move(body)};
+    if (const auto index = m_replica->propose(entry_kind::command, encode(value))) {
+        m_last_proposed = *index;
+    }
+}
+
+void control_core::compact_if_due() {
+    if (m_state.version() < m_last_compacted + m_options.entries_per_snapshot) {
+        return;
+    }
+    m_last_compacted = m_state.version();
+    m_replica->compact(m_state.version(), m_state.encode());
+}
+
+// ---- leases ----
+
+void control_core::answer_renewals(moment at) {
+    const std::uint64_t confirmed = m_replica->confirmed_round();
+    std::vector<waiting_renewal> ready;
+    std::vector<waiting_renewal> later;
+    for (waiting_renewal &waiting : m_renewals) {
+        (waiting.round <= confirmed ? ready : later).push_back(std::move(waiting));
+    }
+    m_renewals = std::move(later);
+    for (const waiting_renewal &waiting : ready) {
+        answer_renewal(waiting, at);
+    }
+}
+
+const target_record *control_core::registration_of(const renew_request &request) const {
+    if (request.target.number == no_target) {
+        const target_record *latest = m_state.find_target(request.target.name);
+        const bool same = latest != nullptr && latest->incarnation == request.target.incarnation &&
+                          latest->phase != target_phase::gone;
+        return same ? latest : nullptr;
+    }
+    const target_record *record = m_state.find_target(request.target.number);
+    const bool same = record != nullptr && record->phase != target_phase::gone &&
+                      record->incarnation == request.target.incarnation &&
+                      record->name == request.target.name;
+    return same ? record : nullptr;
+}
+
+void control_core::answer_renewal(const waiting_renewal &waiting, moment at) {
+    const renew_request &request = waiting.request;
+    renew_reply reply{.sequence = request.sequence,
+                      .is_leader = true,
+                      .leader_hint = m_options.replication.self,
+                      .table_version = m_state.table_version(),
+                      .map = update_since(request.map_version)};
+    for (const node_address &voter : m_replica->members().voters) {
+        reply.voters.push_back(voter);
+    }
+    const bool current = request.table_version == m_state.table_version();
+    if (!current) {
+        reply.table_csv = m_state.current_table().to_csv();
+    }
+    node_report &node = m_nodes[waiting.from];
+    node = {waiting.from, request.target.number, request.table_version, reply.map.to, at.now};
+    if (request.has_target) {
+        const target_record *record = registration_of(request);
+        if (record != nullptr) {
+            reply.number = record->number;
+            node.number = record->number;
+            take_reports(request, *record, at);
+            // Only a node that has the table in force may serve: this bounds the time until a
+            // change holds everywhere by one lease, even for a node that can't be reached.
+            if (current && !m_leases.revoked(record->number)) {
+                m_leases.note_renewed(record->number, record->checks_tokens, at.now);
+                reply.lease = m_options.lease.length;
+            }
+        } else if (request.target.number != no_target) {
+            reply.registration_lost = true;
+        } else {
+            register_node(request, waiting.from, at);
+        }
+    }
+    m_outgoing.push_back({waiting.from, std::move(reply)});
+}
+
+void control_core::register_node(const renew_request &request, const node_address &from,
+                                 moment at) {
+    if (request.draining || request.giving_up ||
+        !m_state.current_table().has_service(request.target.service) ||
+        !m_registering.insert(registration_key(request.target)).second) {
+        return;
+    }
+    target_record record = request.target;
+    record.node_address = from;
+    propose(at, "node " + from, "target announced itself", register_target{record});
+}
+
+void control_core::take_reports(const renew_request &request, const target_record &record,
+                                moment at) {
+    const std::string actor = "node of " + record.name;
+    for (const range_report &report : request.released) {
+        const range_record *range = m_state.find_range(report.service, report.first);
+        if (range != nullptr && range->first == report.first && range->token == report.token &&
+            range->owner == record.number && range->next == report.to) {
+            propose(at, actor, "range released",
+                    release_range{report.service, report.first, report.token, report.to});
+        }
+    }
+    for (const range_report &report : request.restored) {
+        const range_record *range = m_state.find_range(report.service, report.first);
+        if (range != nullptr && range->first == report.first && range->token == report.token &&
+            range->memory != range_memory::complete) {
+            propose(at, actor, "remembered keys restored",
+                    restore_memory{report.service, report.first, report.token});
+        }
+    }
+    if (request.standby_epoch == record.standby_epoch && record.standby != no_target) {
+        if (request.synced_standby == record.standby && !record.standby_ready) {
+            propose(at, actor, "standby copy complete",
+                    set_standby{record.number, record.standby, true, record.standby_epoch});
+        }
+        if (request.unsynced_standby == record.standby && record.standby_ready) {
+            propose(at, actor, "standby does not answer",
+                    set_standby{record.number, record.standby, false, 0});
+        }
+    }
+    if (request.draining && record.phase == target_phase::serving) {
+        propose(at, actor, "planned stop announced by the node", drain_target{record.number});
+    }
+    if (request.giving_up && !m_leases.revoked(record.number)) {
+        // The node has stopped serving and says so: nothing to wait for.
+        m_leases.revoke(record.number);
+        propose(at, actor, "target lost; lease given up by its node",
+                expire_target{record.number});
+    }
+    take_loads(request, record, at);
+}
+
+void control_core::take_loads(const renew_request &request, const target_record &record,
+                              moment at) {
+    if (request.loads.empty() && request.hot_keys.empty()) {
+        return;
+    }
+    service_load &load = m_loads[record.service];
+    load.updated = at.now;
+    for (const range_load &item : request.loads) {
+        double &rate = load.rates[item.first];
+        rate = rate * 0.5 + item.requests * 0.5;
+    }
+    for (const hot_key &item : request.hot_keys) {
+        load.hot[item.hash] = item.requests;
+    }
+}
+
+void control_core::end_leases(moment at) {
+    for (const target_number number : m_leases.take_ended(at.now)) {
+        const target_record *record = m_state.find_target(number);
+        if (record != nullptr && record->phase != target_phase::gone) {
+            propose(at, lease_actor, "lease ended without a renewal", expire_target{number});
+        }
+    }
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::gone && !m_leases.knows(number)) {
+            m_leases.note_renewed(number, record.checks_tokens, at.now);
+        }
+    }
+}
+
+// ---- the map ----
+
+map_update control_core::whole_map() const {
+    map_update update{.from = 0, .to = m_state.version()};
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::gone) {
+            update.targets.push_back(route_of(record));
+        }
+    }
+    for (const auto &[service, ranges] : m_state.ranges()) {
+        update.services.push_back({.service = service, .whole = true, .ranges = ranges});
+    }
+    return update;
+}
+
+map_update control_core::update_since(std::uint64_t version) const {
+    const auto touched = version == 0 ? std::nullopt : m_state.touched_since(version);
+    if (!touched || version > m_state.version()) {
+        return whole_map();
+    }
+    map_update update{.from = version, .to = m_state.version()};
+    std::set<target_number> targets;
+    std::map<std::string, std::set<std::uint64_t>> ranges;
+    for (const touched_item &item : *touched) {
+        if (item.service.empty()) {
+            targets.insert(item.number);
+        } else {
+            ranges[item.service].insert(item.first);
+        }
+    }
+    for (const target_number number : targets) {
+        if (const target_record *record = m_state.find_target(number)) {
+            update.targets.push_back(route_of(*record));
+        }
+    }
+    for (const auto &[service, firsts] : ranges) {
+        service_ranges part{.service = service};
+        for (const std::uint64_t first : firsts) {
+            const range_record *range = m_state.find_range(service, first);
+            if (range->first == first) {
+                part.ranges.push_back(*range);
+            } else {
+                part.removed.push_back(first);
+            }
+        }
+        update.services.push_back(std::move(part));
+    }
+    return update;
+}
+
+/// Sends a change at once to those it concerns, so that a new owner does not wait for its next
+/// renewal. It carries no lease; one that is lost is made good by that renewal.
+void control_core::push_updates(moment) {
+    if (m_state.version() == m_last_pushed) {
+        return;
+    }
+    const auto touched = m_state.touched_since(m_last_pushed);
+    m_last_pushed = m_state.version();
+    if (!touched || touched->empty()) {
+        return;
+    }
+    std::set<target_number> concerned;
+    for (const touched_item &item : *touched) {
+        concerned.insert(item.number);
+        if (const range_record *range = m_state.find_range(item.service, item.first)) {
+            concerned.insert({range->owner, range->next});
+        }
+    }
+    const bool to_all = m_nodes.size() < m_options.push_to_all_below;
+    for (auto &[address, node] : m_nodes) {
+        if (to_all || concerned.count(node.number) != 0) {
+            map_update update = update_since(node.map_version);
+            if (update.from != 0) {
+                node.map_version = update.to;
+                m_outgoing.push_back({address, std::move(update)});
+            }
+        }
+    }
+}
+
+// ---- decisions ----
+
+void control_core::place(moment at) {
+    // Decisions are made on a state that holds all earlier ones, or they would be made twice.
+    if (at.now < m_place_at || m_state.version() < m_last_proposed) {
+        return;
+    }
+    m_place_at = at.now + m_options.placement_interval;
+    const bool balance_due = at.now >= m_balance_at;
+    if (balance_due) {
+        m_balance_at = at.now + m_options.balance_interval;
+        close_memory_windows(at);
+    }
+    for (const auto &[service, ranges] : m_state.ranges()) {
+        place_service(service, at, balance_due);
+    }
+    choose_standbys(at);
+    finish_stops(at);
+}
+
+placement_view control_core::view_of(const std::string &service) const {
+    placement_view view;
+    view.ranges = &m_state.ranges().at(service);
+    std::map<std::string, std::size_t> in_domain;
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.service == service && record.phase == target_phase::serving) {
+            ++in_domain[record.failure_domain];
+        }
+    }
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.service != service || record.phase == target_phase::gone) {
+            continue;
+        }
+        const bool serving = record.phase == target_phase::serving && !m_leases.revoked(number);
+        const table_row *row =
+            m_state.current_table().find(service, record.failure_domain);
+        placement_target target{.number = number,
+                                .failure_domain = record.failure_domain,
+                                .accepts = serving,
+                                .leaves = record.phase == target_phase::draining};
+        if (row != nullptr && serving) {
+            target.weight =
+                row->weight / static_cast<double>(in_domain[record.failure_domain]);
+            view.churn_price = row->churn_price;
+            view.unavailable_price = row->unavailable_price;
+        }
+        view.targets.push_back(std::move(target));
+    }
+    const auto load = m_loads.find(service);
+    if (load != m_loads.end()) {
+        view.loads = load->second.rates;
+        double total = 0;
+        for (const auto &[first, rate] : view.loads) {
+            total += rate;
+        }
+        for (const auto &[hash, rate] : load->second.hot) {
+            if (rate > least_hot_rate && rate > total * hot_share) {
+                view.hot_keys.push_back(hash);
+            }
+        }
+        std::sort(view.hot_keys.begin(), view.hot_keys.end());
+    }
+    return view;
+}
+
+void control_core::place_service(const std::string &service, moment at, bool balance_due) {
+    const std::vector<range_record> &ranges = m_state.ranges().at(service);
+    const bool orphans = std::any_of(ranges.begin(), ranges.end(), [](const range_record &range) {
+        return range.owner == no_target;
+    });
+    const bool stopping =
+        std::any_of(m_state.targets().begin(), m_state.targets().end(), [&](const auto &item) {
+            return item.second.service == service && item.second.phase == target_phase::draining;
+        });
+    if (!orphans && !stopping && !balance_due) {
+        return;
+    }
+    const placement_decision decision = m_placement.decide(view_of(service));
+    if (!decision.grants.empty()) {
+        propose(at, placement_actor, "ranges without an owner",
+                grant_ranges{service, decision.grants});
+    }
+    if (!decision.moves.empty()) {
+        propose(at, placement_actor, decision.move_cause, plan_moves{service, decision.moves});
+    }
+    for (const std::uint64_t cut : decision.splits) {
+        propose(at, placement_actor, "range too heavy or too wide", split_range{service, cut});
+    }
+    for (const std::uint64_t first : decision.merges) {
+        propose(at, placement_actor, "neighbours are cold", merge_range{service, first});
+    }
+}
+
+target_number
+control_core::standby_for(const target_record &record,
+                          const std::map<target_number, std::size_t> &duties) const {
+    target_number best = no_target;
+    const auto rank = [&](const target_record &candidate) {
+        // One failure domain must not take both copies, and none should hold many.
+        const bool near = candidate.failure_domain == record.failure_domain;
+        const auto found = duties.find(candidate.number);
+        return std::pair(near, found == duties.end() ? 0 : found->second);
+    };
+    for (const auto &[number, candidate] : m_state.targets()) {
+        if (number == record.number || candidate.service != record.service ||
+            candidate.phase != target_phase::serving || m_leases.revoked(number)) {
+            continue;
+        }
+        if (best == no_target || rank(candidate) < rank(*m_state.find_target(best))) {
+            best = number;
+        }
+    }
+    return best;
+}
+
+void control_core::choose_standbys(moment at) {
+    std::map<target_number, std::size_t> duties;
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::gone && record.standby != no_target) {
+            ++duties[record.standby];
+        }
+    }
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase == target_phase::gone) {
+            continue;
+        }
+        const target_record *standby = m_state.find_target(record.standby);
+        const bool leaving = standby != nullptr && standby->phase == target_phase::draining;
+        if (standby != nullptr && !leaving) {
+            continue;
+        }
+        const target_number chosen = standby_for(record, duties);
+        if (chosen != record.standby) {
+            ++duties[chosen];
+            propose(at, placement_actor,
+                    leaving ? "standby is stopping" : "target has no standby",
+                    set_standby{number, chosen, false, 0});
+        }
+    }
+}
+
+void control_core::finish_stops(moment at) {
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::draining) {
+            continue;
+        }
+        const auto refers = [number = number](const range_record &range) {
+            return range.owner == number || range.recover_from == number;
+        };
+        const bool in_use = std::any_of(
+            m_state.ranges().begin(), m_state.ranges().end(), [&](const auto &service) {
+                return std::any_of(service.second.begin(), service.second.end(), refers);
+            });
+        const bool is_standby = std::any_of(
+            m_state.targets().begin(), m_state.targets().end(), [number = number](const auto &item) {
+                return item.second.standby == number && item.second.phase != target_phase::gone &&
+                       item.second.standby_ready;
+            });
+        if (!in_use && !is_standby) {
+            propose(at, placement_actor, "planned stop finished", retire_target{number});
+        }
+    }
+}
+
+void control_core::close_memory_windows(moment at) {
+    const std::int64_t retention_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_options.key_retention).count();
+    for (const auto &[service, ranges] : m_state.ranges()) {
+        for (const range_record &range : ranges) {
+            if (range.memory == range_memory::lost && range.owner != no_target &&
+                range.lost_at_ms + retention_ms < at.wall_ms) {
+                propose(at, placement_actor, "retention of lost keys has passed",
+                        restore_memory{service, range.first, range.token});
+            }
+        }
+    }
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/coordination/lease_client.cpp
@@ -0,0 +1,184 @@
+#include "peppertack/coordination/lease_client.hpp"
+
+#include "peppertack/coordination/planted_defects.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::size_t remembered_renewals = 64;
+constexpr duration ask_next_voter_after = std::chrono::milliseconds(20);
+constexpr duration least_interval = std::chrono::milliseconds(5);
+
+} // namespace
+
+lease_client::lease_client(const node_options &options)
+    : m_options(options), m_voters(options.voters), m_registration(options.incarnation) {
+    assert(!m_voters.empty());
+    m_voter = options.seed % m_voters.size();
+}
+
+void lease_client::announce(const target_announcement &announcement, moment at) {
+    const bool other = m_announcement && m_number != no_target &&
+                       (m_announcement->name != announcement.name ||
+                        m_announcement->service != announcement.service);
+    if (other) {
+        give_up(at);
+        return; // the new target is taken on once the old one's lease has ended
+    }
+    if (!m_announcement || *m_announcement != announcement) {
+        hurry();
+    }
+    m_announcement = announcement;
+    m_announced_at = at.now;
+}
+
+void lease_client::give_up(moment) {
+    if (m_number == no_target) {
+        m_announcement.reset();
+        return;
+    }
+    m_giving_up = true;
+    m_lease_until = {};
+    hurry();
+}
+
+void lease_client::end_registration() {
+    m_number = no_target;
+    m_lease_until = {};
+    ++m_registration;
+    if (m_giving_up) {
+        m_announcement.reset();
+    }
+    m_giving_up = false;
+}
+
+void lease_client::tick(moment at, const fill_report &fill, std::vector<outgoing> &messages) {
+    if (m_announcement && m_announced_at + m_options.announce_timeout < at.now) {
+        give_up(at);
+    }
+    if (m_waiting && at.now >= m_answer_due) {
+        next_voter({}, at.now);
+        m_waiting = false;
+        hurry();
+    }
+    if (at.now >= m_renew_at && m_sent_last + least_interval <= at.now) {
+        send(at, fill, messages);
+    }
+}
+
+void lease_client::send(moment at, const fill_report &fill, std::vector<outgoing> &messages) {
+    renew_request request{.sequence = ++m_sequence,
+                          .map_version = m_map.version(),
+                          .table_version = m_table_version,
+                          .has_target = m_announcement.has_value(),
+                          .draining = draining(),
+                          .giving_up = m_giving_up};
+    request.target.number = m_number;
+    request.target.incarnation = m_registration;
+    request.target.failure_domain = m_options.failure_domain;
+    request.target.node_address = m_options.self;
+    if (m_announcement) {
+        request.target.name = m_announcement->name;
+        request.target.service = m_announcement->service;
+        request.target.slots = m_announcement->slots;
+        request.target.connections = m_announcement->connections;
+        request.target.checks_tokens = m_announcement->checks_tokens;
+    }
+    fill(request, at.now);
+    m_sent[m_sequence] = {at.now, m_number};
+    if (m_sent.size() > remembered_renewals) {
+        m_sent.erase(m_sent.begin());
+    }
+    m_sent_last = at.now;
+    m_renew_at = at.now + m_options.renew_interval;
+    if (!m_waiting) {
+        m_waiting = true;
+        m_answer_due = at.now + m_options.renew_timeout;
+    }
+    messages.push_back({m_voters[m_voter], std::move(request)});
+}
+
+void lease_client::next_voter(const node_address &hint, instant now) {
+    const auto hinted = std::find(m_voters.begin(), m_voters.end(), hint);
+    if (hinted != m_voters.end()) {
+        m_voter = static_cast<std::size_t>(std::distance(m_voters.begin(), hinted));
+        hurry();
+        return;
+    }
+    m_voter = (m_voter + 1) % m_voters.size();
+    m_renew_at = now + ask_next_voter_after;
+}
+
+lease_client::change lease_client::receive(const node_address &from, const renew_reply &reply,
+                                           moment at) {
+    change changed;
+    const auto sent = m_sent.find(reply.sequence);
+    if (sent == m_sent.end()) {
+        return changed; // an answer to an earlier life of this process, or far too late
+    }
+    const sent_renewal renewal = sent->second;
+    m_sent.erase(sent);
+    if (from == m_voters[m_voter]) {
+        m_waiting = false;
+        if (!reply.is_leader) {
+            next_voter(reply.leader_hint, at.now);
+        }
+    }
+    if (!reply.is_leader) {
+        return changed;
+    }
+    follow_voters(from, reply.voters);
+    changed.map = m_map.apply(reply.map);
+    take_table(reply, changed);
+    if (renewal.number == m_number && reply.registration_lost && m_number != no_target) {
+        end_registration();
+        changed.registration = true;
+        hurry();
+    } else if (m_number == no_target && reply.number != no_target && !m_giving_up &&
+               renewal.number == no_target) {
+        m_number = reply.number;
+        changed.registration = true;
+    }
+    if (reply.lease > duration{} && reply.number == m_number && !m_giving_up) {
+        const instant from_when = g_defects.lease_from_receipt ? at.now : renewal.at;
+        m_lease_until = std::max(m_lease_until, from_when + m_options.lease.node_length());
+        ++m_renewed;
+    }
+    return changed;
+}
+
+/// Keeps to the voters in force, which differ from the settings once one was replaced.
+void lease_client::follow_voters(const node_address &leader,
+                                 const std::vector<node_address> &voters) {
+    const auto place = std::find(voters.begin(), voters.end(), leader);
+    if (place == voters.end()) {
+        return;
+    }
+    m_voters = voters;
+    m_voter = static_cast<std::size_t>(std::distance(voters.begin(), place));
+}
+
+lease_client::change lease_client::receive(const map_update &update) {
+    return {.map = m_map.apply(update)};
+}
+
+void lease_client::take_table(const renew_reply &reply, change &changed) {
+    if (reply.table_version <= m_table_version) {
+        return;
+    }
+    std::vector<table_problem> problems;
+    std::optional<table> next = make_table(reply.table_csv, problems);
+    if (!next) {
+        return;
+    }
+    m_table = std::move(*next);
+    m_table_version = reply.table_version;
+    changed.table = true;
+    hurry(); // no lease is granted until the table in force is reported back
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/coordination/request_router.cpp
@@ -0,0 +1,295 @@
+#include "peppertack/coordination/request_router.hpp"
+
+#include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/state/key_hash.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+namespace peppertack {
+
+namespace {
+
+constexpr duration retry_after_no_owner = std::chrono::milliseconds(500);
+constexpr duration retry_pause = std::chrono::milliseconds(20);
+
+/// Refusals that only say that the range is elsewhere or on its way.
+bool is_routing(error_kind error) {
+    return error == error_kind::not_owner || error == error_kind::moving ||
+           error == error_kind::no_owner;
+}
+
+} // namespace
+
+request_router::request_router(const node_options &options, const lease_client &lease,
+                               node_effects &effects, node_counters &counters)
+    : m_options(options), m_lease(lease), m_effects(effects), m_counters(counters),
+      m_budget(options.retries), m_random(options.seed) {}
+
+void request_router::submit(std::uint64_t ticket, caller_request request, moment at) {
+    ++m_counters.requests;
+    m_budget.note_request();
+    entry &value = m_entries[ticket];
+    value.ticket = ticket;
+    value.hash = key_hash(request.key);
+    value.received = at.now;
+    value.deadline = at.now + request.time_left;
+    value.request = std::move(request);
+    route(value, at);
+}
+
+request_router::entry *request_router::find(const request_id &id) {
+    if (id.incarnation != m_options.incarnation) {
+        return nullptr;
+    }
+    const auto ticket = m_by_id.find(id.sequence);
+    if (ticket == m_by_id.end()) {
+        return nullptr;
+    }
+    entry &value = m_entries.at(ticket->second);
+    return value.id == id ? &value : nullptr;
+}
+
+caller_response request_router::refusal(error_kind error, const entry &value) const {
+    caller_response response{.result = value.maybe_ran ? outcome::unknown : outcome::not_run,
+                             .error = error};
+    response.retry_after = retry_after_no_owner;
+    return response;
+}
+
+void request_router::route(entry &value, moment at) {
+    if (at.now >= value.deadline) {
+        finish(value, refusal(error_kind::deadline_before_target, value), at);
+        return;
+    }
+    const route_map::service_map *service = m_lease.map().find_service(value.request.service);
+    if (service == nullptr && m_lease.map().version() != 0) {
+        finish(value, refusal(error_kind::unknown_service, value), at);
+        return;
+    }
+    const range_record *range = m_lease.map().find_range(value.request.service, value.hash);
+    const target_route *target =
+        range == nullptr ? nullptr : m_lease.map().find_target(range->owner);
+    if (target == nullptr || target->phase == target_phase::gone) {
+        wait(value, error_kind::no_owner, m_options.reroute_interval, at);
+        return;
+    }
+    value.id = {m_options.incarnation, ++m_sequence};
+    m_by_id[m_sequence] = value.ticket;
+    value.owner = range->owner;
+    value.token = range->token;
+    value.address = target->address;
+    value.sent = at.now;
+    caller_request request = value.request;
+    request.time_left = value.deadline - at.now;
+    if (range->owner == m_lease.number()) {
+        ++m_counters.local;
+        value.state = phase::local;
+        m_owner->serve(value.id, std::nullopt, value.owner, std::move(request), at);
+        return;
+    }
+    ++m_counters.forwarded;
+    value.state = phase::remote;
+    value.probe_at = at.now + m_options.probe_after;
+    m_effects.messages.push_back(
+        {value.address, forward_request{value.id, value.owner, std::move(request)}});
+}
+
+void request_router::wait(entry &value, error_kind reason, duration pause, moment at) {
+    if (value.received + m_options.owner_wait <= at.now) {
+        finish(value, refusal(reason, value), at);
+        return;
+    }
+    m_by_id.erase(value.id.sequence);
+    value.state = phase::waiting;
+    value.waits_for = reason;
+    value.retry_at = at.now + pause;
+}
+
+duration request_router::jittered(duration base) {
+    std::uniform_int_distribution<duration::rep> spread(base.count() / 2, base.count() * 3 / 2);
+    return duration(spread(m_random));
+}
+
+// ---- answers ----
+
+void request_router::local_answer(const request_id &id, caller_response response, moment at) {
+    if (entry *value = find(id)) {
+        take_answer(*value, std::move(response), at);
+    }
+}
+
+void request_router::receive(const node_address &, const forward_reply &reply, moment at) {
+    if (entry *value = find(reply.id)) {
+        take_answer(*value, reply.response, at);
+    }
+}
+
+void request_router::take_answer(entry &value, caller_response response, moment at) {
+    if (response.result == outcome::ran) {
+        finish(value, std::move(response), at);
+        return;
+    }
+    if (response.result == outcome::unknown) {
+        take_unknown(value, std::move(response), at);
+        return;
+    }
+    if (is_routing(response.error)) {
+        wait(value, response.error, m_options.reroute_interval, at);
+        return;
+    }
+    if (response.error == error_kind::target_unreachable) {
+        retry_or_finish(value, std::move(response), at);
+        return;
+    }
+    if (value.maybe_ran) {
+        response.result = outcome::unknown;
+    }
+    finish(value, std::move(response), at);
+}
+
+/// It may have run. Running it again does no harm only if it is repeatable; a key does not help
+/// here, since the owner has just said that it does not know what became of it.
+void request_router::take_unknown(entry &value, caller_response response, moment at) {
+    if (value.request.repeatable || g_defects.resend_unknown) {
+        retry_or_finish(value, std::move(response), at);
+        return;
+    }
+    finish(value, std::move(response), at);
+}
+
+void request_router::retry_or_finish(entry &value, caller_response response, moment at) {
+    const bool in_time = at.now + retry_pause < value.deadline;
+    if (!in_time || !m_budget.take()) {
+        finish(value, std::move(response), at);
+        return;
+    }
+    ++m_counters.retries;
+    wait(value, response.error, jittered(retry_pause), at);
+}
+
+void request_router::finish(entry &value, caller_response response, moment) {
+    if (response.owner.empty()) {
+        const target_route *target = m_lease.map().find_target(value.owner);
+        response.owner = target == nullptr ? "" : target->name;
+        response.owner_address = value.address;
+        response.token = value.token;
+    }
+    m_by_id.erase(value.id.sequence);
+    m_effects.answers.push_back({value.ticket, std::move(response)});
+    m_entries.erase(value.ticket);
+}
+
+// ---- silence ----
+
+bool request_router::safe_to_resend(const entry &value) const {
+    return value.request.repeatable || !value.request.idempotency_key.empty();
+}
+
+void request_router::probe(entry &value, moment at) {
+    ++m_counters.probes;
+    value.probe_at = at.now + m_options.probe_interval;
+    m_effects.messages.push_back(
+        {value.address, fate_query{value.id, value.owner, at.now - value.sent}, true});
+}
+
+void request_router::receive(const node_address &, const fate_reply &reply, moment at) {
+    entry *value = find(reply.id);
+    if (value == nullptr) {
+        return;
+    }
+    switch (reply.fate) {
+    case request_fate::running:
+        return; // asked again after the interval, in case its answer gets lost
+    case request_fate::answered:
+        take_answer(*value, reply.response, at);
+        return;
+    case request_fate::never_seen:
+        // The owner has barred it, so it did not run and never will under this id.
+        wait(*value, error_kind::owner_unreachable, m_options.reroute_interval, at);
+        return;
+    case request_fate::forgotten:
+        owner_lost(*value, at);
+        return;
+    }
+}
+
+void request_router::peer_down(const node_address &address, moment at) {
+    for (auto &[ticket, value] : m_entries) {
+        if (value.state == phase::remote && value.address == address) {
+            value.probe_at = std::min(value.probe_at, at.now);
+        }
+    }
+}
+
+/// The owner has ended, or does not know the request any more, and its answer did not come.
+void request_router::owner_lost(entry &value, moment at) {
+    value.maybe_ran = true;
+    if (safe_to_resend(value)) {
+        // A new owner knows the key from the lost one's standby, or says that it can't know.
+        wait(value, error_kind::target_lost, m_options.reroute_interval, at);
+        return;
+    }
+    finish(value, refusal(error_kind::target_lost, value), at);
+}
+
+void request_router::map_changed(moment at) {
+    std::vector<std::uint64_t> due;
+    for (auto &[ticket, value] : m_entries) {
+        if (value.state == phase::waiting) {
+            if (is_routing(value.waits_for)) {
+                due.push_back(ticket);
+            }
+        } else if (value.state == phase::remote) {
+            const target_route *target = m_lease.map().find_target(value.owner);
+            if (target == nullptr || target->phase == target_phase::gone) {
+                due.push_back(ticket);
+            }
+        }
+    }
+    std::sort(due.begin(), due.end());
+    for (const std::uint64_t ticket : due) {
+        const auto found = m_entries.find(ticket);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        if (found->second.state == phase::waiting) {
+            route(found->second, at);
+        } else {
+            owner_lost(found->second, at);
+        }
+    }
+}
+
+void request_router::tick(moment at) {
+    std::vector<std::uint64_t> due;
+    for (const auto &[ticket, value] : m_entries) {
+        const bool acts = value.deadline <= at.now ||
+                          (value.state == phase::waiting && value.retry_at <= at.now) ||
+                          (value.state == phase::remote && value.probe_at <= at.now);
+        if (acts) {
+            due.push_back(ticket);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    for (const std::uint64_t ticket : due) {
+        const auto found = m_entries.find(ticket);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        entry &value = found->second;
+        if (value.state == phase::waiting) {
+            route(value, at);
+        } else if (value.deadline > at.now) {
+            probe(value, at);
+        } else if (value.state == phase::remote) {
+            m_effects.messages.push_back({value.address, cancel_request{value.id}});
+            value.maybe_ran = true;
+            finish(value, refusal(error_kind::deadline_after_target, value), at);
+        }
+        // A local one past its deadline is ended by the owner side, which knows how far it came.
+    }
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/state/control_state.cpp
@@ -0,0 +1,603 @@
+#include "peppertack/state/control_state.hpp"
+
+#include "json_fields.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace peppertack {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(error_kind, {{error_kind::none, "none"},
+                                          {error_kind::version_conflict, "version_conflict"},
+                                          {error_kind::bad_table, "bad_table"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_answer, error, version, winner_change_id, winner_actor)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(audit_head, sequence, hash)
+
+namespace {
+
+constexpr int state_version = 1;
+constexpr std::size_t remembered_answers = 50'000; ///< about three days at 17,000 changes a day
+constexpr std::size_t touched_limit = 250'000;
+constexpr std::size_t kept_ended_targets = 1'000;
+constexpr unsigned initial_range_bits = 6; ///< 64 ranges: about 16 a target for small services
+
+std::string dump(const nlohmann::json &json) {
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string range_subject(const std::string &service, std::uint64_t first) {
+    return service + "/" + std::to_string(first);
+}
+
+std::string choices_text(const std::vector<range_choice> &choices) {
+    return dump(nlohmann::json(choices));
+}
+
+auto position_of(std::vector<range_record> &ranges, std::uint64_t hash) {
+    auto after = std::upper_bound(
+        ranges.begin(), ranges.end(), hash,
+        [](std::uint64_t value, const range_record &range) { return value < range.first; });
+    return std::prev(after);
+}
+
+} // namespace
+
+const target_record *control_state::find_target(target_number number) const {
+    const auto found = m_targets.find(number);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+const target_record *control_state::find_target(std::string_view name) const {
+    const target_record *latest = nullptr;
+    for (const auto &[number, record] : m_targets) {
+        if (record.name == name) {
+            latest = &record;
+        }
+    }
+    return latest;
+}
+
+const range_record *control_state::find_range(const std::string &service,
+                                              std::uint64_t hash) const {
+    const auto found = m_ranges.find(service);
+    if (found == m_ranges.end()) {
+        return nullptr;
+    }
+    return &*position_of(const_cast<service_ranges &>(found->second), hash);
+}
+
+std::optional<std::vector<touched_item>>
+control_state::touched_since(std::uint64_t version) const {
+    if (version < m_touched_from) {
+        return std::nullopt;
+    }
+    const auto from = std::upper_bound(
+        m_touched.begin(), m_touched.end(), version,
+        [](std::uint64_t value, const touched_item &item) { return value < item.version; });
+    return std::vector<touched_item>(from, m_touched.end());
+}
+
+std::optional<change_answer> control_state::earlier_answer(const std::string &change_id) const {
+    for (const auto &[id, answer] : m_answers) {
+        if (id == change_id) {
+            return answer;
+        }
+    }
+    return std::nullopt;
+}
+
+control_state::applied control_state::apply(std::uint64_t index, const command &value) {
+    assert(index > m_version);
+    m_version = index;
+    applied result;
+    note written;
+    result.error = std::visit(
+        [&](const auto &body) { return apply_body(body, value, written, result); }, value.body);
+    if (result.error != error_kind::none && result.error != error_kind::version_conflict) {
+        return result;
+    }
+    audit_record record{.sequence = m_audit.sequence + 1,
+                        .log_index = index,
+                        .wall_ms = value.wall_ms,
+                        .kind = kind_name(value.body),
+                        .actor = value.actor,
+                        .cause = value.cause,
+                        .subject = written.subject,
+                        .before = written.before,
+                        .after = written.after,
+                        .previous_hash = m_audit.hash,
+                        .hash = {}};
+    record.hash = audit_hash(record);
+    m_audit = {record.sequence, record.hash};
+    result.audit = std::move(record);
+    return result;
+}
+
+void control_state::skip(std::uint64_t index) {
+    assert(index > m_version);
+    m_version = index;
+}
+
+range_record *control_state::range_at(const std::string &service, std::uint64_t first) {
+    const auto found = m_ranges.find(service);
+    if (found == m_ranges.end()) {
+        return nullptr;
+    }
+    range_record &range = *position_of(found->second, first);
+    return range.first == first ? &range : nullptr;
+}
+
+target_record *control_state::live_target(target_number number) {
+    const auto found = m_targets.find(number);
+    if (found == m_targets.end() || found->second.phase == target_phase::gone) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void control_state::touch_range(const std::string &service, std::uint64_t first) {
+    m_touched.push_back({m_version, service, first, no_target});
+    while (m_touched.size() > touched_limit) {
+        m_touched_from = m_touched.front().version;
+        m_touched.pop_front();
+    }
+}
+
+void control_state::touch_target(target_number number) {
+    touch_range({}, 0);
+    m_touched.back().number = number;
+}
+
+error_kind control_state::apply_body(const change_table &body, const command &value, note &written,
+                                     applied &result) {
+    if (const auto earlier = earlier_answer(body.change_id)) {
+        // A resend after a lost answer: the first answer again, and nothing new for the audit.
+        result.answer = earlier;
+        return error_kind::cancelled;
+    }
+    change_answer answer{.version = m_table_version,
+                         .winner_change_id = m_table_change_id,
+                         .winner_actor = m_table_actor};
+    std::vector<table_problem> problems;
+    const std::optional<table> next = make_table(body.csv, problems);
+    written.subject = "table";
+    written.before = "version " + std::to_string(m_table_version);
+    if (!next) {
+        answer.error = error_kind::bad_table;
+    } else if (body.base_version != m_table_version) {
+        answer.error = error_kind::version_conflict;
+        written.after = "refused: based on version " + std::to_string(body.base_version);
+    } else {
+        written.before += "\n" + m_table.to_csv();
+        m_table = *next;
+        ++m_table_version;
+        m_table_change_id = body.change_id;
+        m_table_actor = value.actor;
+        answer.version = m_table_version;
+        answer.winner_change_id = body.change_id;
+        answer.winner_actor = value.actor;
+        written.after = "version " + std::to_string(m_table_version) + "\n" + m_table.to_csv();
+        add_services();
+    }
+    remember_answer(body.change_id, answer);
+    result.answer = answer;
+    return answer.error;
+}
+
+void control_state::remember_answer(const std::string &change_id, const change_answer &answer) {
+    m_answers.emplace_back(change_id, answer);
+    if (m_answers.size() > remembered_answers) {
+        m_answers.pop_front();
+    }
+}
+
+/// A service that leaves the table keeps its ranges: a typing error in the table must not lose
+/// the owners, and its targets go on until they stop.
+void control_state::add_services() {
+    constexpr std::uint64_t count = 1ULL << initial_range_bits;
+    for (const std::string &service : m_table.services()) {
+        service_ranges &ranges = m_ranges[service];
+        if (!ranges.empty()) {
+            continue;
+        }
+        for (std::uint64_t i = 0; i < count; ++i) {
+            ranges.push_back({.first = i << (64U - initial_range_bits)});
+            touch_range(service, ranges.back().first);
+        }
+    }
+}
+
+error_kind control_state::apply_body(const register_target &body, const command &, note &written,
+                                     applied &) {
+    if (!m_table.has_service(body.record.service)) {
+        return error_kind::unknown_service;
+    }
+    for (const auto &[number, known] : m_targets) {
+        const bool same = known.name == body.record.name && known.phase != target_phase::gone;
+        if (same && known.incarnation == body.record.incarnation) {
+            return error_kind::cancelled; // a repeated announcement
+        }
+    }
+    target_record record = body.record;
+    record.number = ++m_last_number;
+    record.phase = target_phase::serving;
+    record.standby = no_target;
+    record.standby_ready = false;
+    record.standby_epoch = 0;
+    written.subject = record.name;
+    written.after = dump(nlohmann::json(record));
+    m_targets[record.number] = record;
+    touch_target(record.number);
+    return error_kind::none;
+}
+
+void control_state::lose_owner(range_record &range, const target_record &owner,
+                               std::int64_t wall_ms) {
+    range.owner = no_target;
+    range.next = no_target;
+    if (range.memory == range_memory::lost) {
+        return;
+    }
+    const target_record *standby = find_target(owner.standby);
+    const bool kept = owner.standby_ready && standby != nullptr &&
+                      standby->phase != target_phase::gone;
+    if (range.memory == range_memory::complete && kept) {
+        range.memory = range_memory::fetch;
+        range.recover_from = owner.standby;
+        range.recover_of = owner.number;
+        return;
+    }
+    // The second loss before the first was repaired: nobody can tell a resend from a first try.
+    range.memory = range_memory::lost;
+    range.recover_from = no_target;
+    range.recover_of = no_target;
+    range.lost_at_ms = wall_ms;
+}
+
+void control_state::cancel_moves_to(target_number number) {
+    for (auto &[service, ranges] : m_ranges) {
+        for (range_record &range : ranges) {
+            if (range.next == number) {
+                range.next = no_target;
+                touch_range(service, range.first);
+            }
+        }
+    }
+}
+
+void control_state::drop_standby_of(target_number number) {
+    for (auto &[other, record] : m_targets) {
+        if (record.standby == number) {
+            record.standby = no_target;
+            record.standby_ready = false;
+            record.standby_epoch = m_version;
+            touch_target(other);
+        }
+    }
+}
+
+error_kind control_state::apply_body(const expire_target &body, const command &value,
+                                     note &written, applied &) {
+    target_record *record = live_target(body.number);
+    if (record == nullptr) {
+        return error_kind::not_found;
+    }
+    written.subject = record->name;
+    written.before = dump(nlohmann::json(*record));
+    record->phase = target_phase::gone;
+    std::size_t lost = 0;
+    for (auto &[service, ranges] : m_ranges) {
+        for (range_record &range : ranges) {
+            if (range.recover_from == body.number && range.owner != body.number) {
+                // The copy this range was to be restored from went with the standby.
+                range.memory = range_memory::lost;
+                range.recover_from = no_target;
+                range.recover_of = no_target;
+                range.lost_at_ms = value.wall_ms;
+                touch_range(service, range.first);
+            }
+            if (range.owner == body.number) {
+                lose_owner(range, *record, value.wall_ms);
+                touch_range(service, range.first);
+                ++lost;
+            }
+        }
+    }
+    cancel_moves_to(body.number);
+    drop_standby_of(body.number);
+    touch_target(body.number);
+    prune_targets();
+    written.after = std::to_string(lost) + " ranges without an owner";
+    return error_kind::none;
+}
+
+/// Forgets registrations that ended long ago and that no range refers to. Every restart makes one,
+/// so without this the state would grow by 390 records a day.
+void control_state::prune_targets() {
+    std::size_t ended = 0;
+    for (const auto &[number, record] : m_targets) {
+        ended += record.phase == target_phase::gone ? 1 : 0;
+    }
+    if (ended <= kept_ended_targets) {
+        return;
+    }
+    std::set<target_number> used;
+    for (const auto &[service, ranges] : m_ranges) {
+        for (const range_record &range : ranges) {
+            used.insert({range.owner, range.next, range.recover_from, range.recover_of});
+        }
+    }
+    for (auto at = m_targets.begin(); at != m_targets.end() && ended > kept_ended_targets / 2;) {
+        const bool removable =
+            at->second.phase == target_phase::gone && used.count(at->first) == 0;
+        at = removable ? m_targets.erase(at) : std::next(at);
+        ended -= removable ? 1 : 0;
+    }
+}
+
+error_kind control_state::apply_body(const drain_target &body, const command &, note &written,
+                                     applied &) {
+    target_record *record = live_target(body.number);
+    if (record == nullptr) {
+        return error_kind::not_found;
+    }
+    if (record->phase == target_phase::draining) {
+        return error_kind::cancelled;
+    }
+    record->phase = target_phase::draining;
+    cancel_moves_to(body.number);
+    touch_target(body.number);
+    written.subject = record->name;
+    written.before = "serving";
+    written.after = "draining";
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const retire_target &body, const command &, note &written,
+                                     applied &) {
+    target_record *record = live_target(body.number);
+    if (record == nullptr) {
+        return error_kind::not_found;
+    }
+    for (const auto &[service, ranges] : m_ranges) {
+        for (const range_record &range : ranges) {
+            if (range.owner == body.number || range.recover_from == body.number) {
+                return error_kind::cancelled;
+            }
+        }
+    }
+    written.subject = record->name;
+    written.before = "draining";
+    written.after = "gone";
+    record->phase = target_phase::gone;
+    drop_standby_of(body.number);
+    touch_target(body.number);
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const grant_ranges &body, const command &, note &written,
+                                     applied &) {
+    std::vector<range_choice> done;
+    for (const range_choice &choice : body.choices) {
+        range_record *range = range_at(body.service, choice.first);
+        const target_record *target = live_target(choice.to);
+        if (range == nullptr || target == nullptr || range->owner != no_target ||
+            target->phase != target_phase::serving || target->service != body.service) {
+            continue;
+        }
+        range->owner = choice.to;
+        range->token = m_version;
+        touch_range(body.service, range->first);
+        done.push_back(choice);
+    }
+    written.subject = body.service;
+    written.before = "no owner";
+    written.after = choices_text(done);
+    return done.empty() ? error_kind::cancelled : error_kind::none;
+}
+
+error_kind control_state::apply_body(const plan_moves &body, const command &, note &written,
+                                     applied &) {
+    std::vector<range_choice> before;
+    std::vector<range_choice> done;
+    for (const range_choice &choice : body.choices) {
+        range_record *range = range_at(body.service, choice.first);
+        const target_record *target = live_target(choice.to);
+        const bool movable = range != nullptr && range->owner != no_target &&
+                             range->owner != choice.to && range->next == no_target;
+        if (!movable || target == nullptr || target->phase != target_phase::serving ||
+            target->service != body.service) {
+            continue;
+        }
+        before.push_back({range->first, range->owner});
+        range->next = choice.to;
+        touch_range(body.service, range->first);
+        done.push_back(choice);
+    }
+    written.subject = body.service;
+    written.before = choices_text(before);
+    written.after = choices_text(done);
+    return done.empty() ? error_kind::cancelled : error_kind::none;
+}
+
+error_kind control_state::apply_body(const release_range &body, const command &, note &written,
+                                     applied &) {
+    range_record *range = range_at(body.service, body.first);
+    if (range == nullptr || range->token != body.token || range->owner == no_target ||
+        body.to == no_target || range->next != body.to) {
+        return error_kind::cancelled;
+    }
+    written.subject = range_subject(body.service, body.first);
+    written.before = dump(nlohmann::json(*range));
+    range->owner = range->next;
+    range->next = no_target;
+    range->token = m_version;
+    if (range->memory == range_memory::fetch) {
+        range->memory = range_memory::complete;
+        range->recover_from = no_target;
+        range->recover_of = no_target;
+    }
+    touch_range(body.service, range->first);
+    written.after = dump(nlohmann::json(*range));
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const split_range &body, const command &, note &written,
+                                     applied &) {
+    const auto found = m_ranges.find(body.service);
+    if (found == m_ranges.end()) {
+        return error_kind::not_found;
+    }
+    const auto place = position_of(found->second, body.at);
+    if (place->first == body.at || place->next != no_target) {
+        return error_kind::cancelled;
+    }
+    range_record upper = *place;
+    upper.first = body.at;
+    written.subject = range_subject(body.service, place->first);
+    written.after = "cut at " + std::to_string(body.at);
+    touch_range(body.service, place->first);
+    touch_range(body.service, body.at);
+    found->second.insert(std::next(place), upper);
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const merge_range &body, const command &, note &written,
+                                     applied &) {
+    const auto found = m_ranges.find(body.service);
+    if (found == m_ranges.end() || body.first == 0) {
+        return error_kind::not_found;
+    }
+    const auto place = position_of(found->second, body.first);
+    if (place->first != body.first) {
+        return error_kind::cancelled;
+    }
+    range_record &lower = *std::prev(place);
+    const bool settled = lower.next == no_target && place->next == no_target &&
+                         lower.memory == range_memory::complete &&
+                         place->memory == range_memory::complete;
+    if (lower.owner != place->owner || !settled) {
+        return error_kind::cancelled;
+    }
+    lower.token = std::max(lower.token, place->token);
+    written.subject = range_subject(body.service, body.first);
+    written.after = "joined to " + std::to_string(std::prev(place)->first);
+    touch_range(body.service, body.first);
+    touch_range(body.service, std::prev(place)->first);
+    found->second.erase(place);
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const set_standby &body, const command &, note &written,
+                                     applied &) {
+    target_record *record = live_target(body.number);
+    if (record == nullptr || body.standby == body.number) {
+        return error_kind::not_found;
+    }
+    const target_record *standby = live_target(body.standby);
+    if (body.standby != no_target && standby == nullptr) {
+        return error_kind::cancelled;
+    }
+    // A copy may only be declared complete for the standby that is in force now.
+    if (body.ready && (record->standby != body.standby || record->standby_epoch != body.epoch)) {
+        return error_kind::cancelled;
+    }
+    if (record->standby == body.standby && record->standby_ready == body.ready) {
+        return error_kind::cancelled;
+    }
+    written.subject = record->name;
+    written.before = std::to_string(record->standby) + (record->standby_ready ? " ready" : "");
+    record->standby = body.standby;
+    record->standby_ready = body.ready;
+    record->standby_epoch = body.ready ? body.epoch : m_version;
+    written.after = std::to_string(record->standby) + (record->standby_ready ? " ready" : "");
+    touch_target(body.number);
+    return error_kind::none;
+}
+
+error_kind control_state::apply_body(const restore_memory &body, const command &,
+                                     note &written, applied &) {
+    range_record *range = range_at(body.service, body.first);
+    if (range == nullptr || range->memory == range_memory::complete ||
+        range->token != body.token) {
+        return error_kind::cancelled;
+    }
+    written.subject = range_subject(body.service, body.first);
+    written.before = dump(nlohmann::json(range->memory));
+    written.after = "complete";
+    range->memory = range_memory::complete;
+    range->recover_from = no_target;
+    range->recover_of = no_target;
+    range->lost_at_ms = 0;
+    touch_range(body.service, range->first);
+    return error_kind::none;
+}
+
+std::string control_state::encode() const {
+    nlohmann::json targets = nlohmann::json::array();
+    for (const auto &[number, record] : m_targets) {
+        targets.push_back(record);
+    }
+    const nlohmann::json json{{"v", state_version},
+                              {"version", m_version},
+                              {"table_csv", m_table.rows().empty() ? "" : m_table.to_csv()},
+                              {"table_version", m_table_version},
+                              {"table_change_id", m_table_change_id},
+                              {"table_actor", m_table_actor},
+                              {"targets", targets},
+                              {"last_number", m_last_number},
+                              {"ranges", m_ranges},
+                              {"answers", m_answers},
+                              {"audit", m_audit}};
+    return dump(json);
+}
+
+std::optional<control_state> control_state::decode(std::string_view text, std::string &reason) {
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        if (json.at("v").get<int>() != state_version) {
+            reason = "state version " + json.at("v").dump() + " is not supported";
+            return std::nullopt;
+        }
+        control_state state;
+        json.at("version").get_to(state.m_version);
+        const auto csv = json.at("table_csv").get<std::string>();
+        std::vector<table_problem> problems;
+        if (!csv.empty()) {
+            const std::optional<table> read = make_table(csv, problems);
+            if (!read) {
+                reason = "table in the snapshot: " + describe(problems.front());
+                return std::nullopt;
+            }
+            state.m_table = *read;
+        }
+        json.at("table_version").get_to(state.m_table_version);
+        json.at("table_change_id").get_to(state.m_table_change_id);
+        json.at("table_actor").get_to(state.m_table_actor);
+        for (const auto &item : json.at("targets")) {
+            const auto record = item.get<target_record>();
+            state.m_targets[record.number] = record;
+        }
+        json.at("last_number").get_to(state.m_last_number);
+        json.at("ranges").get_to(state.m_ranges);
+        json.at("answers").get_to(state.m_answers);
+        json.at("audit").get_to(state.m_audit);
+        state.m_touched_from = state.m_version;
+        for (const auto &[service, ranges] : state.m_ranges) {
+            const bool sorted = std::is_sorted(
+                ranges.begin(), ranges.end(),
+                [](const range_record &a, const range_record &b) { return a.first < b.first; });
+            if (ranges.empty() || ranges.front().first != 0 || !sorted) {
+                reason = "ranges of " + service + " do not cover the key space in order";
+                return std::nullopt;
+            }
+        }
+        return state;
+    } catch (const nlohmann::json::exception &error) {
+        reason = error.what();
+        return std::nullopt;
+    }
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/state/durable_log.cpp
@@ -0,0 +1,403 @@
+#include "peppertack/state/durable_log.hpp"
+
+#include "peppertack/state/storage.hpp"
+
+#include <cassert>
+#include <cstring>
+#include <xxhash.h>
+
+namespace peppertack {
+
+namespace {
+
+// A file is a sequence of frames:
+//
+//   | mark 4 | version 1 | body size 4 | checksum 8 | body ... |
+//
+// One call of `append` writes one frame and one sync covers it, so at most the last frame can be
+// torn. The checksum covers version, size and body. Numbers are little endian.
+constexpr std::string_view frame_mark = "PTL\x1f";
+constexpr std::uint8_t frame_version = 1;
+constexpr std::size_t header_size = 4 + 1 + 4 + 8;
+constexpr std::size_t max_body = 1U << 30U;
+constexpr const char *snapshot_file = "snapshot";
+constexpr const char *log_prefix = "log-";
+
+enum class record_kind : std::uint8_t { vote = 1, entry = 2 };
+
+template <class Number> void put(std::string &out, Number value) {
+    for (std::size_t i = 0; i < sizeof(Number); ++i) {
+        out += static_cast<char>((static_cast<std::uint64_t>(value) >> (8 * i)) & 0xffU);
+    }
+}
+
+void put_text(std::string &out, std::string_view text) {
+    put(out, static_cast<std::uint32_t>(text.size()));
+    out.append(text);
+}
+
+class reader {
+public:
+    explicit reader(std::string_view bytes) : m_bytes(bytes) {}
+
+    bool ok() const { return m_ok; }
+    bool at_end() const { return m_bytes.empty(); }
+
+    template <class Number> Number number() {
+        if (m_bytes.size() < sizeof(Number)) {
+            m_ok = false;
+            m_bytes = {};
+            return 0;
+        }
+        std::uint64_t value = 0;
+        for (std::size_t i = 0; i < sizeof(Number); ++i) {
+            value |= static_cast<std::uint64_t>(static_cast<unsigned char>(m_bytes[i])) << (8 * i);
+        }
+        m_bytes.remove_prefix(sizeof(Number));
+        return static_cast<Number>(value);
+    }
+
+    std::string text() {
+        const auto size = number<std::uint32_t>();
+        if (m_bytes.size() < size) {
+            m_ok = false;
+            m_bytes = {};
+            return {};
+        }
+        std::string result(m_bytes.substr(0, size));
+        m_bytes.remove_prefix(size);
+        return result;
+    }
+
+private:
+    std::string_view m_bytes;
+    bool m_ok = true;
+};
+
+std::uint64_t frame_checksum(std::uint8_t version, std::string_view body) {
+    return XXH3_64bits_withSeed(body.data(), body.size(), (body.size() << 8U) | version);
+}
+
+std::string make_frame(std::string_view body) {
+    std::string frame(frame_mark);
+    put(frame, frame_version);
+    put(frame, static_cast<std::uint32_t>(body.size()));
+    put(frame, frame_checksum(frame_version, body));
+    frame.append(body);
+    return frame;
+}
+
+enum class frame_state { whole, torn, damaged, foreign };
+
+struct frame {
+    frame_state state = frame_state::torn;
+    std::string_view body;
+    std::size_t size = 0;
+};
+
+frame read_frame(std::string_view bytes) {
+    if (bytes.size() < header_size) {
+        return {};
+    }
+    reader header(bytes.substr(frame_mark.size(), header_size - frame_mark.size()));
+    const auto version = header.number<std::uint8_t>();
+    const auto size = header.number<std::uint32_t>();
+    const auto checksum = header.number<std::uint64_t>();
+    if (bytes.substr(0, frame_mark.size()) != frame_mark || size > max_body) {
+        return {.state = frame_state::damaged};
+    }
+    if (bytes.size() - header_size < size) {
+        return {};
+    }
+    const std::string_view body = bytes.substr(header_size, size);
+    if (frame_checksum(version, body) != checksum) {
+        return {.state = frame_state::damaged};
+    }
+    if (version != frame_version) {
+        return {.state = frame_state::foreign};
+    }
+    return {.state = frame_state::whole, .body = body, .size = header_size + size};
+}
+
+/// Is there a whole frame anywhere behind a bad one? Only the last write can be torn, so a whole
+/// frame behind it means that synced bytes were damaged.
+bool whole_frame_follows(std::string_view bytes) {
+    for (std::size_t at = bytes.find(frame_mark, 1); at != std::string_view::npos;
+         at = bytes.find(frame_mark, at + 1)) {
+        if (read_frame(bytes.substr(at)).state == frame_state::whole) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void put_entry(std::string &body, const log_entry &entry) {
+    put(body, static_cast<std::uint8_t>(record_kind::entry));
+    put(body, entry.index);
+    put(body, entry.term);
+    put(body, static_cast<std::uint8_t>(entry.kind));
+    put_text(body, entry.payload);
+}
+
+void put_vote(std::string &body, const vote_record &vote) {
+    put(body, static_cast<std::uint8_t>(record_kind::vote));
+    put(body, vote.term);
+    put_text(body, vote.voted_for);
+}
+
+std::string file_name(std::uint64_t base_index) {
+    std::string digits = std::to_string(base_index);
+    digits.insert(0, 20 - digits.size(), '0');
+    return log_prefix + digits;
+}
+
+} // namespace
+
+std::optional<durable_log> durable_log::open(storage &files, options settings,
+                                             std::string &reason) {
+    durable_log log(files, settings);
+    if (!log.load(reason)) {
+        return std::nullopt;
+    }
+    return log;
+}
+
+bool durable_log::load(std::string &reason) {
+    if (!load_snapshot(reason)) {
+        return false;
+    }
+    // A crash between storing a snapshot and starting its file leaves the older file as the newest
+    // one; its entries that the snapshot covers are passed over while reading.
+    std::vector<std::string> logs;
+    for (const std::string &name : m_files->list()) {
+        if (name.rfind(log_prefix, 0) == 0) {
+            logs.push_back(name);
+        }
+    }
+    if (logs.empty()) {
+        if (!start_file()) {
+            reason = m_reason;
+            return false;
+        }
+        return true;
+    }
+    m_file = logs.back();
+    if (!load_file(m_file, reason)) {
+        return false;
+    }
+    logs.pop_back();
+    for (const std::string &name : logs) {
+        m_files->remove(name);
+    }
+    return true;
+}
+
+bool durable_log::load_snapshot(std::string &reason) {
+    const std::optional<std::string> bytes = m_files->read(snapshot_file);
+    if (!bytes) {
+        return true;
+    }
+    const frame whole = read_frame(*bytes);
+    if (whole.state != frame_state::whole) {
+        reason = "the snapshot file is damaged; replace this voter by a new one";
+        return false;
+    }
+    reader in(whole.body);
+    log_snapshot snapshot;
+    snapshot.index = in.number<std::uint64_t>();
+    snapshot.term = in.number<std::uint64_t>();
+    snapshot.members = in.text();
+    snapshot.state = in.text();
+    if (!in.ok() || !in.at_end()) {
+        reason = "the snapshot file has an unknown form";
+        return false;
+    }
+    m_base_index = snapshot.index;
+    m_base_term = snapshot.term;
+    m_snapshot = std::move(snapshot);
+    return true;
+}
+
+bool durable_log::load_file(const std::string &name, std::string &reason) {
+    const std::optional<std::string> bytes = m_files->read(name);
+    if (!bytes) {
+        reason = "can't read " + name + ": " + m_files->last_reason();
+        return false;
+    }
+    std::size_t at = 0;
+    while (at < bytes->size()) {
+        const std::string_view rest = std::string_view(*bytes).substr(at);
+        const frame next = read_frame(rest);
+        if (next.state == frame_state::foreign) {
+            reason = name + " at byte " + std::to_string(at) + ": frame version not supported";
+            return false;
+        }
+        if (next.state != frame_state::whole) {
+            if (whole_frame_follows(rest)) {
+                reason = name + " is damaged at byte " + std::to_string(at) +
+                         " before its end; replace this voter by a new one";
+                return false;
+            }
+            break;
+        }
+        if (!take_frame(next.body, reason)) {
+            reason = name + " at byte " + std::to_string(at) + ": " + reason;
+            return false;
+        }
+        at += next.size;
+    }
+    if (at < bytes->size() && !m_files->truncate(name, at)) {
+        reason = "can't cut the torn tail of " + name + ": " + m_files->last_reason();
+        return false;
+    }
+    return true;
+}
+
+bool durable_log::take_frame(std::string_view body, std::string &reason) {
+    reader in(body);
+    while (in.ok() && !in.at_end()) {
+        const auto kind = static_cast<record_kind>(in.number<std::uint8_t>());
+        if (kind == record_kind::vote) {
+            m_vote.term = in.number<std::uint64_t>();
+            m_vote.voted_for = in.text();
+        } else if (kind == record_kind::entry) {
+            log_entry entry;
+            entry.index = in.number<std::uint64_t>();
+            entry.term = in.number<std::uint64_t>();
+            entry.kind = static_cast<entry_kind>(in.number<std::uint8_t>());
+            entry.payload = in.text();
+            if (in.ok() && !take_entry(std::move(entry), reason)) {
+                return false;
+            }
+        } else {
+            reason = "unknown kind of record";
+            return false;
+        }
+    }
+    if (!in.ok()) {
+        reason = "a record is shorter than it says";
+    }
+    return in.ok();
+}
+
+bool durable_log::take_entry(log_entry entry, std::string &reason) {
+    if (entry.index <= m_base_index) {
+        return true;
+    }
+    if (entry.index > last_index() + 1) {
+        reason = "entry " + std::to_string(entry.index) + " follows entry " +
+                 std::to_string(last_index());
+        return false;
+    }
+    m_entries.resize(entry.index - m_base_index - 1);
+    m_entries.push_back(std::move(entry));
+    return true;
+}
+
+std::optional<std::uint64_t> durable_log::term_at(std::uint64_t index) const {
+    if (index == m_base_index) {
+        return m_base_term;
+    }
+    const log_entry *entry = entry_at(index);
+    return entry == nullptr ? std::nullopt : std::optional(entry->term);
+}
+
+const log_entry *durable_log::entry_at(std::uint64_t index) const {
+    if (index <= m_base_index || index > last_index()) {
+        return nullptr;
+    }
+    return &m_entries[index - m_base_index - 1];
+}
+
+bool durable_log::save_vote(const vote_record &vote) {
+    std::string body;
+    put_vote(body, vote);
+    if (!write_frame(body)) {
+        return false;
+    }
+    m_vote = vote;
+    return true;
+}
+
+bool durable_log::append(const std::vector<log_entry> &entries) {
+    assert(!entries.empty());
+    assert(entries.front().index > m_base_index && entries.front().index <= last_index() + 1);
+    std::string body;
+    for (const log_entry &entry : entries) {
+        put_entry(body, entry);
+    }
+    if (!write_frame(body)) {
+        return false;
+    }
+    m_entries.resize(entries.front().index - m_base_index - 1);
+    m_entries.insert(m_entries.end(), entries.begin(), entries.end());
+    return true;
+}
+
+bool durable_log::save_snapshot(const log_snapshot &snapshot) {
+    if (m_failed || snapshot.index <= m_base_index) {
+        return !m_failed;
+    }
+    std::string body;
+    put(body, snapshot.index);
+    put(body, snapshot.term);
+    put_text(body, snapshot.members);
+    put_text(body, snapshot.state);
+    if (!m_files->replace(snapshot_file, make_frame(body))) {
+        return fail("can't store the snapshot");
+    }
+    const bool keeps_tail = term_at(snapshot.index) == snapshot.term;
+    if (keeps_tail) {
+        const auto covered = static_cast<std::ptrdiff_t>(snapshot.index - m_base_index);
+        m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
+    } else {
+        m_entries.clear();
+    }
+    m_base_index = snapshot.index;
+    m_base_term = snapshot.term;
+    m_snapshot = snapshot;
+    return start_file();
+}
+
+/// Begins a file for what follows the snapshot. The vote goes first: without it a restart could
+/// vote twice in one term.
+bool durable_log::start_file() {
+    const std::string old = m_file;
+    std::string body;
+    put_vote(body, m_vote);
+    for (const log_entry &entry : m_entries) {
+        put_entry(body, entry);
+    }
+    const std::string name = file_name(m_base_index);
+    if (!m_files->replace(name, make_frame(body))) {
+        return fail("can't start " + name);
+    }
+    m_file = name;
+    if (!old.empty() && old != name) {
+        m_files->remove(old);
+    }
+    return true;
+}
+
+bool durable_log::write_frame(const std::string &body) {
+    if (m_failed) {
+        return false;
+    }
+    if (!m_files->append(m_file, make_frame(body))) {
+        return fail("can't write " + m_file);
+    }
+    if (m_options.sync_writes && !m_files->sync(m_file)) {
+        return fail("can't sync " + m_file);
+    }
+    return true;
+}
+
+/// After a failed sync the kernel may have dropped the pages: what is on the disk is not known, so
+/// no later success can be believed.
+bool durable_log::fail(const std::string &what) {
+    m_failed = true;
+    m_reason = what + ": " + m_files->last_reason();
+    return false;
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/state/json_fields.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "peppertack/state/command.hpp"
+#include "peppertack/state/records.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace peppertack {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(target_phase, {{target_phase::serving, "serving"},
+                                            {target_phase::draining, "draining"},
+                                            {target_phase::gone, "gone"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(range_memory, {{range_memory::complete, "complete"},
+                                            {range_memory::fetch, "fetch"},
+                                            {range_memory::lost, "lost"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_record, number, name, service, failure_domain,
+                                   node_address, incarnation, slots, connections, checks_tokens,
+                                   phase, standby, standby_ready, standby_epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_record, first, owner, token, next, memory, recover_from,
+                                   recover_of, lost_at_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_table, change_id, base_version, csv)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_target, record)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(expire_target, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(drain_target, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(retire_target, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_choice, first, to)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_ranges, service, choices)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(plan_moves, service, choices)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(release_range, service, first, token, to)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(split_range, service, at)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(merge_range, service, first)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_standby, number, standby, ready, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(restore_memory, service, first, token)
+
+} // namespace peppertack
--- /dev/null
+++ b/src/state/posix_storage.cpp
@@ -0,0 +1,165 @@
+#include "peppertack/state/posix_storage.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace peppertack {
+
+namespace {
+
+constexpr const char *lock_file = "lock";
+constexpr int file_mode = 0640;
+
+bool write_all(int handle, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(handle, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+} // namespace
+
+std::unique_ptr<posix_storage> posix_storage::make(const std::string &folder,
+                                                   std::string &reason) {
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error) {
+        reason = folder + ": " + error.message();
+        return nullptr;
+    }
+    std::unique_ptr<posix_storage> files(new posix_storage(folder));
+    files->m_lock = ::open(files->path_of(lock_file).c_str(), O_RDWR | O_CREAT | O_CLOEXEC,
+                           file_mode);
+    if (files->m_lock < 0 || ::flock(files->m_lock, LOCK_EX | LOCK_NB) != 0) {
+        reason = folder + ": in use by another process, or not writable (" +
+                 std::strerror(errno) + ")";
+        return nullptr;
+    }
+    return files;
+}
+
+posix_storage::~posix_storage() {
+    for (const auto &[name, handle] : m_handles) {
+        ::close(handle);
+    }
+    if (m_lock >= 0) {
+        ::close(m_lock);
+    }
+}
+
+std::vector<std::string> posix_storage::list() {
+    std::vector<std::string> names;
+    std::error_code error;
+    for (const auto &item : std::filesystem::directory_iterator(m_folder, error)) {
+        const std::string name = item.path().filename().string();
+        if (item.is_regular_file(error) && name != lock_file) {
+            names.push_back(name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::optional<std::string> posix_storage::read(const std::string &name) {
+    std::ifstream in(path_of(name), std::ios::binary);
+    if (!in) {
+        fail("open " + name);
+        return std::nullopt;
+    }
+    std::ostringstream content;
+    content << in.rdbuf();
+    return std::move(content).str();
+}
+
+int posix_storage::handle_of(const std::string &name) {
+    const auto found = m_handles.find(name);
+    if (found != m_handles.end()) {
+        return found->second;
+    }
+    const int handle =
+        ::open(path_of(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
+    if (handle < 0 || !sync_folder()) {
+        fail("open " + name);
+        return -1;
+    }
+    m_handles[name] = handle;
+    return handle;
+}
+
+void posix_storage::close_handle(const std::string &name) {
+    const auto found = m_handles.find(name);
+    if (found != m_handles.end()) {
+        ::close(found->second);
+        m_handles.erase(found);
+    }
+}
+
+bool posix_storage::append(const std::string &name, std::string_view bytes) {
+    const int handle = handle_of(name);
+    return handle >= 0 && (write_all(handle, bytes) || fail("write " + name));
+}
+
+bool posix_storage::sync(const std::string &name) {
+    const int handle = handle_of(name);
+    return handle >= 0 && (::fdatasync(handle) == 0 || fail("sync " + name));
+}
+
+bool posix_storage::truncate(const std::string &name, std::size_t size) {
+    const int handle = handle_of(name);
+    if (handle < 0) {
+        return false;
+    }
+    const bool cut = ::ftruncate(handle, static_cast<off_t>(size)) == 0;
+    return (cut && ::fsync(handle) == 0) || fail("truncate " + name);
+}
+
+bool posix_storage::replace(const std::string &name, std::string_view bytes) {
+    close_handle(name);
+    const std::string fresh = path_of(name) + ".new";
+    const int handle =
+        ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    if (handle < 0) {
+        return fail("create " + name);
+    }
+    const bool written = write_all(handle, bytes) && ::fsync(handle) == 0;
+    ::close(handle);
+    if (!written || ::rename(fresh.c_str(), path_of(name).c_str()) != 0) {
+        return fail("replace " + name);
+    }
+    return sync_folder();
+}
+
+bool posix_storage::remove(const std::string &name) {
+    close_handle(name);
+    return ::unlink(path_of(name).c_str()) == 0 || fail("remove " + name);
+}
+
+bool posix_storage::sync_folder() {
+    const int handle = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool synced = handle >= 0 && ::fsync(handle) == 0;
+    if (handle >= 0) {
+        ::close(handle);
+    }
+    return synced || fail("sync folder");
+}
+
+bool posix_storage::fail(const std::string &what) {
+    m_reason = what + ": " + std::strerror(errno);
+    return false;
+}
+
+} // namespace peppertack
