The whole path: daemon, operator program, stand-in target, demo

Change: Cap'n Proto messages and their codec, the closed table from error kind to answer, the mapping of callers' requests, peer connections over Asio, HTTP by cpp-httplib, the control thread, the node's threads, peppertackd, peppertack, a load tool that holds the targets' ledgers against the answers, and scripts/demo. A target whose planned stop is done is not taken on again until it has been away: the first run of the demo showed it come back as a new registration.

--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -48,15 +48,15 @@
 };
 
 /// The control part of one voter: replicates decisions and, while it leads, makes them. Grants
-/// leases, gives every range one owner, drives planned stops, records why. Deterministic; not thread
-/// safe: it belongs to the control thread.
+/// leases, gives every range one owner, drives planned stops, records why. Deterministic; not
+/// thread safe: it belongs to the control thread.
 class control_core {
 public:
     using audit_sink = std::function<bool(const audit_record &)>;
 
-    /// Precondition: `log` outlives the object. `audit` is called for each decision as it is applied
-    /// and may see the same record again after a restart. Yields nothing, with the reason, if the
-    /// log's snapshot can't be read.
+    /// Precondition: `log` outlives the object. `audit` is called for each decision as it is
+    /// applied and may see the same record again after a restart. Yields nothing, with the reason,
+    /// if the log's snapshot can't be read.
     static std::unique_ptr<control_core> make(control_options options, durable_log &log,
                                               audit_sink audit, moment at, std::string &reason);
 
@@ -131,7 +131,8 @@
     std::uint64_t m_next_ticket = 1;
     instant m_place_at{};
     instant m_balance_at{};
-    std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> m_tickets; ///< index: term, ticket
+    std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>>
+        m_tickets; ///< index: term, ticket
     std::vector<submit_answer> m_answers;
     std::vector<waiting_renewal> m_renewals;
     std::map<node_address, node_report> m_nodes;
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -72,6 +72,8 @@
     instant m_lease_until{};
     bool m_giving_up = false;
     bool m_stopping = false;
+    bool m_drain_seen = false; ///< a planned stop of this registration was under way
+    bool m_retired = false;    ///< the stop is done and the target has not been away since
     route_map m_map;
     table m_table;
     std::uint64_t m_table_version = 0;
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -94,9 +94,9 @@
     std::uint64_t sequence = 0;
     std::uint64_t map_version = 0;
     std::uint64_t table_version = 0;
-    target_record target;  ///< number is zero until one was given
+    target_record target; ///< number is zero until one was given
     bool has_target = false;
-    bool draining = false; ///< the target or its node is stopping
+    bool draining = false;  ///< the target or its node is stopping
     bool giving_up = false; ///< the target is gone: the lease may end at once
     std::vector<range_report> released;
     std::vector<range_report> restored;
@@ -280,11 +280,10 @@
     std::vector<remembered_key> keys;
 };
 
-using message =
-    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request,
-                 renew_request, renew_reply, map_update, forward_request, forward_reply, fate_query,
-                 fate_reply, cancel_request, remember_request, remember_reply, recall_request,
-                 recall_reply>;
+using message = std::variant<vote_request, vote_reply, append_request, append_reply,
+                             snapshot_request, renew_request, renew_reply, map_update,
+                             forward_request, forward_reply, fate_query, fate_reply, cancel_request,
+                             remember_request, remember_reply, recall_request, recall_reply>;
 
 /// A message on its way out of a state machine.
 struct outgoing {
--- a/include/peppertack/coordination/node_options.hpp
+++ b/include/peppertack/coordination/node_options.hpp
@@ -20,7 +20,8 @@
     lease_timing lease;
     duration renew_interval = std::chrono::milliseconds(200);
     duration renew_timeout = std::chrono::milliseconds(150); ///< then the next voter is asked
-    duration announce_timeout = std::chrono::seconds(3); ///< a target silent for this long is lost
+    duration announce_timeout =
+        std::chrono::milliseconds(1200); ///< a target silent so long is lost
     duration load_interval = std::chrono::seconds(1);
     duration probe_after = std::chrono::milliseconds(200); ///< an answer this late is asked after
     duration probe_interval = std::chrono::milliseconds(100);
--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -14,7 +14,7 @@
 struct placement_target {
     target_number number = no_target;
     std::string failure_domain;
-    double weight = 0; ///< its part of its table row's weight
+    double weight = 0;   ///< its part of its table row's weight
     bool accepts = true; ///< may be given ranges: it is serving
     bool leaves = false; ///< a planned stop: its ranges have to go
 };
@@ -31,11 +31,11 @@
 };
 
 struct placement_options {
-    std::size_t moves_at_a_time = 2;  ///< planned moves under way for balance
-    std::size_t stops_at_a_time = 32; ///< planned moves under way for a planned stop
-    double tolerance = 0.10;          ///< load above the share that is left alone
-    double gain_per_price = 0.01;     ///< share of a target's load that pays for a move at price 1
-    double prior_rate = 200;          ///< requests a second at which measured load counts for half
+    std::size_t moves_at_a_time = 2;   ///< planned moves under way for balance
+    std::size_t stops_at_a_time = 32;  ///< planned moves under way for a planned stop
+    double tolerance = 0.10;           ///< load above the share that is left alone
+    double gain_per_price = 0.01;      ///< share of a target's load that pays for a move at price 1
+    double prior_rate = 200;           ///< requests a second at which measured load counts for half
     std::size_t ranges_per_target = 8; ///< fewer than this on average: split the widest
 };
 
--- a/include/peppertack/coordination/range_owner.hpp
+++ b/include/peppertack/coordination/range_owner.hpp
@@ -122,8 +122,7 @@
     void settle_key(const served_request &request, const caller_response &response, moment at);
     void forget_key(const served_request &request);
     void wake_attached(const served_request &request, const caller_response &response, moment at);
-    void keep_finished(const served_request &request, const caller_response &response,
-                       instant now);
+    void keep_finished(const served_request &request, const caller_response &response, instant now);
     void expire_finished(instant now);
     void refuse_waiting(error_kind error, moment at);
     void expire_waiting(moment at);
--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -92,7 +92,7 @@
     struct progress {
         std::uint64_t next = 1;
         std::uint64_t match = 0;
-        std::uint64_t round = 0;      ///< highest round echoed
+        std::uint64_t round = 0; ///< highest round echoed
         instant heard{};
         instant sent{};
         bool snapshot_sent = false;
--- a/include/peppertack/coordination/retry_budget.hpp
+++ b/include/peppertack/coordination/retry_budget.hpp
@@ -9,8 +9,8 @@
 class retry_budget {
 public:
     struct options {
-        double share = 0.1;  ///< retries earned by each request
-        double most = 20;    ///< retries that can be saved up
+        double share = 0.1; ///< retries earned by each request
+        double most = 20;   ///< retries that can be saved up
     };
 
     explicit retry_budget(options settings) : m_options(settings), m_tokens(settings.most) {}
--- a/include/peppertack/coordination/standby_link.hpp
+++ b/include/peppertack/coordination/standby_link.hpp
@@ -36,7 +36,8 @@
     /// The registration has ended.
     std::vector<standby_waiter> reset();
 
-    /// Adds a change. True if `waiter` was kept and will be yielded later; false if it need not wait.
+    /// Adds a change. True if `waiter` was kept and will be yielded later; false if it need not
+    /// wait.
     bool add(const remembered_key &key, std::optional<standby_waiter> waiter);
     bool add_all(const std::vector<remembered_key> &keys, standby_waiter waiter);
     /// Sends what is due.
--- a/include/peppertack/state/audit_log.hpp
+++ b/include/peppertack/state/audit_log.hpp
@@ -12,7 +12,8 @@
 class storage;
 
 /// A voter's own copy of the chain of decisions: files of JSON lines that are only ever appended to
-/// and stay readable after the log was truncated. Not thread safe: it belongs to the control thread.
+/// and stay readable after the log was truncated. Not thread safe: it belongs to the control
+/// thread.
 class audit_log {
 public:
     struct options {
@@ -24,8 +25,8 @@
     /// reason, if it can't be read.
     static std::optional<audit_log> open(storage &files, options settings, std::string &reason);
 
-    /// Writes a record. One that is already held, as after a replay, is passed over; a gap, as after
-    /// a snapshot, starts a new segment and is visible to `verify`.
+    /// Writes a record. One that is already held, as after a replay, is passed over; a gap, as
+    /// after a snapshot, starts a new segment and is visible to `verify`.
     bool append(const audit_record &record);
     std::uint64_t last_sequence() const { return m_last; }
 
--- a/include/peppertack/state/command.hpp
+++ b/include/peppertack/state/command.hpp
@@ -112,8 +112,8 @@
     friend bool operator==(const set_standby &, const set_standby &) = default;
 };
 
-/// The owner has every remembered key of the range again: it restored them from the standby copy, or
-/// their retention has passed since they were lost.
+/// The owner has every remembered key of the range again: it restored them from the standby copy,
+/// or their retention has passed since they were lost.
 struct restore_memory {
     std::string service;
     std::uint64_t first = 0;
@@ -122,10 +122,9 @@
     friend bool operator==(const restore_memory &, const restore_memory &) = default;
 };
 
-using command_body =
-    std::variant<change_table, register_target, expire_target, drain_target, retire_target,
-                 grant_ranges, plan_moves, release_range, split_range, merge_range, set_standby,
-                 restore_memory>;
+using command_body = std::variant<change_table, register_target, expire_target, drain_target,
+                                  retire_target, grant_ranges, plan_moves, release_range,
+                                  split_range, merge_range, set_standby, restore_memory>;
 
 struct command {
     std::int64_t wall_ms = 0; ///< leader's wall clock at the proposal, for auditors
--- /dev/null
+++ b/include/peppertack/transport/json_log.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace peppertack {
+
+enum class log_level : unsigned char { info, warning, error };
+
+/// Sends all logging of this process to standard error as JSON lines. Call once, before threads
+/// start. Messages below `least` are dropped.
+void start_json_log(const std::string &program, log_level least);
+
+/// One event with fixed field names: `time`, `level`, `event`, then `fields`. Thread safe.
+void log_event(log_level level, const char *event, const nlohmann::json &fields);
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/version.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace peppertack {
+
+inline constexpr const char *program_version = "0.1.0";
+
+} // namespace peppertack
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -34,15 +34,13 @@
             .standby_epoch = record.standby_epoch};
 }
 
-control_core::control_core(control_options options, durable_log &log, audit_sink audit,
-                           instant now)
+control_core::control_core(control_options options, durable_log &log, audit_sink audit, instant now)
     : m_options(std::move(options)),
       m_replica(std::make_unique<replica>(m_options.replication, log, now)),
       m_audit(std::move(audit)), m_leases(m_options.lease), m_placement(m_options.placement) {}
 
 std::unique_ptr<control_core> control_core::make(control_options options, durable_log &log,
-                                                 audit_sink audit, moment at,
-                                                 std::string &reason) {
+                                                 audit_sink audit, moment at, std::string &reason) {
     std::unique_ptr<control_core> core(
         new control_core(std::move(options), log, std::move(audit), at.now));
     if (log.snapshot()) {
@@ -73,8 +71,7 @@
         }
         // Answered only once a quorum has confirmed this leader after the renewal came: a leader
         // that was replaced without noticing must not prolong a lease the new one waits out.
-        const std::uint64_t round =
-            g_defects.unconfirmed_leader ? 0 : m_replica->request_round();
+        const std::uint64_t round = g_defects.unconfirmed_leader ? 0 : m_replica->request_round();
         m_renewals.push_back({round, from, *renewal});
     } else {
         m_replica->receive(from, body, at.now);
@@ -186,14 +183,12 @@
                              .version = entry.index,
                              .change = result.answer});
     } else {
-        m_answers.push_back(
-            {.ticket = number, .error = error_kind::not_leader, .certain = false});
+        m_answers.push_back({.ticket = number, .error = error_kind::not_leader, .certain = false});
     }
 }
 
 void control_core::update_leadership(moment at) {
-    const bool leads =
-        m_replica->leads() && m_replica->commit_index() >= m_replica->term_start();
+    const bool leads = m_replica->leads() && m_replica->commit_index() >= m_replica->term_start();
     if (leads == m_established) {
         return;
     }
@@ -207,9 +202,8 @@
     m_last_proposed = m_state.version();
     if (!leads) {
         for (const auto &[index, waiting] : m_tickets) {
-            m_answers.push_back({.ticket = waiting.second,
-                                 .error = error_kind::not_leader,
-                                 .certain = false});
+            m_answers.push_back(
+                {.ticket = waiting.second, .error = error_kind::not_leader, .certain = false});
         }
         m_tickets.clear();
         return;
@@ -354,8 +348,7 @@
     if (request.giving_up && !m_leases.revoked(record.number)) {
         // The node has stopped serving and says so: nothing to wait for.
         m_leases.revoke(record.number);
-        propose(at, actor, "target lost; lease given up by its node",
-                expire_target{record.number});
+        propose(at, actor, "target lost; lease given up by its node", expire_target{record.number});
     }
     take_loads(request, record, at);
 }
@@ -504,15 +497,13 @@
             continue;
         }
         const bool serving = record.phase == target_phase::serving && !m_leases.revoked(number);
-        const table_row *row =
-            m_state.current_table().find(service, record.failure_domain);
+        const table_row *row = m_state.current_table().find(service, record.failure_domain);
         placement_target target{.number = number,
                                 .failure_domain = record.failure_domain,
                                 .accepts = serving,
                                 .leaves = record.phase == target_phase::draining};
         if (row != nullptr && serving) {
-            target.weight =
-                row->weight / static_cast<double>(in_domain[record.failure_domain]);
+            target.weight = row->weight / static_cast<double>(in_domain[record.failure_domain]);
             view.churn_price = row->churn_price;
             view.unavailable_price = row->unavailable_price;
         }
@@ -563,9 +554,8 @@
     }
 }
 
-target_number
-control_core::standby_for(const target_record &record,
-                          const std::map<target_number, std::size_t> &duties) const {
+target_number control_core::standby_for(const target_record &record,
+                                        const std::map<target_number, std::size_t> &duties) const {
     target_number best = no_target;
     const auto rank = [&](const target_record &candidate) {
         // One failure domain must not take both copies, and none should hold many.
@@ -604,8 +594,7 @@
         const target_number chosen = standby_for(record, duties);
         if (chosen != record.standby) {
             ++duties[chosen];
-            propose(at, placement_actor,
-                    leaving ? "standby is stopping" : "target has no standby",
+            propose(at, placement_actor, leaving ? "standby is stopping" : "target has no standby",
                     set_standby{number, chosen, false, 0});
         }
     }
@@ -619,15 +608,16 @@
         const auto refers = [number = number](const range_record &range) {
             return range.owner == number || range.recover_from == number;
         };
-        const bool in_use = std::any_of(
-            m_state.ranges().begin(), m_state.ranges().end(), [&](const auto &service) {
+        const bool in_use =
+            std::any_of(m_state.ranges().begin(), m_state.ranges().end(), [&](const auto &service) {
                 return std::any_of(service.second.begin(), service.second.end(), refers);
             });
-        const bool is_standby = std::any_of(
-            m_state.targets().begin(), m_state.targets().end(), [number = number](const auto &item) {
-                return item.second.standby == number && item.second.phase != target_phase::gone &&
-                       item.second.standby_ready;
-            });
+        const bool is_standby = std::any_of(m_state.targets().begin(), m_state.targets().end(),
+                                            [number = number](const auto &item) {
+                                                return item.second.standby == number &&
+                                                       item.second.phase != target_phase::gone &&
+                                                       item.second.standby_ready;
+                                            });
         if (!in_use && !is_standby) {
             propose(at, placement_actor, "planned stop finished", retire_target{number});
         }
--- a/src/coordination/hot_key_counter.cpp
+++ b/src/coordination/hot_key_counter.cpp
@@ -14,9 +14,9 @@
         m_counts[hash] = 1;
         return;
     }
-    const auto least = std::min_element(
-        m_counts.begin(), m_counts.end(),
-        [](const auto &a, const auto &b) { return a.second < b.second; });
+    const auto least =
+        std::min_element(m_counts.begin(), m_counts.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
     const std::uint32_t inherited = least->second;
     m_counts.erase(least);
     m_counts[hash] = inherited + 1;
--- a/src/coordination/key_memory.cpp
+++ b/src/coordination/key_memory.cpp
@@ -84,8 +84,7 @@
     return result;
 }
 
-void key_memory::erase_range(const std::string &service, std::uint64_t first,
-                             std::uint64_t last) {
+void key_memory::erase_range(const std::string &service, std::uint64_t first, std::uint64_t last) {
     for (const remembered_key &value : in_range(service, first, last)) {
         erase(service, value.idempotency_key);
     }
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -29,6 +29,10 @@
         give_up(at);
         return; // the new target is taken on once the old one's lease has ended
     }
+    const bool returned = m_announced_at + m_options.announce_timeout < at.now;
+    if (m_retired && (returned || (m_announcement && *m_announcement != announcement))) {
+        m_retired = false;
+    }
     if (!m_announcement || *m_announcement != announcement) {
         hurry();
     }
@@ -47,6 +51,11 @@
 }
 
 void lease_client::end_registration() {
+    // A target whose planned stop is done may go on announcing itself until it is switched off;
+    // taking it on again would undo the stop.
+    const target_route *own = m_map.find_target(m_number);
+    m_retired = own != nullptr && own->phase != target_phase::serving && m_drain_seen;
+    m_drain_seen = false;
     m_number = no_target;
     m_lease_until = {};
     ++m_registration;
@@ -60,6 +69,9 @@
     if (m_announcement && m_announced_at + m_options.announce_timeout < at.now) {
         give_up(at);
     }
+    if (const target_route *own = m_map.find_target(m_number)) {
+        m_drain_seen = m_drain_seen || own->phase == target_phase::draining;
+    }
     if (m_waiting && at.now >= m_answer_due) {
         next_voter({}, at.now);
         m_waiting = false;
@@ -74,7 +86,7 @@
     renew_request request{.sequence = ++m_sequence,
                           .map_version = m_map.version(),
                           .table_version = m_table_version,
-                          .has_target = m_announcement.has_value(),
+                          .has_target = m_announcement.has_value() && !m_retired,
                           .draining = draining(),
                           .giving_up = m_giving_up};
     request.target.number = m_number;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -227,8 +227,7 @@
                 best = range;
             }
         }
-        if (best == workbench::none ||
-            bench.share(best) / bench.goal(fullest) < threshold) {
+        if (best == workbench::none || bench.share(best) / bench.goal(fullest) < threshold) {
             return;
         }
         const std::size_t to =
@@ -252,8 +251,7 @@
 }
 
 /// Cuts hot keys out as ranges of their own, and halves ranges too heavy to be moved.
-void split_heavy(const placement_view &view, const workbench &bench,
-                 placement_decision &decision) {
+void split_heavy(const placement_view &view, const workbench &bench, placement_decision &decision) {
     const std::vector<range_record> &ranges = *view.ranges;
     for (const std::uint64_t hash : view.hot_keys) {
         const std::size_t at = position_of(ranges, hash);
@@ -328,8 +326,8 @@
     std::vector<std::size_t> leaving = ranges_that_leave(view, bench);
     const std::size_t under_way = moves_under_way(view);
     if (!leaving.empty()) {
-        const std::size_t room = m_options.stops_at_a_time - std::min(m_options.stops_at_a_time,
-                                                                      under_way);
+        const std::size_t room =
+            m_options.stops_at_a_time - std::min(m_options.stops_at_a_time, under_way);
         leaving.resize(std::min(leaving.size(), room));
         hand_out(view, bench, std::move(leaving), decision.moves);
         decision.move_cause = "planned stop";
--- a/src/coordination/range_owner.cpp
+++ b/src/coordination/range_owner.cpp
@@ -26,8 +26,7 @@
                          node_counters &counters, local_reply reply)
     : m_options(options), m_lease(lease), m_effects(effects), m_counters(counters),
       m_reply(std::move(reply)), m_memory(options.memory),
-      m_standby({.resend_interval = options.resend_interval,
-                 .timeout = options.standby_timeout}) {}
+      m_standby({.resend_interval = options.resend_interval, .timeout = options.standby_timeout}) {}
 
 // ---- taking requests ----
 
@@ -194,12 +193,8 @@
 void range_owner::admit(std::uint64_t serial, moment at) {
     served_request &served = m_served.at(serial);
     switch (m_admission.offer({serial, served.hash, served.deadline}, at.now)) {
-    case admission::verdict::start:
-        start(serial, at);
-        return;
-    case admission::verdict::queued:
-        served.state = phase::queued;
-        return;
+    case admission::verdict::start: start(serial, at); return;
+    case admission::verdict::queued: served.state = phase::queued; return;
     case admission::verdict::refused:
         ++m_counters.shed;
         caller_response response = refusal(error_kind::overloaded);
@@ -262,8 +257,8 @@
         response = refusal(error_kind::target_unreachable);
     } else {
         response.result = outcome::unknown;
-        response.error = at.now >= served.deadline ? error_kind::deadline_after_target
-                                                   : error_kind::target_lost;
+        response.error =
+            at.now >= served.deadline ? error_kind::deadline_after_target : error_kind::target_lost;
     }
     finish(call, std::move(response), at);
     start_queued(at);
@@ -280,8 +275,8 @@
     }
     response.owner_address = m_options.self;
     response.token = served.token;
-    const bool recorded = served.keyed && served.state != phase::attached &&
-                          served.state != phase::recalling;
+    const bool recorded =
+        served.keyed && served.state != phase::attached && served.state != phase::recalling;
     if (recorded) {
         settle_key(served, response, at);
     }
@@ -303,9 +298,9 @@
         forget_key(request);
         return;
     }
-    remembered_key key = key_of(
-        request, response.result == outcome::ran ? key_phase::answered : key_phase::unknown,
-        at.wall_ms);
+    remembered_key key =
+        key_of(request, response.result == outcome::ran ? key_phase::answered : key_phase::unknown,
+               at.wall_ms);
     key.response = response;
     m_memory.put(key);
     m_standby.add(key, std::nullopt);
@@ -421,8 +416,8 @@
         }
         if (found->second.state == phase::attached) {
             // Its first attempt is running: this caller's question stays open.
-            finish(serial,
-                   {.result = outcome::unknown, .error = error_kind::deadline_after_target}, at);
+            finish(serial, {.result = outcome::unknown, .error = error_kind::deadline_after_target},
+                   at);
             continue;
         }
         m_admission.withdraw(serial);
@@ -477,7 +472,8 @@
         return;
     }
     const auto found = m_copies.find(request.owner);
-    const bool repeated = found != m_copies.end() && request.sequence <= found->second.last_sequence;
+    const bool repeated =
+        found != m_copies.end() && request.sequence <= found->second.last_sequence;
     const bool follows =
         found != m_copies.end() && request.sequence == found->second.last_sequence + 1;
     answer.held = repeated || follows || request.replace_all;
@@ -564,8 +560,7 @@
     }
 }
 
-void range_owner::take_recalled(std::uint64_t first, std::vector<remembered_key> keys,
-                                moment at) {
+void range_owner::take_recalled(std::uint64_t first, std::vector<remembered_key> keys, moment at) {
     for (remembered_key &key : keys) {
         if (key.phase == key_phase::running) {
             key.phase = key_phase::unknown; // it was handed to a target whose answer nobody has
@@ -622,10 +617,9 @@
             if (copy == m_copies.end()) {
                 state.step = recall_step::lost;
             } else {
-                take_recalled(record.first,
-                              copy->second.keys.in_range(request.service, request.first,
-                                                         request.last),
-                              at);
+                take_recalled(
+                    record.first,
+                    copy->second.keys.in_range(request.service, request.first, request.last), at);
             }
             resume_recalling(at);
         } else if (holder != nullptr) {
@@ -672,13 +666,11 @@
     }
     state.step = release_step::handing_over;
     state.sent = at.now;
-    remember_request request{.sequence = state.sequence,
-                             .owner = m_number,
-                             .holder = state.to,
-                             .handover = true};
+    remember_request request{
+        .sequence = state.sequence, .owner = m_number, .holder = state.to, .handover = true};
     if (!g_defects.drop_handover_keys) {
-        request.keys = m_memory.in_range(m_lease.announcement()->service, range.record.first,
-                                         range.last);
+        request.keys =
+            m_memory.in_range(m_lease.announcement()->service, range.record.first, range.last);
     }
     m_effects.messages.push_back({to->address, std::move(request)});
 }
@@ -706,8 +698,7 @@
     std::erase_if(m_releases, [&](const auto &item) {
         const own_range *range = own_range_of(item.first);
         return range == nullptr || range->record.first != item.first ||
-               range->record.token != item.second.token ||
-               range->record.next == no_target;
+               range->record.token != item.second.token || range->record.next == no_target;
     });
     std::erase_if(m_recalls, [&](const auto &item) {
         const own_range *range = own_range_of(item.first);
@@ -741,8 +732,7 @@
         return;
     }
     admission::limits limits{.in_flight = target->slots};
-    const table_row *row =
-        m_lease.current_table().find(target->service, m_options.failure_domain);
+    const table_row *row = m_lease.current_table().find(target->service, m_options.failure_domain);
     if (row != nullptr) {
         limits.in_flight = std::min(limits.in_flight, row->max_in_flight);
         limits.in_flight = std::min(limits.in_flight, row->max_connections);
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -56,7 +56,8 @@
         return;
     }
     if (now >= m_quorum_check_at) {
-        // Cut off from a quorum: a newer leader may exist. Going on would only keep nodes asking here.
+        // Cut off from a quorum: a newer leader may exist. Going on would only keep nodes asking
+        // here.
         const bool heard = quorum([&](const node_address &voter) {
             return voter == m_options.self ||
                    m_progress[voter].heard + m_options.election_timeout * 2 > now;
@@ -121,12 +122,12 @@
 
 bool replica::replace_voter(const node_address &learner,
                             const std::optional<node_address> &replaces) {
-    const bool change_open = m_members.learner.has_value() ||
-                             (!m_member_history.empty() &&
-                              m_member_history.rbegin()->first > m_commit);
+    const bool change_open =
+        m_members.learner.has_value() ||
+        (!m_member_history.empty() && m_member_history.rbegin()->first > m_commit);
     const bool bad_old = replaces && m_members.voters.count(*replaces) == 0;
-    if (m_role != role::leader || change_open || bad_old ||
-        m_members.voters.count(learner) != 0 || m_commit < m_term_start) {
+    if (m_role != role::leader || change_open || bad_old || m_members.voters.count(learner) != 0 ||
+        m_commit < m_term_start) {
         return false;
     }
     membership next = m_members;
@@ -219,8 +220,7 @@
 void replica::on(const node_address &from, const vote_request &request, instant now) {
     if (request.pre_vote) {
         // A voter that was cut off must not disturb a leader that the others still hear.
-        const bool granted =
-            request.term > term() && log_is_current(request) && !knows_leader(now);
+        const bool granted = request.term > term() && log_is_current(request) && !knows_leader(now);
         m_outgoing.push_back(
             {from, vote_reply{.term = request.term, .pre_vote = true, .granted = granted}});
         return;
@@ -256,8 +256,7 @@
 }
 
 void replica::count_votes(instant now) {
-    const bool won =
-        quorum([&](const node_address &voter) { return m_votes.count(voter) != 0; });
+    const bool won = quorum([&](const node_address &voter) { return m_votes.count(voter) != 0; });
     if (!won || m_role != role::candidate) {
         return;
     }
@@ -366,7 +365,8 @@
     state.sent = now;
     state.snapshot_sent = true;
     m_outgoing.push_back(
-        {to, snapshot_request{.term = term(), .round = m_round_sent, .snapshot = *m_log->snapshot()}});
+        {to,
+         snapshot_request{.term = term(), .round = m_round_sent, .snapshot = *m_log->snapshot()}});
 }
 
 void replica::on(const node_address &from, const append_request &request, instant now) {
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -202,16 +202,12 @@
     switch (reply.fate) {
     case request_fate::running:
         return; // asked again after the interval, in case its answer gets lost
-    case request_fate::answered:
-        take_answer(*value, reply.response, at);
-        return;
+    case request_fate::answered: take_answer(*value, reply.response, at); return;
     case request_fate::never_seen:
         // The owner has barred it, so it did not run and never will under this id.
         wait(*value, error_kind::owner_unreachable, m_options.reroute_interval, at);
         return;
-    case request_fate::forgotten:
-        owner_lost(*value, at);
-        return;
+    case request_fate::forgotten: owner_lost(*value, at); return;
     }
 }
 
--- a/src/state/audit_log.cpp
+++ b/src/state/audit_log.cpp
@@ -51,9 +51,8 @@
         reason = files.last_reason();
         return std::nullopt;
     }
-    const std::size_t whole = content->rfind('\n') == std::string::npos
-                                  ? 0
-                                  : content->rfind('\n') + 1;
+    const std::size_t whole =
+        content->rfind('\n') == std::string::npos ? 0 : content->rfind('\n') + 1;
     if (whole < content->size() && !files.truncate(log.m_segment, whole)) {
         reason = files.last_reason();
         return std::nullopt;
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -67,8 +67,7 @@
     return &*position_of(const_cast<service_ranges &>(found->second), hash);
 }
 
-std::optional<std::vector<touched_item>>
-control_state::touched_since(std::uint64_t version) const {
+std::optional<std::vector<touched_item>> control_state::touched_since(std::uint64_t version) const {
     if (version < m_touched_from) {
         return std::nullopt;
     }
@@ -240,8 +239,8 @@
         return;
     }
     const target_record *standby = find_target(owner.standby);
-    const bool kept = owner.standby_ready && standby != nullptr &&
-                      standby->phase != target_phase::gone;
+    const bool kept =
+        owner.standby_ready && standby != nullptr && standby->phase != target_phase::gone;
     if (range.memory == range_memory::complete && kept) {
         range.memory = range_memory::fetch;
         range.recover_from = owner.standby;
@@ -277,8 +276,8 @@
     }
 }
 
-error_kind control_state::apply_body(const expire_target &body, const command &value,
-                                     note &written, applied &) {
+error_kind control_state::apply_body(const expire_target &body, const command &value, note &written,
+                                     applied &) {
     target_record *record = live_target(body.number);
     if (record == nullptr) {
         return error_kind::not_found;
@@ -329,8 +328,7 @@
         }
     }
     for (auto at = m_targets.begin(); at != m_targets.end() && ended > kept_ended_targets / 2;) {
-        const bool removable =
-            at->second.phase == target_phase::gone && used.count(at->first) == 0;
+        const bool removable = at->second.phase == target_phase::gone && used.count(at->first) == 0;
         at = removable ? m_targets.erase(at) : std::next(at);
         ended -= removable ? 1 : 0;
     }
@@ -516,11 +514,10 @@
     return error_kind::none;
 }
 
-error_kind control_state::apply_body(const restore_memory &body, const command &,
-                                     note &written, applied &) {
+error_kind control_state::apply_body(const restore_memory &body, const command &, note &written,
+                                     applied &) {
     range_record *range = range_at(body.service, body.first);
-    if (range == nullptr || range->memory == range_memory::complete ||
-        range->token != body.token) {
+    if (range == nullptr || range->memory == range_memory::complete || range->token != body.token) {
         return error_kind::cancelled;
     }
     written.subject = range_subject(body.service, body.first);
--- a/src/state/posix_storage.cpp
+++ b/src/state/posix_storage.cpp
@@ -33,8 +33,7 @@
 
 } // namespace
 
-std::unique_ptr<posix_storage> posix_storage::make(const std::string &folder,
-                                                   std::string &reason) {
+std::unique_ptr<posix_storage> posix_storage::make(const std::string &folder, std::string &reason) {
     std::error_code error;
     std::filesystem::create_directories(folder, error);
     if (error) {
@@ -42,11 +41,11 @@
         return nullptr;
     }
     std::unique_ptr<posix_storage> files(new posix_storage(folder));
-    files->m_lock = ::open(files->path_of(lock_file).c_str(), O_RDWR | O_CREAT | O_CLOEXEC,
-                           file_mode);
+    files->m_lock =
+        ::open(files->path_of(lock_file).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
     if (files->m_lock < 0 || ::flock(files->m_lock, LOCK_EX | LOCK_NB) != 0) {
-        reason = folder + ": in use by another process, or not writable (" +
-                 std::strerror(errno) + ")";
+        reason =
+            folder + ": in use by another process, or not writable (" + std::strerror(errno) + ")";
         return nullptr;
     }
     return files;
@@ -130,8 +129,7 @@
 bool posix_storage::replace(const std::string &name, std::string_view bytes) {
     close_handle(name);
     const std::string fresh = path_of(name) + ".new";
-    const int handle =
-        ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    const int handle = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (handle < 0) {
         return fail("create " + name);
     }
--- a/src/state/table.cpp
+++ b/src/state/table.cpp
@@ -34,7 +34,8 @@
 void on_cell(void *data, std::size_t size, void *context) {
     auto &reader = *static_cast<csv_reader *>(context);
     std::string cell(static_cast<const char *>(data), size);
-    reader.newlines_in_cells += static_cast<std::size_t>(std::count(cell.begin(), cell.end(), '\n'));
+    reader.newlines_in_cells +=
+        static_cast<std::size_t>(std::count(cell.begin(), cell.end(), '\n'));
     reader.current.push_back(std::move(cell));
 }
 
@@ -102,8 +103,7 @@
 constexpr std::array<column_rule, 8> column_rules{{
     {"service", name_allowed, true, read_name<&table_row::service>},
     {"failure_domain", name_allowed, true, read_name<&table_row::failure_domain>},
-    {"weight", "a number from 0 to 1000000", true,
-     read_bounded<&table_row::weight, 0, max_weight>},
+    {"weight", "a number from 0 to 1000000", true, read_bounded<&table_row::weight, 0, max_weight>},
     {"max_in_flight", "a whole number from 1 to 1000000", true,
      read_bounded<&table_row::max_in_flight, 1U, max_limit>},
     {"max_connections", "a whole number from 1 to 1000000", true,
--- /dev/null
+++ b/src/transport/control_host.cpp
@@ -0,0 +1,348 @@
+#include "peppertack/transport/control_host.hpp"
+
+#include "peppertack/state/posix_storage.hpp"
+#include "peppertack/transport/json_log.hpp"
+#include "wall_clock.hpp"
+
+#include <asio.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace peppertack {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(10);
+constexpr auto answer_limit = std::chrono::seconds(5);
+
+const char *phase_name(target_phase phase) {
+    constexpr std::array<const char *, 3> names{"serving", "draining", "gone"};
+    return names[static_cast<std::size_t>(phase)];
+}
+
+const char *role_name(replica::role role) {
+    constexpr std::array<const char *, 4> names{"follower", "candidate", "leader", "failed"};
+    return names[static_cast<std::size_t>(role)];
+}
+
+} // namespace
+
+class control_host::impl {
+public:
+    impl(std::unique_ptr<posix_storage> files, durable_log log, audit_log audit, sender send)
+        : m_files(std::move(files)), m_log(std::move(log)), m_audit(std::move(audit)),
+          m_send(std::move(send)), m_timer(m_io), m_work(asio::make_work_guard(m_io)) {}
+
+    bool prepare(control_options options, std::string &reason) {
+        m_core = control_core::make(
+            std::move(options), m_log, [this](const audit_record &record) { return note(record); },
+            read_clocks(), reason);
+        return m_core != nullptr;
+    }
+
+    void start() {
+        schedule_tick();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+
+    void stop() {
+        m_io.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    /// Runs `work` on the control thread, then sends what followed from it.
+    template <class Work> void post(Work work) {
+        asio::post(m_io, [this, work = std::move(work)]() mutable {
+            work(*m_core);
+            carry_out();
+        });
+    }
+
+    /// Runs `work` on the control thread and waits for its result.
+    template <class Result>
+    std::optional<Result> ask(std::function<Result(control_core &, impl &)> work) {
+        auto promise = std::make_shared<std::promise<Result>>();
+        std::future<Result> future = promise->get_future();
+        asio::post(m_io, [this, promise, work = std::move(work)] {
+            promise->set_value(work(*m_core, *this));
+            carry_out();
+        });
+        if (future.wait_for(answer_limit) != std::future_status::ready) {
+            return std::nullopt;
+        }
+        return future.get();
+    }
+
+    std::future<submit_answer> submit(command value) {
+        auto promise = std::make_shared<std::promise<submit_answer>>();
+        std::future<submit_answer> future = promise->get_future();
+        post([this, promise, value = std::move(value)](control_core &core) mutable {
+            const std::uint64_t ticket = core.submit(std::move(value), read_clocks());
+            m_waiting[ticket] = promise;
+        });
+        return future;
+    }
+
+    audit_log &audit() { return m_audit; }
+
+private:
+    bool note(const audit_record &record) {
+        log_event(log_level::info, "decision",
+                  {{"kind", record.kind},
+                   {"actor", record.actor},
+                   {"cause", record.cause},
+                   {"subject", record.subject},
+                   {"sequence", record.sequence}});
+        if (!m_audit.append(record)) {
+            log_event(log_level::error, "audit_write_failed", {{"reason", m_files->last_reason()}});
+            return false;
+        }
+        return true;
+    }
+
+    void schedule_tick() {
+        m_timer.expires_after(tick_interval);
+        m_timer.async_wait([this](asio::error_code error) {
+            if (error) {
+                return;
+            }
+            m_core->tick(read_clocks());
+            carry_out();
+            note_role();
+            schedule_tick();
+        });
+    }
+
+    void carry_out() {
+        for (const outgoing &item : m_core->take_outgoing()) {
+            m_send(item);
+        }
+        for (submit_answer &answer : m_core->take_answers()) {
+            const auto found = m_waiting.find(answer.ticket);
+            if (found != m_waiting.end()) {
+                found->second->set_value(std::move(answer));
+                m_waiting.erase(found);
+            }
+        }
+    }
+
+    void note_role() {
+        const replica::role role = m_core->replication().current_role();
+        if (role == m_role) {
+            return;
+        }
+        m_role = role;
+        log_event(role == replica::role::failed ? log_level::error : log_level::info, "voter_role",
+                  {{"role", role_name(role)},
+                   {"term", m_core->replication().term()},
+                   {"reason", m_core->replication().last_reason()}});
+    }
+
+    std::unique_ptr<posix_storage> m_files;
+    durable_log m_log;
+    audit_log m_audit;
+    sender m_send;
+    asio::io_context m_io;
+    asio::steady_timer m_timer;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::unique_ptr<control_core> m_core;
+    std::map<std::uint64_t, std::shared_ptr<std::promise<submit_answer>>> m_waiting;
+    replica::role m_role = replica::role::follower;
+    std::thread m_thread;
+};
+
+control_host::control_host(std::unique_ptr<impl> body) : m_impl(std::move(body)) {}
+
+control_host::~control_host() {
+    stop();
+}
+
+std::unique_ptr<control_host> control_host::make(const daemon_settings &settings, sender send,
+                                                 std::string &reason) {
+    std::unique_ptr<posix_storage> files = posix_storage::make(settings.data_folder, reason);
+    if (!files) {
+        return nullptr;
+    }
+    std::optional<durable_log> log = durable_log::open(*files, reason);
+    if (!log) {
+        return nullptr;
+    }
+    std::optional<audit_log> audit =
+        audit_log::open(*files, {.kept_segments = settings.audit_segments}, reason);
+    if (!audit) {
+        return nullptr;
+    }
+    auto body = std::make_unique<impl>(std::move(files), std::move(*log), std::move(*audit),
+                                       std::move(send));
+    if (!body->prepare(control_options_of(settings, random_number()), reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<control_host>(new control_host(std::move(body)));
+}
+
+void control_host::start() {
+    m_impl->start();
+}
+
+void control_host::stop() {
+    m_impl->stop();
+}
+
+void control_host::receive(const node_address &from, message body) {
+    m_impl->post([from, body = std::move(body)](control_core &core) {
+        core.receive(from, body, read_clocks());
+    });
+}
+
+std::optional<submit_answer> control_host::submit(command value, duration patience) {
+    std::future<submit_answer> answer = m_impl->submit(std::move(value));
+    if (answer.wait_for(patience) != std::future_status::ready) {
+        return std::nullopt;
+    }
+    return answer.get();
+}
+
+bool control_host::replace_voter(const node_address &learner,
+                                 const std::optional<node_address> &replaces) {
+    const std::function<bool(control_core &, impl &)> work = [&](control_core &core, impl &) {
+        return core.replace_voter(learner, replaces, read_clocks());
+    };
+    return m_impl->ask<bool>(work).value_or(false);
+}
+
+bool control_host::leads() const {
+    const std::function<bool(control_core &, impl &)> work = [](control_core &core, impl &) {
+        return core.established();
+    };
+    return m_impl->ask<bool>(work).value_or(false);
+}
+
+node_address control_host::leader() const {
+    const std::function<node_address(control_core &, impl &)> work =
+        [](control_core &core, impl &) { return core.replication().leader(); };
+    return m_impl->ask<node_address>(work).value_or("");
+}
+
+namespace {
+
+nlohmann::json targets_json(const control_core &core) {
+    std::map<target_number, std::size_t> owned;
+    for (const auto &[service, ranges] : core.state().ranges()) {
+        for (const range_record &range : ranges) {
+            ++owned[range.owner];
+        }
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[number, record] : core.state().targets()) {
+        if (record.phase == target_phase::gone) {
+            continue;
+        }
+        const target_record *standby = core.state().find_target(record.standby);
+        list.push_back({{"number", number},
+                        {"name", record.name},
+                        {"service", record.service},
+                        {"failure_domain", record.failure_domain},
+                        {"node", record.node_address},
+                        {"phase", phase_name(record.phase)},
+                        {"slots", record.slots},
+                        {"checks_tokens", record.checks_tokens},
+                        {"ranges", owned[number]},
+                        {"standby", standby == nullptr ? "" : standby->name},
+                        {"standby_ready", record.standby_ready}});
+    }
+    return list;
+}
+
+nlohmann::json table_status_json(const control_core &core) {
+    const std::uint64_t version = core.state().table_version();
+    nlohmann::json laggards = nlohmann::json::array();
+    for (const auto &[address, node] : core.nodes()) {
+        if (node.table_version != version) {
+            laggards.push_back({{"node", address}, {"table_version", node.table_version}});
+        }
+    }
+    return {{"version", version},
+            {"nodes", core.nodes().size()},
+            {"in_force_everywhere", laggards.empty()},
+            {"laggards", laggards}};
+}
+
+} // namespace
+
+nlohmann::json control_host::dump() const {
+    const std::function<nlohmann::json(control_core &, impl &)> work = [](control_core &core,
+                                                                          impl &) {
+        const replica &log = core.replication();
+        nlohmann::json json{{"role", role_name(log.current_role())},
+                            {"term", log.term()},
+                            {"leader", log.leader()},
+                            {"commit_index", log.commit_index()},
+                            {"state_version", core.state().version()},
+                            {"table", table_status_json(core)},
+                            {"voters", log.members().voters},
+                            {"audit_sequence", core.state().audit().sequence},
+                            {"audit_hash", core.state().audit().hash},
+                            {"targets", targets_json(core)}};
+        nlohmann::json &services = json["services"];
+        services = nlohmann::json::object();
+        for (const auto &[service, ranges] : core.state().ranges()) {
+            std::size_t unowned = 0;
+            std::size_t moving = 0;
+            std::size_t memory_lost = 0;
+            for (const range_record &range : ranges) {
+                unowned += range.owner == no_target ? 1 : 0;
+                moving += range.next != no_target ? 1 : 0;
+                memory_lost += range.memory == range_memory::lost ? 1 : 0;
+            }
+            services[service] = {{"ranges", ranges.size()},
+                                 {"without_owner", unowned},
+                                 {"moving", moving},
+                                 {"memory_lost", memory_lost}};
+        }
+        return json;
+    };
+    return m_impl->ask<nlohmann::json>(work).value_or(nlohmann::json{{"busy", true}});
+}
+
+using view = std::optional<nlohmann::json>;
+
+std::optional<nlohmann::json> control_host::table_view() const {
+    const std::function<view(control_core &, impl &)> work = [](control_core &core,
+                                                                impl &) -> view {
+        if (!core.established()) {
+            return std::nullopt;
+        }
+        return nlohmann::json{{"version", core.state().table_version()},
+                              {"change_id", core.state().table_change_id()},
+                              {"actor", core.state().table_actor()},
+                              {"csv", core.state().current_table().to_csv()}};
+    };
+    return m_impl->ask<view>(work).value_or(std::nullopt);
+}
+
+std::optional<nlohmann::json> control_host::table_status() const {
+    const std::function<view(control_core &, impl &)> work = [](control_core &core,
+                                                                impl &) -> view {
+        return core.established() ? view(table_status_json(core)) : std::nullopt;
+    };
+    return m_impl->ask<view>(work).value_or(std::nullopt);
+}
+
+std::optional<nlohmann::json> control_host::targets_view() const {
+    const std::function<view(control_core &, impl &)> work = [](control_core &core,
+                                                                impl &) -> view {
+        return core.established() ? view(targets_json(core)) : std::nullopt;
+    };
+    return m_impl->ask<view>(work).value_or(std::nullopt);
+}
+
+std::vector<audit_record> control_host::audit_records() const {
+    const std::function<std::vector<audit_record>(control_core &, impl &)> work =
+        [](control_core &, impl &body) { return body.audit().read_all(); };
+    return m_impl->ask<std::vector<audit_record>>(work).value_or(std::vector<audit_record>{});
+}
+
+} // namespace peppertack
