--- a/include/peppertack/coordination/range_owner.hpp
+++ b/include/peppertack/coordination/range_owner.hpp
@@ -51,8 +51,8 @@
     void stop_serving(moment at);
     void fill_report(renew_request &request, instant now);
 
-    /// Whether a request for `hash` that came now would be taken: the range is owned, not on its way
-    /// to another, and the lease holds.
+    /// Whether a request for `hash` that came now would be taken: the range is owned, not on its
+    /// way to another, and the lease holds.
     bool serves(std::uint64_t hash, instant now) const;
     const admission &admitted() const { return m_admission; }
     const key_memory &memory() const { return m_memory; }
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -542,9 +542,8 @@
         return;
     }
     // At the first start targets come one by one; without this pause the first would be given all.
-    const bool never_owned = std::all_of(ranges.begin(), ranges.end(), [](const auto &range) {
-        return range.token == 0;
-    });
+    const bool never_owned = std::all_of(ranges.begin(), ranges.end(),
+                                         [](const auto &range) { return range.token == 0; });
     if (never_owned && at.now < m_last_joined + m_options.gathering_time) {
         return;
     }
--- a/tests/coordination/fuzz_actions.cpp
+++ b/tests/coordination/fuzz_actions.cpp
@@ -7,17 +7,18 @@
 namespace {
 
 constexpr std::array<const char *, action_kinds> names{
-    "wait",          "read",         "once",         "once_without_key", "resend",
-    "change_table",  "race_tables",  "resend_change", "announce_stop",   "begin_stop",
-    "crash",         "restart",      "pause",        "resume",           "cut",
-    "isolate",       "heal",         "silence",      "losses",           "break_disk",
-    "clock_rate",    "crash_target", "start_target", "freeze_target",    "thaw_target",
-    "replace_voter", "burst",        "slow_links",   "split",            "pause_leader"};
+    "wait",          "read",          "once",         "once_without_key",
+    "resend",        "change_table",  "race_tables",  "resend_change",
+    "announce_stop", "begin_stop",    "crash",        "restart",
+    "pause",         "resume",        "cut",          "isolate",
+    "heal",          "silence",       "losses",       "break_disk",
+    "clock_rate",    "crash_target",  "start_target", "freeze_target",
+    "thaw_target",   "replace_voter", "burst",        "slow_links",
+    "split",         "pause_leader"};
 
 /// How often each kind is drawn. Requests and time dominate, so that faults meet work.
-constexpr std::array<unsigned int, action_kinds> weights{14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4, 4, 3,
-                                                         3,  3, 2,  3, 3, 2, 1, 1, 2, 2, 1, 1, 1,
-                                                         8,  3, 3,  2};
+constexpr std::array<unsigned int, action_kinds> weights{
+    14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4, 4, 3, 3, 3, 2, 3, 3, 2, 1, 1, 2, 2, 1, 1, 1, 8, 3, 3, 2};
 
 void burst(world &in, unsigned int key, unsigned int node) {
     constexpr unsigned int requests = 6;
@@ -63,98 +64,52 @@
     case action_kind::wait:
         in.run(std::chrono::milliseconds(1 + value.a % 40 * (value.b % 10 == 0 ? 40 : 4)));
         break;
-    case action_kind::read:
-        in.submit(node, value.b % 12, world::request_kind::read);
-        break;
-    case action_kind::once:
-        in.submit(node, value.b % 12, world::request_kind::once);
-        break;
+    case action_kind::read: in.submit(node, value.b % 12, world::request_kind::read); break;
+    case action_kind::once: in.submit(node, value.b % 12, world::request_kind::once); break;
     case action_kind::once_without_key:
         in.submit(node, value.b % 12, world::request_kind::once_without_key);
         break;
     case action_kind::resend:
         in.resend(value.b % 3 == 0 ? value.b : in.submissions() - 1 - value.b % 20, node);
         break;
-    case action_kind::change_table:
-        change(in, leading, value.b, accepted);
-        break;
+    case action_kind::change_table: change(in, leading, value.b, accepted); break;
     case action_kind::race_tables:
         change(in, leading, value.b, accepted);
         change(in, leading, value.b + 1, accepted);
         break;
-    case action_kind::resend_change:
-        change(in, leading, value.b, value.a % 4);
-        break;
-    case action_kind::announce_stop:
-        in.announce_stop(node);
-        break;
-    case action_kind::begin_stop:
-        in.begin_stop(node);
-        break;
-    case action_kind::crash:
-        in.crash(node);
-        break;
-    case action_kind::restart:
-        in.restart(node);
-        break;
-    case action_kind::pause:
-        in.pause(node);
-        break;
-    case action_kind::resume:
-        in.resume(node);
-        break;
-    case action_kind::cut:
-        in.cut(node, other);
-        break;
+    case action_kind::resend_change: change(in, leading, value.b, value.a % 4); break;
+    case action_kind::announce_stop: in.announce_stop(node); break;
+    case action_kind::begin_stop: in.begin_stop(node); break;
+    case action_kind::crash: in.crash(node); break;
+    case action_kind::restart: in.restart(node); break;
+    case action_kind::pause: in.pause(node); break;
+    case action_kind::resume: in.resume(node); break;
+    case action_kind::cut: in.cut(node, other); break;
     case action_kind::isolate:
         for (std::size_t i = 0; i < in.hosts(); ++i) {
             in.cut(node, i);
             in.cut(i, node);
         }
         break;
-    case action_kind::heal:
-        in.heal_network();
-        break;
-    case action_kind::silence:
-        in.silence(node, other);
-        break;
-    case action_kind::losses:
-        in.set_losses(value.a % 30, value.b % 30);
-        break;
+    case action_kind::heal: in.heal_network(); break;
+    case action_kind::silence: in.silence(node, other); break;
+    case action_kind::losses: in.set_losses(value.a % 30, value.b % 30); break;
     case action_kind::break_disk:
         in.break_disk(value.a % voters, value.b % 2 == 0 ? fake_storage::fault::full
                                                          : fake_storage::fault::sync_fails);
         break;
-    case action_kind::clock_rate:
-        in.set_clock_rate(node, 0.996 + 0.0008 * (value.b % 11));
-        break;
-    case action_kind::crash_target:
-        in.crash_target(node);
-        break;
-    case action_kind::start_target:
-        in.start_target(node);
-        break;
-    case action_kind::freeze_target:
-        in.freeze_target(node);
-        break;
-    case action_kind::thaw_target:
-        in.thaw_target(node);
-        break;
-    case action_kind::replace_voter:
-        in.replace_voter(value.a % voters);
-        break;
-    case action_kind::burst:
-        burst(in, value.b, value.a);
-        break;
+    case action_kind::clock_rate: in.set_clock_rate(node, 0.996 + 0.0008 * (value.b % 11)); break;
+    case action_kind::crash_target: in.crash_target(node); break;
+    case action_kind::start_target: in.start_target(node); break;
+    case action_kind::freeze_target: in.freeze_target(node); break;
+    case action_kind::thaw_target: in.thaw_target(node); break;
+    case action_kind::replace_voter: in.replace_voter(value.a % voters); break;
+    case action_kind::burst: burst(in, value.b, value.a); break;
     case action_kind::slow_links:
         in.set_slowness(std::chrono::milliseconds(value.a % 4 * 200));
         break;
-    case action_kind::split:
-        split(in, leading, value.b);
-        break;
-    case action_kind::pause_leader:
-        in.pause(leading);
-        break;
+    case action_kind::split: split(in, leading, value.b); break;
+    case action_kind::pause_leader: in.pause(leading); break;
     }
 }
 
@@ -183,7 +138,9 @@
         drawn.insert(drawn.end(), weights[i], static_cast<action_kind>(i));
     }
     const rc::Gen<action> one = rc::gen::apply(
-        [](action_kind kind, unsigned int a, unsigned int b) { return action{kind, a, b}; },
+        [](action_kind kind, unsigned int a, unsigned int b) {
+            return action{kind, a, b};
+        },
         rc::gen::elementOf(drawn), rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 1000U));
     return rc::gen::container<std::vector<action>>(one);
 }
--- a/tests/coordination/world.cpp
+++ b/tests/coordination/world.cpp
@@ -80,8 +80,8 @@
     }
     if (item.voter) {
         std::string reason;
-        std::optional<durable_log> log = durable_log::open(
-            *item.disk, {.sync_writes = !g_defects.skip_sync}, reason);
+        std::optional<durable_log> log =
+            durable_log::open(*item.disk, {.sync_writes = !g_defects.skip_sync}, reason);
         if (!log) {
             // With a broken disk it rightly refuses to start; else it lost what it had promised.
             if (item.disk->fault_set() == fake_storage::fault::none) {
@@ -125,8 +125,7 @@
 }
 
 void world::schedule(duration delay, std::size_t index, std::function<void()> act) {
-    m_events.push_back(
-        {m_now + delay, m_order++, index, m_hosts[index]->life, std::move(act)});
+    m_events.push_back({m_now + delay, m_order++, index, m_hosts[index]->life, std::move(act)});
     std::push_heap(m_events.begin(), m_events.end(), std::greater<>());
 }
 
@@ -260,19 +259,18 @@
             delay += duration(m_random() % static_cast<std::uint64_t>(m_slowness.count()));
         }
         const node_address sender = m_hosts[from]->address;
-        schedule(delay, to,
-                 [this, to, sender, body = item.body] { deliver(to, sender, body); });
+        schedule(delay, to, [this, to, sender, body = item.body] { deliver(to, sender, body); });
     }
 }
 
 void world::deliver(std::size_t to, const node_address &from, const message &body) {
     host &item = *m_hosts[to];
-    const bool for_control =
-        std::holds_alternative<vote_request>(body) || std::holds_alternative<vote_reply>(body) ||
-        std::holds_alternative<append_request>(body) ||
-        std::holds_alternative<append_reply>(body) ||
-        std::holds_alternative<snapshot_request>(body) ||
-        std::holds_alternative<renew_request>(body);
+    const bool for_control = std::holds_alternative<vote_request>(body) ||
+                             std::holds_alternative<vote_reply>(body) ||
+                             std::holds_alternative<append_request>(body) ||
+                             std::holds_alternative<append_reply>(body) ||
+                             std::holds_alternative<snapshot_request>(body) ||
+                             std::holds_alternative<renew_request>(body);
     if (for_control && item.control) {
         item.control->receive(from, body, clock_of(item));
     } else if (!for_control && item.node) {
@@ -288,8 +286,7 @@
 
 void world::start_call(std::size_t index, const target_call &call) {
     // Time between the decision and the write, in which the process may be paused.
-    schedule(duration(m_random() % 2000), index,
-             [this, index, call] { write_call(index, call); });
+    schedule(duration(m_random() % 2000), index, [this, index, call] { write_call(index, call); });
 }
 
 void world::write_call(std::size_t index, const target_call &call) {
@@ -361,7 +358,9 @@
 
 std::size_t world::submit(std::size_t index, unsigned int key, request_kind kind,
                           duration deadline) {
-    submission item{.node = index, .name = "r" + std::to_string(m_submissions.size()), .key = key,
+    submission item{.node = index,
+                    .name = "r" + std::to_string(m_submissions.size()),
+                    .key = key,
                     .kind = kind};
     if (kind == request_kind::once) {
         item.idempotency_key = "once-" + std::to_string(m_submissions.size());
@@ -449,10 +448,9 @@
     if (response.result == outcome::not_run && first_try && item.kind != request_kind::read &&
         &m_submissions[m_by_name[item.name]] == &item && runs != 0) {
         // Only the first submission under a name: a refused resend says nothing of the first.
-        const bool resent = std::count_if(m_submissions.begin(), m_submissions.end(),
-                                          [&](const submission &other) {
-                                              return other.name == item.name;
-                                          }) > 1;
+        const bool resent =
+            std::count_if(m_submissions.begin(), m_submissions.end(),
+                          [&](const submission &other) { return other.name == item.name; }) > 1;
         if (!resent) {
             violate("request " + item.name + " was said not to have run and did");
         }
@@ -624,8 +622,8 @@
 
 void world::violate(const std::string &what) {
     if (m_violations.size() < most_violations) {
-        m_violations.push_back(
-            "at " + std::to_string(m_now.time_since_epoch().count() / 1000) + " ms: " + what);
+        m_violations.push_back("at " + std::to_string(m_now.time_since_epoch().count() / 1000) +
+                               " ms: " + what);
     }
 }
 
@@ -713,8 +711,8 @@
         const host &at = *m_hosts[item.node];
         const bool owed = item.node_life == at.life && at.alive && !at.paused;
         // A paused process answers late; what it had to do then is in its queue.
-        if (owed && !item.answer && item.deadline + answer_slack + std::chrono::seconds(1) < m_now &&
-            at.deferred.empty()) {
+        if (owed && !item.answer &&
+            item.deadline + answer_slack + std::chrono::seconds(1) < m_now && at.deferred.empty()) {
             violate("request " + item.name + " got no answer long after its deadline");
         }
     }
--- a/tests/coordination/world.hpp
+++ b/tests/coordination/world.hpp
@@ -21,7 +21,7 @@
     struct options {
         std::uint64_t seed = 1;
         std::size_t voters = 3;
-        std::size_t nodes = 5; ///< the first ones run the voters too
+        std::size_t nodes = 5;  ///< the first ones run the voters too
         std::size_t spares = 1; ///< voters-to-be
         bool second_service = true;
         bool checks_tokens = true;
@@ -74,7 +74,9 @@
     std::optional<std::size_t> owner_of(unsigned int key) const;
     const std::optional<caller_response> &answer(std::size_t submission) const;
     std::size_t runs_of(std::size_t submission) const;
-    std::uint64_t accepted_version() const { return m_accepted.empty() ? 0 : m_accepted.rbegin()->first; }
+    std::uint64_t accepted_version() const {
+        return m_accepted.empty() ? 0 : m_accepted.rbegin()->first;
+    }
     std::size_t steps() const { return m_steps; }
     instant now() const { return m_now; }
     std::size_t answered(outcome result) const;
--- a/tests/protocol/caller_mapping_test.cpp
+++ b/tests/protocol/caller_mapping_test.cpp
@@ -22,13 +22,12 @@
 
 TEST_CASE("a request is taken apart and its path kept whole") {
     mapping_fault fault;
-    const auto request =
-        mapped("POST", "/s/emision/k/San%20Isidro/a/b?x=%2F&y",
-               {{"Idempotency-Key", "k1"},
-                {"Peppertack-Deadline-Ms", "250"},
-                {"Connection", "close"},
-                {"X-Own", "kept"}},
-               fault);
+    const auto request = mapped("POST", "/s/emision/k/San%20Isidro/a/b?x=%2F&y",
+                                {{"Idempotency-Key", "k1"},
+                                 {"Peppertack-Deadline-Ms", "250"},
+                                 {"Connection", "close"},
+                                 {"X-Own", "kept"}},
+                                fault);
     REQUIRE(request);
     CHECK(request->service == "emision");
     CHECK(request->key == "San Isidro");
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -23,8 +23,11 @@
 }
 
 std::vector<message> samples() {
-    caller_request request{.service = "s", .key = std::string("k\0\xff", 3), .method = "POST",
-                           .path = "/s/s/k/k", .headers = {{"H", "v"}}};
+    caller_request request{.service = "s",
+                           .key = std::string("k\0\xff", 3),
+                           .method = "POST",
+                           .path = "/s/s/k/k",
+                           .headers = {{"H", "v"}}};
     request.body = std::make_shared<const std::string>("body");
     request.idempotency_key = "once";
     request.time_left = duration(1234);
@@ -36,7 +39,9 @@
     renewal.loads = {{1, 2}};
     renewal.hot_keys = {{3, 4}};
     renewal.standby_epoch = 77;
-    const map_update update{1, 2, {{.number = 3, .name = "n", .address = "h:2"}},
+    const map_update update{1,
+                            2,
+                            {{.number = 3, .name = "n", .address = "h:2"}},
                             {{"s", true, {{.first = 9, .owner = 3, .token = 4}}, {5, 6}}}};
     return {vote_request{1, 2, 3, true},
             vote_reply{1, true, true},
--- a/tests/state/control_state_test.cpp
+++ b/tests/state/control_state_test.cpp
@@ -1,6 +1,6 @@
+#include "../coordination/fake_storage.hpp"
 #include "peppertack/state/audit_log.hpp"
 #include "peppertack/state/control_state.hpp"
-#include "../coordination/fake_storage.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -36,9 +36,9 @@
 } // namespace
 
 TEST_CASE("operators race with equal versions: exactly one wins, a resend gets the first answer") {
-    // Symptom: an edit vanishes, or two operators both believe theirs is in force. Sequence: both read
-    // version 0 and send; one loses the answer and sends again. Cause it guards against: applying by
-    // arrival instead of compare-and-set, and judging a resend anew.
+    // Symptom: an edit vanishes, or two operators both believe theirs is in force. Sequence: both
+    // read version 0 and send; one loses the answer and sends again. Cause it guards against:
+    // applying by arrival instead of compare-and-set, and judging a resend anew.
     driven_state driven;
     const auto first = driven.apply(change_table{"one", 0, one_service});
     const auto second = driven.apply(change_table{"two", 0, one_service});
@@ -53,9 +53,9 @@
 }
 
 TEST_CASE("a release for a move that was called off is void") {
-    // Symptom: a range has two owners. Sequence: A hands a range over to B and reports it; B is lost
-    // and the move is called off, so A serves again; the late report arrives. Cause it guards against:
-    // a report that names only the range and token, which are the same in both plans.
+    // Symptom: a range has two owners. Sequence: A hands a range over to B and reports it; B is
+    // lost and the move is called off, so A serves again; the late report arrives. Cause it guards
+    // against: a report that names only the range and token, which are the same in both plans.
     driven_state driven;
     driven.apply(change_table{"one", 0, one_service});
     const target_number a = driven.join("a");
@@ -70,9 +70,9 @@
 }
 
 TEST_CASE("a second loss before the first is repaired loses the memory of keys, and says so") {
-    // Symptom: a doubled payment after two losses. Sequence: the owner is lost, its standby holds the
-    // keys; the new owner is lost before it has fetched them. Cause it guards against: taking the new
-    // owner's empty standby copy for the whole memory.
+    // Symptom: a doubled payment after two losses. Sequence: the owner is lost, its standby holds
+    // the keys; the new owner is lost before it has fetched them. Cause it guards against: taking
+    // the new owner's empty standby copy for the whole memory.
     driven_state driven;
     driven.apply(change_table{"one", 0, one_service});
     const target_number a = driven.join("a");
--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -42,9 +42,9 @@
 }
 
 TEST_CASE("a torn tail is cut, and what was synced before it stays") {
-    // Symptom: a voter that lost power refuses to start. Sequence: append and sync; append again and
-    // crash before the sync, which leaves a part of the last frame. Cause it guards against: taking
-    // a half-written frame for damage.
+    // Symptom: a voter that lost power refuses to start. Sequence: append and sync; append again
+    // and crash before the sync, which leaves a part of the last frame. Cause it guards against:
+    // taking a half-written frame for damage.
     std::mt19937_64 random(7);
     for (int round = 0; round < 200; ++round) {
         fake_storage files;
@@ -61,9 +61,9 @@
 }
 
 TEST_CASE("a damaged middle is refused") {
-    // Symptom: an acknowledged decision is missing after a restart and nobody was told. Sequence: two
-    // synced frames; a bit of the first one rots; restart. Cause it guards against: cutting at the
-    // first bad checksum although synced frames follow.
+    // Symptom: an acknowledged decision is missing after a restart and nobody was told. Sequence:
+    // two synced frames; a bit of the first one rots; restart. Cause it guards against: cutting at
+    // the first bad checksum although synced frames follow.
     fake_storage files;
     {
         durable_log log = opened(files);
