Placement: move the heaviest range that fits, and go on to the next overfull target

Ruled out: the budget of moves (none was made) and the loads (estimate and truth agree to 0.1%). Change: a range has to fit the excess and the largest room elsewhere; a target that can't be helped is passed over.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -203,41 +203,61 @@
 
 namespace {
 
+std::size_t fullest_but(const workbench &bench, const std::vector<char> &passed) {
+    std::size_t fullest = workbench::none;
+    for (std::size_t i = 0; i < passed.size(); ++i) {
+        const bool fuller = fullest == workbench::none || bench.ratio(i) > bench.ratio(fullest);
+        if (passed[i] == 0 && fuller) {
+            fullest = i;
+        }
+    }
+    return fullest;
+}
+
+/// Heaviest of a target's ranges that fits both what it has too much and the room elsewhere. A
+/// heavier one would only carry the excess to its new owner.
+std::size_t range_to_move(const placement_view &view, const workbench &bench, std::size_t from,
+                          const std::vector<char> &moved, double most) {
+    std::size_t best = workbench::none;
+    for (const std::size_t range : bench.owned(from)) {
+        const bool free = moved[range] == 0 && (*view.ranges)[range].next == no_target;
+        const bool better = best == workbench::none || bench.share(range) > bench.share(best);
+        if (free && bench.share(range) <= most && better) {
+            best = range;
+        }
+    }
+    return best;
+}
+
 /// Moves from overfull targets, each only if its gain is above the service's price of a move.
 void balance(const placement_view &view, const placement_options &options, workbench &bench,
              std::size_t budget, placement_decision &decision) {
     const double threshold = options.gain_per_price * view.churn_price;
+    const double limit = 1 + options.tolerance;
     std::vector<char> moved(view.ranges->size(), 0);
+    std::vector<char> passed(view.targets.size(), 0);
     while (budget > 0) {
-        std::size_t fullest = workbench::none;
-        for (std::size_t i = 0; i < view.targets.size(); ++i) {
-            if (fullest == workbench::none || bench.ratio(i) > bench.ratio(fullest)) {
-                fullest = i;
-            }
-        }
-        if (fullest == workbench::none || bench.ratio(fullest) <= 1 + options.tolerance) {
+        const std::size_t from = fullest_but(bench, passed);
+        if (from == workbench::none || bench.ratio(from) <= limit) {
             return;
         }
-        const double excess = bench.load(fullest) - bench.goal(fullest);
-        std::size_t best = workbench::none;
-        for (const std::size_t range : bench.owned(fullest)) {
-            const bool free = moved[range] == 0 && (*view.ranges)[range].next == no_target;
-            const bool better = best == workbench::none || bench.share(range) > bench.share(best);
-            if (free && bench.share(range) <= excess * (1 + options.tolerance) && better) {
-                best = range;
-            }
-        }
-        if (best == workbench::none || bench.share(best) / bench.goal(fullest) < threshold) {
-            return;
+        double room = 0;
+        for (std::size_t i = 0; i < view.targets.size(); ++i) {
+            room = std::max(room, bench.accepts(i) ? bench.goal(i) * limit - bench.load(i) : 0);
         }
+        const double excess = (bench.load(from) - bench.goal(from)) * limit;
+        const std::size_t range = range_to_move(view, bench, from, moved, std::min(excess, room));
         const std::size_t to =
-            destination_for(view, bench, bench.share(best), options.tolerance / 2);
-        if (to == workbench::none) {
-            return;
+            range == workbench::none
+                ? workbench::none
+                : destination_for(view, bench, bench.share(range), options.tolerance);
+        if (to == workbench::none || bench.share(range) / bench.goal(from) < threshold) {
+            passed[from] = 1;
+            continue;
         }
-        moved[best] = 1;
-        bench.shift(bench.share(best), fullest, to);
-        decision.moves.push_back({(*view.ranges)[best].first, view.targets[to].number});
+        moved[range] = 1;
+        bench.shift(bench.share(range), from, to);
+        decision.moves.push_back({(*view.ranges)[range].first, view.targets[to].number});
         decision.move_cause = "load above weight share";
         --budget;
     }
