--- /dev/null
+++ b/tests/coordination/failures_test.cpp
@@ -0,0 +1,336 @@
+#include "world.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peppertack;
+using namespace peppertack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t nodes = 5;
+
+/// A world with a table in force and every key served.
+std::unique_ptr<world> ready_world(world::options settings = {}) {
+    auto in = std::make_unique<world>(settings);
+    in->run(1200ms);
+    REQUIRE(in->leader());
+    in->change_table(*in->leader(), 0, "first", 1);
+    in->run(3s);
+    REQUIRE(in->served_share() == 1.0);
+    return in;
+}
+
+void check_clean(world &in) {
+    in.heal_and_check_progress();
+    CHECK(in.violations() == std::vector<std::string>{});
+}
+
+std::size_t other_than(std::size_t host) {
+    return (host + 1) % nodes;
+}
+
+/// A key whose owner is not the leader's host, and that owner.
+std::pair<unsigned int, std::size_t> key_beyond_leader(world &in) {
+    for (unsigned int key = 0; key < 60; ++key) {
+        const auto owner = in.owner_of(key);
+        if (owner && owner != in.leader()) {
+            return {key, *owner};
+        }
+    }
+    FAIL("no key is owned beyond the leader");
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("an owner's node is cut off") {
+    // Symptom: two servers act on one key. Sequence: the owner's node is cut off in both directions
+    // while it still has requests; another takes its keys over. Cause it guards against: a lease
+    // that the cut-off side believes in for longer than the leader waits.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    for (std::size_t i = 0; i < in->hosts(); ++i) {
+        in->cut(owner, i);
+        in->cut(i, owner);
+    }
+    for (int i = 0; i < 40; ++i) {
+        in->submit(owner, key, world::request_kind::once, 300ms);
+        in->run(50ms);
+    }
+    const auto taken_by = in->owner_of(key);
+    REQUIRE(taken_by);
+    CHECK(*taken_by != owner);
+    check_clean(*in);
+}
+
+TEST_CASE("a leader is cut off from the voters but not from some nodes") {
+    // Symptom: a node serves on under a lease from a leader that was replaced. Sequence: the leader
+    // loses the other voters; nodes on its side go on asking it. Cause it guards against: answering
+    // a renewal without a quorum's confirmation after it came.
+    auto in = ready_world();
+    const std::size_t leader = *in->leader();
+    for (std::size_t voter = 0; voter < 3; ++voter) {
+        if (voter != leader) {
+            in->cut(leader, voter);
+            in->cut(voter, leader);
+        }
+    }
+    for (int i = 0; i < 60; ++i) {
+        in->submit(3, static_cast<unsigned int>(i % 12), world::request_kind::once);
+        in->run(50ms);
+    }
+    const auto now = in->leader();
+    REQUIRE(now);
+    CHECK(in->control(leader).established() == false);
+    check_clean(*in);
+}
+
+TEST_CASE("a control instance is cut off for a long time and returns") {
+    // Symptom: an old table comes back. Sequence: a voter misses a hundred changes and snapshots,
+    // then the network heals. Cause it guards against: its stale log winning an election, or its
+    // state reaching nodes.
+    auto in = ready_world();
+    const std::size_t away = (*in->leader() + 1) % 3;
+    for (std::size_t i = 0; i < in->hosts(); ++i) {
+        in->cut(away, i);
+        in->cut(i, away);
+    }
+    for (int i = 0; i < 100; ++i) {
+        in->change_table(*in->leader(), in->accepted_version(), "change-" + std::to_string(i),
+                         1 + i % 3);
+        in->run(60ms);
+    }
+    const std::uint64_t accepted = in->accepted_version();
+    CHECK(accepted > 90);
+    in->heal_network();
+    in->run(3s);
+    CHECK(in->control(away).state().table_version() >= accepted);
+    check_clean(*in);
+}
+
+TEST_CASE("a process restarts after hundreds of changes were made while it was away") {
+    // Symptom: a voter or node never catches up. Sequence: a voter's host is down for changes that
+    // were compacted meanwhile. Cause it guards against: asking for entries that no log holds any
+    // more.
+    auto in = ready_world();
+    const std::size_t away = (*in->leader() + 1) % 3;
+    in->crash(away);
+    for (int i = 0; i < 300; ++i) {
+        in->change_table(*in->leader(), in->accepted_version(), "change-" + std::to_string(i),
+                         1 + i % 3);
+        in->run(30ms);
+    }
+    in->restart(away);
+    in->run(3s);
+    CHECK(in->control(away).state().table_version() == in->accepted_version());
+    CHECK(in->node(away).lease().table_version() == in->accepted_version());
+    check_clean(*in);
+}
+
+TEST_CASE("a node is paused with a request on its way to the target") {
+    // Symptom: a request is written after another server took the key. Sequence: the decision to
+    // call the target is made, the process is paused beyond its lease, then goes on. Cause it
+    // guards against: not looking at the lease again directly before the write.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t number = in->submit(owner, key, world::request_kind::once);
+    in->pause(owner);
+    in->run(2500ms);
+    in->resume(owner);
+    in->run(500ms);
+    CHECK(in->runs_of(number) <= 1);
+    check_clean(*in);
+}
+
+TEST_CASE("a frozen target returns as if nothing had happened") {
+    // Symptom: a payment runs twice. Sequence: the target freezes with a request in it, its keys go
+    // elsewhere, the caller resends, the target wakes and finishes. Cause it guards against:
+    // running a key again whose first run nobody can account for.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t number = in->submit(other_than(owner), key, world::request_kind::once);
+    in->run(4ms);
+    in->freeze_target(owner);
+    in->run(3s);
+    in->resend(number, other_than(owner));
+    in->run(1s);
+    in->thaw_target(owner);
+    in->run(1s);
+    CHECK(in->runs_of(number) <= 1);
+    check_clean(*in);
+}
+
+TEST_CASE("a connection is silent for good while new ones work") {
+    // Symptom: a caller waits until its deadline although owner and network are well. Sequence:
+    // what is sent on the open connection is lost in both directions; a new one works. Cause it
+    // guards against: trusting an open connection instead of asking over a new one.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t asked = other_than(owner);
+    in->silence(asked, owner);
+    const std::size_t read = in->submit(asked, key, world::request_kind::read);
+    const std::size_t once = in->submit(asked, key, world::request_kind::once);
+    in->run(700ms);
+    REQUIRE(in->answer(read));
+    REQUIRE(in->answer(once));
+    CHECK(in->answer(read)->result == outcome::ran);
+    CHECK(in->answer(once)->result == outcome::ran);
+    CHECK(in->runs_of(once) == 1);
+    check_clean(*in);
+}
+
+TEST_CASE("an owner is lost after a payment: the resend gets the first answer") {
+    // Symptom: a family is charged twice. Sequence: the payment runs, its owner's instance is lost,
+    // the caller resends to another node. Cause it guards against: a new owner that does not know
+    // the key.
+    auto in = ready_world();
+    in->run(1s);
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t asked = other_than(owner);
+    const std::size_t number = in->submit(asked, key, world::request_kind::once);
+    in->run(200ms);
+    REQUIRE(in->answer(number));
+    in->crash(owner);
+    in->run(2s);
+    in->resend(number, asked);
+    in->run(500ms);
+    const std::size_t again = in->submissions() - 1;
+    REQUIRE(in->answer(again));
+    CHECK(in->answer(again)->result == outcome::ran);
+    CHECK(*in->answer(again)->body == *in->answer(number)->body);
+    CHECK(in->runs_of(number) == 1);
+    check_clean(*in);
+}
+
+TEST_CASE("a second instance is lost right after the first was repaired") {
+    // Symptom: a doubled hand-over after two losses. Sequence: the owner is lost, its successor is
+    // lost a moment after it took over, the caller resends. Cause it guards against: counting keys
+    // as kept before the next standby holds them.
+    auto in = ready_world();
+    in->run(1s);
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t asked = *in->leader();
+    const std::size_t number = in->submit(asked, key, world::request_kind::once);
+    in->run(200ms);
+    in->crash(owner);
+    std::optional<std::size_t> next;
+    for (int i = 0; i < 300 && !next; ++i) {
+        in->run(10ms);
+        next = in->owner_of(key);
+    }
+    REQUIRE(next);
+    if (*next != asked) {
+        in->crash(*next);
+    }
+    in->run(3s);
+    in->resend(number, asked);
+    in->run(500ms);
+    CHECK(in->runs_of(number) == 1);
+    check_clean(*in);
+}
+
+TEST_CASE("a voter and its disk are lost, replaced, and another voter is lost after") {
+    // Symptom: an accepted table is gone. Sequence: a voter is lost for good; a new one takes its
+    // place; right after, the leader is lost too. Cause it guards against: counting the new voter
+    // before it has caught up.
+    auto in = ready_world();
+    for (int i = 0; i < 20; ++i) {
+        in->change_table(*in->leader(), in->accepted_version(), "change-" + std::to_string(i), 2);
+        in->run(60ms);
+    }
+    in->replace_voter((*in->leader() + 1) % 3);
+    in->run(2s);
+    const std::uint64_t accepted = in->accepted_version();
+    in->crash(*in->leader());
+    in->run(3s);
+    REQUIRE(in->leader());
+    CHECK(in->control(*in->leader()).state().table_version() == accepted);
+    check_clean(*in);
+}
+
+TEST_CASE("the leader's disk fails") {
+    // Symptom: a change is accepted and gone after a power cut. Sequence: syncs begin to fail on
+    // the leader. Cause it guards against: acknowledging what was not synced.
+    auto in = ready_world();
+    const std::size_t leader = *in->leader();
+    in->break_disk(leader, fake_storage::fault::sync_fails);
+    in->change_table(leader, in->accepted_version(), "on a broken disk", 3);
+    in->run(3s);
+    REQUIRE(in->leader());
+    CHECK(*in->leader() != leader);
+    CHECK(in->control(leader).replication().current_role() == replica::role::failed);
+    check_clean(*in);
+}
+
+TEST_CASE("a planned stop: nothing fails, and new work stops within two seconds") {
+    // Symptom: errors at each restart. Sequence: a stop is announced while requests go on from
+    // every node. Cause it guards against: cutting off what is in flight, or refusing what could
+    // wait.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    std::vector<std::size_t> requests;
+    for (int i = 0; i < 100; ++i) {
+        if (i == 20) {
+            in->announce_stop(owner);
+        }
+        for (std::size_t node = 0; node < nodes; ++node) {
+            requests.push_back(
+                in->submit(node, static_cast<unsigned int>(i % 12), world::request_kind::once));
+        }
+        in->run(20ms);
+    }
+    in->run(2s);
+    CHECK_FALSE(in->node(owner).owner().owned_ranges());
+    for (const std::size_t number : requests) {
+        REQUIRE(in->answer(number));
+        CHECK(in->answer(number)->result == outcome::ran);
+        CHECK(in->runs_of(number) == 1);
+    }
+    check_clean(*in);
+}
+
+TEST_CASE("nothing moves without a cause") {
+    // Symptom: keys change owners on a quiet day. Sequence: an hour passes in which nothing happens
+    // but requests. Cause it guards against: chasing small differences of load.
+    auto in = ready_world();
+    in->run(5s);
+    const std::size_t leader = *in->leader();
+    std::uint64_t before = 0;
+    const auto tokens = [&] {
+        std::uint64_t sum = 0;
+        for (const auto &[service, ranges] : in->control(leader).state().ranges()) {
+            for (const range_record &range : ranges) {
+                sum += range.token;
+            }
+        }
+        return sum;
+    };
+    before = tokens();
+    for (int i = 0; i < 200; ++i) {
+        in->submit(static_cast<std::size_t>(i) % nodes, static_cast<unsigned int>(i * 7 % 60),
+                   world::request_kind::read);
+        in->run(100ms);
+    }
+    CHECK(tokens() == before);
+    check_clean(*in);
+}
+
+TEST_CASE("sequences in which the fuzzer found a violation") {
+    // Symptom: a request that may run once ran twice. Sequence: as drawn and shrunk. Cause: an
+    // acknowledgement of a standby batch taken for that of a hand-over with the same number.
+    world in({.seed = 376342666});
+    in.run(1200ms);
+    in.change_table(in.leader().value_or(0), 0, "change-first", 1);
+    in.run(2500ms);
+    for (unsigned int i = 0; i < 6; ++i) {
+        in.submit((237 + i) % 5, (277 + i / 2) % 12, world::request_kind::once);
+    }
+    in.run(1041ms);
+    in.crash(2);
+    in.run(801ms);
+    for (unsigned int i = 0; i < 6; ++i) {
+        in.submit((37 + i) % 5, (574 + i / 2) % 12, world::request_kind::once);
+    }
+    check_clean(in);
+}
--- a/tests/coordination/fuzz_actions.cpp
+++ b/tests/coordination/fuzz_actions.cpp
@@ -132,17 +132,23 @@
     return {in.violations(), in.steps(), in.answered(outcome::ran)};
 }
 
+/// Each sequence draws from a random half of the kinds, so that some sequences hold much of what
+/// would be rare among all kinds together ("swarm testing", Groce and others, 2012).
 rc::Gen<std::vector<action>> any_actions() {
-    std::vector<action_kind> drawn;
-    for (std::size_t i = 0; i < weights.size(); ++i) {
-        drawn.insert(drawn.end(), weights[i], static_cast<action_kind>(i));
-    }
-    const rc::Gen<action> one = rc::gen::apply(
-        [](action_kind kind, unsigned int a, unsigned int b) {
-            return action{kind, a, b};
-        },
-        rc::gen::elementOf(drawn), rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 1000U));
-    return rc::gen::container<std::vector<action>>(one);
+    return rc::gen::mapcat(rc::gen::arbitrary<std::uint32_t>(), [](std::uint32_t mask) {
+        std::vector<action_kind> drawn{action_kind::wait, action_kind::once};
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            if (((mask >> i) & 1U) != 0) {
+                drawn.insert(drawn.end(), weights[i], static_cast<action_kind>(i));
+            }
+        }
+        const rc::Gen<action> one = rc::gen::apply(
+            [](action_kind kind, unsigned int a, unsigned int b) {
+                return action{kind, a, b};
+            },
+            rc::gen::elementOf(drawn), rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 1000U));
+        return rc::gen::container<std::vector<action>>(one);
+    });
 }
 
 std::vector<action> actions_of(std::uint64_t seed, int size) {
--- /dev/null
+++ b/tests/coordination/parts_test.cpp
@@ -0,0 +1,228 @@
+#include "peppertack/coordination/admission.hpp"
+#include "peppertack/coordination/hot_key_counter.hpp"
+#include "peppertack/coordination/key_memory.hpp"
+#include "peppertack/coordination/lease_book.hpp"
+#include "peppertack/coordination/placement.hpp"
+#include "peppertack/coordination/retry_budget.hpp"
+#include "peppertack/coordination/route_map.hpp"
+#include "peppertack/coordination/standby_link.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace peppertack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start(1000s);
+
+std::vector<range_record> even_ranges(std::size_t count, target_number owners) {
+    std::vector<range_record> ranges;
+    for (std::size_t i = 0; i < count; ++i) {
+        ranges.push_back({.first = i * (~0ULL / count + 1),
+                          .owner = static_cast<target_number>(i % owners + 1),
+                          .token = 1});
+    }
+    return ranges;
+}
+
+placement_view view_of(const std::vector<range_record> &ranges, target_number targets) {
+    placement_view view;
+    view.ranges = &ranges;
+    for (target_number i = 1; i <= targets; ++i) {
+        view.targets.push_back({.number = i, .failure_domain = "z", .weight = 1});
+    }
+    return view;
+}
+
+} // namespace
+
+TEST_CASE("placement gives lost ranges to those with most room and moves nothing else") {
+    std::vector<range_record> ranges = even_ranges(64, 4);
+    for (range_record &range : ranges) {
+        range.owner = range.owner == 2 ? no_target : range.owner;
+    }
+    placement_view view = view_of(ranges, 4);
+    view.targets.erase(view.targets.begin() + 1);
+    greedy_placement placement;
+    const placement_decision decision = placement.decide(view);
+    CHECK(decision.grants.size() == 16);
+    CHECK(decision.moves.empty());
+    for (const range_choice &choice : decision.grants) {
+        CHECK(choice.to != 2);
+    }
+}
+
+TEST_CASE("a hot key is cut out as a range of its own") {
+    const std::vector<range_record> ranges = even_ranges(64, 4);
+    placement_view view = view_of(ranges, 4);
+    view.hot_keys = {12345};
+    greedy_placement placement;
+    const placement_decision first = placement.decide(view);
+    REQUIRE(first.splits.size() >= 1);
+    CHECK(first.splits[0] == 12345);
+}
+
+TEST_CASE("moves are bounded and stop when the gain is below the price") {
+    std::vector<range_record> ranges = even_ranges(64, 4);
+    for (std::size_t i = 0; i < 12; ++i) {
+        ranges[i].owner = 1;
+    }
+    placement_view view = view_of(ranges, 4);
+    greedy_placement placement({.moves_at_a_time = 3});
+    CHECK(placement.decide(view).moves.size() == 3);
+    view.churn_price = 1000;
+    CHECK(placement.decide(view).moves.empty());
+}
+
+TEST_CASE("a stopping target's ranges go elsewhere, and none comes to it") {
+    const std::vector<range_record> ranges = even_ranges(64, 4);
+    placement_view view = view_of(ranges, 4);
+    view.targets[0].accepts = false;
+    view.targets[0].leaves = true;
+    greedy_placement placement;
+    const placement_decision decision = placement.decide(view);
+    CHECK(decision.moves.size() == 16);
+    CHECK(decision.move_cause == "planned stop");
+    for (const range_choice &choice : decision.moves) {
+        CHECK(choice.to != 1);
+    }
+}
+
+TEST_CASE("admission: limits, fairness among keys and early refusal") {
+    admission gate;
+    gate.set_limits({.in_flight = 2, .queue = 10});
+    const auto offer = [&](std::uint64_t id, std::uint64_t key, duration deadline = 1s) {
+        return gate.offer({id, key, start + deadline}, start);
+    };
+    CHECK(offer(1, 7) == admission::verdict::start);
+    CHECK(offer(2, 7) == admission::verdict::start);
+    for (std::uint64_t id = 3; id < 9; ++id) {
+        CHECK(offer(id, 7) == admission::verdict::queued);
+    }
+    CHECK(offer(9, 7) == admission::verdict::refused); // one key may not have the whole queue
+    CHECK(offer(10, 8) == admission::verdict::queued);
+    CHECK(offer(11, 9, 1us) == admission::verdict::refused); // can't finish in time
+    std::vector<std::uint64_t> expired;
+    gate.finish(1ms);
+    CHECK(gate.next(start, expired) == 3);
+    gate.finish(1ms);
+    CHECK(gate.next(start, expired) == 10); // the other key's turn
+    gate.finish(1ms);
+    CHECK_FALSE(gate.next(start + 2s, expired));
+    CHECK(expired.size() == 5);
+    CHECK(gate.queued() == 0);
+}
+
+TEST_CASE("a lease ends for the node before it ends for the leader, at any allowed drift") {
+    CHECK(rc::check("node first", [] {
+        lease_timing timing;
+        timing.length = duration(*rc::gen::inRange(100'000, 10'000'000));
+        const double node_rate = 1 - timing.drift * *rc::gen::inRange(0, 100) / 200.0;
+        const double leader_rate = 1 + timing.drift * *rc::gen::inRange(0, 100) / 200.0;
+        const double node_end = static_cast<double>(timing.node_length().count()) / node_rate;
+        const double leader_end =
+            static_cast<double>(timing.leader_wait(true).count()) / leader_rate;
+        RC_ASSERT(node_end <= leader_end);
+    }));
+    lease_book book{{}};
+    book.note_renewed(3, true, start);
+    CHECK(book.take_ended(start + 700ms).empty());
+    CHECK(book.take_ended(start + 809ms) == std::vector<target_number>{3});
+    CHECK(book.revoked(3));
+    CHECK(book.take_ended(start + 2s).empty());
+    book.note_renewed(4, false, start); // a target that checks no tokens waits longer
+    CHECK(book.ends_at(4) > start + 1100ms);
+}
+
+TEST_CASE("remembered keys stay for their retention and are not crowded out") {
+    key_memory memory({.most_keys = 2, .largest_answer = 4, .retention_ms = 100});
+    CHECK(memory.put({.service = "s", .idempotency_key = "a", .wall_ms = 0}));
+    CHECK(memory.put({.service = "s", .idempotency_key = "b", .wall_ms = 50}));
+    CHECK_FALSE(memory.put({.service = "s", .idempotency_key = "c", .wall_ms = 60}));
+    remembered_key large{.service = "s", .idempotency_key = "a", .phase = key_phase::answered};
+    large.response.body = std::make_shared<const std::string>("too large to keep");
+    CHECK(memory.put(large));
+    CHECK(memory.find("s", "a")->phase == key_phase::unknown);
+    memory.expire(120);
+    CHECK(memory.find("s", "a") == nullptr);
+    CHECK(memory.find("s", "b") != nullptr);
+}
+
+TEST_CASE("the retry budget is a tenth of the requests") {
+    retry_budget budget({.share = 0.1, .most = 2});
+    CHECK(budget.take());
+    CHECK(budget.take());
+    CHECK_FALSE(budget.take());
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.note_request();
+        retries += budget.take() ? 1 : 0;
+    }
+    CHECK(retries <= 100);
+    CHECK(retries >= 95);
+}
+
+TEST_CASE("the most frequent key is found in bounded memory") {
+    hot_key_counter counter(16, 1);
+    for (std::uint64_t i = 0; i < 10'000; ++i) {
+        counter.count(i % 3 == 0 ? 42 : 1000 + i);
+    }
+    const std::vector<hot_key> hot = counter.take(1);
+    REQUIRE(hot.size() == 1);
+    CHECK(hot[0].hash == 42);
+    CHECK(counter.take(1).empty());
+}
+
+TEST_CASE("a late or repeated map update changes nothing") {
+    // Symptom: a node goes back to an earlier owner. Sequence: two answers to renewals arrive in
+    // the wrong order. Cause it guards against: applying an update to a version it does not start
+    // from.
+    route_map map;
+    const map_update whole{
+        .from = 0, .to = 5, .services = {{"s", true, {{.first = 0, .owner = 1}}}}};
+    const map_update next{
+        .from = 5, .to = 7, .services = {{"s", false, {{.first = 0, .owner = 2}}}}};
+    CHECK(map.apply(whole));
+    CHECK(map.apply(next));
+    CHECK_FALSE(map.apply(next));
+    CHECK_FALSE(map.apply(whole));
+    CHECK(map.find_range("s", 9)->owner == 2);
+    CHECK(
+        map.apply({.from = 7, .to = 8, .services = {{"s", false, {{.first = 100, .owner = 3}}}}}));
+    CHECK(map.find_range("s", 99)->owner == 2);
+    CHECK(map.find_range("s", 100)->owner == 3);
+    CHECK(map.apply({.from = 8, .to = 9, .services = {{"s", false, {}, {100}}}}));
+    CHECK(map.find_range("s", 100)->owner == 2);
+    CHECK(map.find_range("t", 0) == nullptr);
+}
+
+TEST_CASE("a standby that lost its copy is sent everything before anything counts again") {
+    // Symptom: a resend runs again after a loss. Sequence: the standby answers that it does not
+    // hold the copy; a new key arrives. Cause it guards against: going on with single changes.
+    standby_link link({});
+    key_memory memory;
+    std::vector<outgoing> sent;
+    target_route own{.number = 1, .standby = 2, .standby_epoch = 9};
+    link.follow(1, own, "h:2");
+    link.step(memory, start, sent);
+    REQUIRE(sent.size() == 1);
+    const auto first = std::get<remember_request>(sent[0].body);
+    CHECK(first.replace_all);
+    CHECK_FALSE(link.counts());
+    link.receive({.sequence = first.sequence, .held = true}, start);
+    CHECK(link.counts());
+    const remembered_key key{.service = "s", .idempotency_key = "k"};
+    CHECK(link.add(key, standby_waiter{standby_waiter::kind::request, 5}));
+    link.step(memory, start, sent);
+    const auto second = std::get<remember_request>(sent[1].body);
+    CHECK_FALSE(second.replace_all);
+    CHECK(link.receive({.sequence = second.sequence, .held = false}, start).empty());
+    link.step(memory, start, sent);
+    const auto third = std::get<remember_request>(sent[2].body);
+    CHECK(third.replace_all);
+    const auto released = link.receive({.sequence = third.sequence, .held = true}, start);
+    REQUIRE(released.size() == 1);
+    CHECK(released[0].id == 5);
+}
