Election: a refused pre-vote tells the later term

Traced in a replay: the voter with the longer log was in term 1, the other in term 2; the first one's pre-votes asked for term 2 and were refused without a word about it, the second one's log was behind. Both were well and connected. Ruled out: membership change (its entry was only what made the log longer) and disks. Change: a refusal carries the refusing voter's term, and the candidate takes it over. Focused test; it fails before (no leader in 5 s of virtual time) and passes after.

--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -221,8 +221,11 @@
     if (request.pre_vote) {
         // A voter that was cut off must not disturb a leader that the others still hear.
         const bool granted = request.term > term() && log_is_current(request) && !knows_leader(now);
+        // A refusal tells the term here: a voter with the longer log but an earlier term would ask
+        // for votes under terms that are over, for ever, while nobody else can win.
+        const std::uint64_t told = granted ? request.term : term();
         m_outgoing.push_back(
-            {from, vote_reply{.term = request.term, .pre_vote = true, .granted = granted}});
+            {from, vote_reply{.term = told, .pre_vote = true, .granted = granted}});
         return;
     }
     if (request.term > term()) {
@@ -242,7 +245,7 @@
 }
 
 void replica::on(const node_address &from, const vote_reply &reply, instant now) {
-    if (!reply.pre_vote && reply.term > term()) {
+    if (!reply.granted && reply.term > term()) {
         become_follower(reply.term, {}, now);
         return;
     }
--- a/tests/coordination/failures_test.cpp
+++ b/tests/coordination/failures_test.cpp
@@ -316,6 +316,42 @@
     check_clean(*in);
 }
 
+TEST_CASE("a voter with the longer log and an earlier term can still be elected") {
+    // Symptom: no leader for ever, though a quorum is well and connected. Sequence: the leader
+    // takes an entry that nobody else gets; another voter stands for election in a later term and
+    // fails; the third is lost. Cause it guards against: refusals of a pre-vote that hide the later
+    // term.
+    fake_storage disks[2];
+    std::string reason;
+    std::optional<durable_log> longer = durable_log::open(disks[0], reason);
+    std::optional<durable_log> later = durable_log::open(disks[1], reason);
+    longer->save_vote({1, "a"});
+    longer->append({{1, 1, entry_kind::election, ""}, {2, 1, entry_kind::election, ""}});
+    later->save_vote({2, "b"});
+    later->append({{1, 1, entry_kind::election, ""}});
+    const membership members{.voters = {"a", "b", "c"}};
+    instant now(100s);
+    replica a({.self = "a", .initial = members, .seed = 1}, *longer, now);
+    replica b({.self = "b", .initial = members, .seed = 2}, *later, now);
+    for (int i = 0; i < 500 && !a.leads(); ++i) {
+        now += 10ms;
+        a.tick(now);
+        b.tick(now);
+        for (const outgoing &item : a.take_outgoing()) {
+            if (item.to == "b") {
+                b.receive("a", item.body, now);
+            }
+        }
+        for (const outgoing &item : b.take_outgoing()) {
+            if (item.to == "a") {
+                a.receive("b", item.body, now);
+            }
+        }
+    }
+    CHECK(a.leads());
+    CHECK(a.term() > 2);
+}
+
 TEST_CASE("sequences in which the fuzzer found a violation") {
     // Symptom: a request that may run once ran twice. Sequence: as drawn and shrunk. Cause: an
     // acknowledgement of a standby batch taken for that of a hand-over with the same number.
