--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -82,6 +82,11 @@
     const replica &replication() const { return *m_replica; }
     const std::map<node_address, node_report> &nodes() const { return m_nodes; }
     const lease_book &leases() const { return m_leases; }
+    /// Highest measured load over weight share among a service's targets; 1 is perfect.
+    /// Precondition: the service has ranges.
+    double imbalance_of(const std::string &service) const;
+    /// Ranges that changed owner after their first, since this process started.
+    std::uint64_t owner_changes(const std::string &service) const;
 
 private:
     control_core(control_options options, durable_log &log, audit_sink audit, instant now);
@@ -127,6 +132,7 @@
                               const std::map<target_number, std::size_t> &duties) const;
     void propose(moment at, std::string actor, std::string cause, command_body body);
     void compact_if_due();
+    void count_owner_changes(const command &value);
 
     control_options m_options;
     std::unique_ptr<replica> m_replica;
@@ -152,6 +158,8 @@
     std::map<node_address, node_report> m_nodes;
     std::unordered_set<std::string> m_registering;
     std::unordered_map<std::string, service_load> m_loads;
+    std::unordered_map<std::string, std::uint64_t> m_owner_changes;
+    std::unordered_set<std::string> m_granted_once; ///< services whose first grants are over
     std::vector<outgoing> m_outgoing;
     /// Updates to the present version by the version they start from: most nodes ask for the same.
     std::map<std::uint64_t, map_update> m_updates;
--- a/include/peppertack/coordination/route_map.hpp
+++ b/include/peppertack/coordination/route_map.hpp
@@ -18,7 +18,13 @@
     struct service_map {
         std::vector<std::uint64_t> firsts; ///< sorted; apart from the records, for fast search
         std::vector<range_record> ranges;
+        /// Position of the range that holds the first hash of each equal part of the key space;
+        /// parts are about as many as ranges, so a search has few candidates left.
+        std::vector<std::uint32_t> starts;
+        unsigned int part_shift = 0; ///< a hash shifted right by it is its part
 
+        /// Makes `starts` fit `firsts` again.
+        void index();
         /// Range that holds `hash`. Precondition: not empty.
         const range_record &at(std::uint64_t hash) const;
         /// Last hash of the range at position `index`.
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -162,6 +162,9 @@
     if (result.audit) {
         m_audit(*result.audit);
     }
+    if (value && result.error == error_kind::none) {
+        count_owner_changes(*value);
+    }
     if (value) {
         if (const auto *body = std::get_if<register_target>(&value->body)) {
             m_registering.erase(registration_key(body->record));
@@ -191,6 +194,26 @@
     }
 }
 
+void control_core::count_owner_changes(const command &value) {
+    if (const auto *body = std::get_if<release_range>(&value.body)) {
+        ++m_owner_changes[body->service];
+    }
+    if (const auto *body = std::get_if<grant_ranges>(&value.body)) {
+        if (!m_granted_once.insert(body->service).second) {
+            m_owner_changes[body->service] += body->choices.size();
+        }
+    }
+}
+
+double control_core::imbalance_of(const std::string &service) const {
+    return imbalance(view_of(service), m_options.placement.prior_rate);
+}
+
+std::uint64_t control_core::owner_changes(const std::string &service) const {
+    const auto found = m_owner_changes.find(service);
+    return found == m_owner_changes.end() ? 0 : found->second;
+}
+
 void control_core::update_leadership(moment at) {
     const bool leads = m_replica->leads() && m_replica->commit_index() >= m_replica->term_start();
     if (leads == m_established) {
--- a/src/coordination/route_map.cpp
+++ b/src/coordination/route_map.cpp
@@ -1,15 +1,35 @@
 #include "peppertack/coordination/route_map.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <limits>
 
 namespace peppertack {
 
 const range_record &route_map::service_map::at(std::uint64_t hash) const {
-    const auto after = std::upper_bound(firsts.begin(), firsts.end(), hash);
+    const std::size_t part = hash >> part_shift;
+    const auto from = firsts.begin() + starts[part];
+    const auto to = firsts.begin() + starts[part + 1] + 1;
+    const auto after = std::upper_bound(from, to, hash);
     return ranges[static_cast<std::size_t>(std::distance(firsts.begin(), after)) - 1];
 }
 
+void route_map::service_map::index() {
+    const unsigned int bits =
+        std::max(1U, static_cast<unsigned int>(std::bit_width(firsts.size())));
+    const std::size_t parts = std::size_t{1} << bits;
+    part_shift = 64 - bits;
+    starts.assign(parts + 1, static_cast<std::uint32_t>(firsts.size() - 1));
+    std::size_t at = 0;
+    for (std::size_t part = 0; part < parts; ++part) {
+        const std::uint64_t hash = static_cast<std::uint64_t>(part) << part_shift;
+        while (at + 1 < firsts.size() && firsts[at + 1] <= hash) {
+            ++at;
+        }
+        starts[part] = static_cast<std::uint32_t>(at);
+    }
+}
+
 std::uint64_t route_map::service_map::last_hash(std::size_t index) const {
     return index + 1 < firsts.size() ? firsts[index + 1] - 1
                                      : std::numeric_limits<std::uint64_t>::max();
@@ -47,6 +67,9 @@
     for (const range_record &range : map.ranges) {
         map.firsts.push_back(range.first);
     }
+    if (!map.firsts.empty()) {
+        map.index();
+    }
 }
 
 void route_map::merge_ranges(const service_ranges &part) {
@@ -69,6 +92,9 @@
             map.ranges.erase(map.ranges.begin() + index);
         }
     }
+    if (!map.firsts.empty()) {
+        map.index();
+    }
 }
 
 const route_map::service_map *route_map::find_service(std::string_view service) const {
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -300,7 +300,9 @@
             services[service] = {{"ranges", ranges.size()},
                                  {"without_owner", unowned},
                                  {"moving", moving},
-                                 {"memory_lost", memory_lost}};
+                                 {"memory_lost", memory_lost},
+                                 {"owner_changes", core.owner_changes(service)},
+                                 {"imbalance", core.imbalance_of(service)}};
         }
         return json;
     };
--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -123,7 +123,7 @@
                                    "test-cluster-secret",
                                    "--operator-token",
                                    operator_token()};
-    if (place < m_options.voters) {
+    if (place < m_options.voters || m_disks.count(place) != 0) {
         words.insert(words.end(), {"--data-folder", m_folder + "/voter-" + std::to_string(place)});
     }
     words.insert(words.end(), m_options.extra_flags.begin(), m_options.extra_flags.end());
@@ -190,8 +190,9 @@
 }
 
 std::optional<std::size_t> local_cluster::leader() const {
-    for (std::size_t i = 0; i < m_options.voters; ++i) {
-        if (m_nodes[i] <= 0) {
+    for (std::size_t i = 0; i < size(); ++i) {
+        const bool voter = i < m_options.voters || m_disks.count(i) != 0;
+        if (m_nodes[i] <= 0 || !voter) {
             continue;
         }
         const nlohmann::json json = dump(i);
--- a/tests/support/local_cluster.hpp
+++ b/tests/support/local_cluster.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -51,6 +52,8 @@
     void signal_target(std::size_t place, int signal);
     void start_node(std::size_t place);
     void start_target(std::size_t place);
+    /// From its next start on, the node at this place has a data folder.
+    void give_disk(std::size_t place) { m_disks.insert(place); }
     pid_t node_process(std::size_t place) const { return m_nodes[place]; }
     /// Waits for the process to end and yields its exit code, or nothing after `patience`.
     std::optional<int> wait_for_node(std::size_t place, std::chrono::milliseconds patience);
@@ -76,6 +79,7 @@
     std::vector<std::string> m_peer;
     std::vector<std::string> m_http;
     std::vector<std::string> m_target;
+    std::set<std::size_t> m_disks;
     std::vector<pid_t> m_nodes;
     std::vector<pid_t> m_targets;
 };
--- a/tests/transport/cluster_test.cpp
+++ b/tests/transport/cluster_test.cpp
@@ -220,3 +220,46 @@
         20s, [&] { return cluster.dump(0)["peers"].value("refused_secrets", 0) > 0; }));
     CHECK(outside.dump(0)["node"].value("registration", 1) == 0);
 }
+
+TEST_CASE("a voter is replaced by a new one, and its successor counts") {
+    // Symptom: after a repair the next loss stops all decisions, or an accepted table is gone.
+    // Sequence: a voter is lost for good, another instance takes its place, then the leader is
+    // lost. Cause it guards against: a new voter that is counted before it holds what was accepted.
+    local_cluster cluster(programs, small_cluster({{"emision", 4}}));
+    REQUIRE(cluster.make_ready());
+    const auto leader = cluster.leader();
+    REQUIRE(leader);
+    const std::size_t lost = (*leader + 1) % 3;
+    cluster.signal_node(lost, SIGKILL);
+    cluster.signal_target(lost, SIGKILL);
+    cluster.signal_node(3, SIGKILL);
+    cluster.give_disk(3);
+    cluster.start_node(3);
+    const std::string path =
+        "/v1/voters?add=" + cluster.peer_address(3) + "&remove=" + cluster.peer_address(lost);
+    const httplib::Headers token{{"Authorization", "Bearer " + cluster.operator_token()}};
+    CHECK(local_cluster::wait_until(20s, [&] {
+        const httplib::Result answer =
+            client_for(cluster.http_address(*leader)).Post(path.c_str(), token, "", "text/plain");
+        return answer && answer->status == 200;
+    }));
+    const std::vector<std::string> wanted = [&] {
+        std::vector<std::string> voters{cluster.peer_address(3)};
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (i != lost) {
+                voters.push_back(cluster.peer_address(i));
+            }
+        }
+        std::sort(voters.begin(), voters.end());
+        return voters;
+    }();
+    CHECK(local_cluster::wait_until(20s, [&] {
+        const nlohmann::json json = cluster.dump(*leader);
+        return json.contains("control") && json["control"]["voters"] == wanted;
+    }));
+    cluster.signal_node(*leader, SIGKILL);
+    CHECK(local_cluster::wait_until(20s, [&] {
+        const auto next = cluster.leader();
+        return next && cluster.dump(*next)["control"]["table"].value("version", 0) == 1;
+    }));
+}
