A report of restored keys is void once its owner was lost

Cause: the fuzzer found a request that may run once run twice (sequence 1507). Traced: a node reported the keys of a range restored; it was lost before the leader took the report; the range had no owner yet, so its token was still the old one and the report passed. The range's memory counted as complete although the copy had gone with the node, and a resend ran again. Ruled out: the standby's copy and the recall. Change: the decision names the owner and the state it was made on. Test in control_state_test. Conclusion: a token alone does not name an owner; the other reports were gone through for the same, and release already names owner and destination.

--- a/include/peppertack/state/command.hpp
+++ b/include/peppertack/state/command.hpp
@@ -118,6 +118,10 @@
     std::string service;
     std::uint64_t first = 0;
     fencing_token token = 0;
+    /// What the decision was made on. A report of an owner that was lost meanwhile is void, though
+    /// the token is still the same: what it had restored went with it.
+    target_number owner = no_target;
+    range_memory was = range_memory::complete;
 
     friend bool operator==(const restore_memory &, const restore_memory &) = default;
 };
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -357,9 +357,10 @@
     for (const range_report &report : request.restored) {
         const range_record *range = m_state.find_range(report.service, report.first);
         if (range != nullptr && range->first == report.first && range->token == report.token &&
-            range->memory != range_memory::complete) {
+            range->owner == record.number && range->memory == range_memory::fetch) {
             propose(at, actor, "remembered keys restored",
-                    restore_memory{report.service, report.first, report.token});
+                    restore_memory{report.service, report.first, report.token, record.number,
+                                   range_memory::fetch});
         }
     }
     if (request.standby_epoch == record.standby_epoch && record.standby != no_target) {
@@ -725,7 +726,8 @@
             if (range.memory == range_memory::lost && range.owner != no_target &&
                 range.lost_at_ms + retention_ms < at.wall_ms) {
                 propose(at, placement_actor, "retention of lost keys has passed",
-                        restore_memory{service, range.first, range.token});
+                        restore_memory{service, range.first, range.token, range.owner,
+                                       range_memory::lost});
             }
         }
     }
--- a/src/state/json_fields.hpp
+++ b/src/state/json_fields.hpp
@@ -30,6 +30,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(split_range, service, at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(merge_range, service, first)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_standby, number, standby, ready, epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(restore_memory, service, first, token)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(restore_memory, service, first, token, owner, was)
 
 } // namespace peppertack
--- a/tests/state/control_state_test.cpp
+++ b/tests/state/control_state_test.cpp
@@ -91,6 +91,28 @@
     CHECK(driven.state.find_range("a", 0)->memory == range_memory::lost);
 }
 
+TEST_CASE("a report of restored keys from an owner that was lost meanwhile is void") {
+    // Symptom: a payment runs twice after two losses. Sequence: B takes over from A, fetches the
+    // keys from A's standby and reports it; B is lost before the report is decided on. Cause it
+    // guards against: the range's token is still B's, so the report seemed to fit and the memory
+    // counted as complete although it went with B. (Found by the fuzzer, sequence 1507.)
+    driven_state driven;
+    driven.apply(change_table{"one", 0, one_service});
+    const target_number a = driven.join("a");
+    const target_number b = driven.join("b");
+    const target_number c = driven.join("c");
+    driven.apply(grant_ranges{"a", {{0, a}}});
+    driven.apply(set_standby{a, c, false, 0});
+    driven.apply(set_standby{a, c, true, driven.state.find_target(a)->standby_epoch});
+    driven.apply(expire_target{a});
+    driven.apply(grant_ranges{"a", {{0, b}}});
+    const fencing_token token = driven.state.find_range("a", 0)->token;
+    const restore_memory report{"a", 0, token, b, range_memory::fetch};
+    driven.apply(expire_target{b});
+    CHECK(driven.apply(report).error == error_kind::cancelled);
+    CHECK(driven.state.find_range("a", 0)->memory == range_memory::lost);
+}
+
 TEST_CASE("equal states are written and read back") {
     driven_state driven;
     driven.apply(change_table{"one", 0, one_service});
