--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -528,7 +528,9 @@
 error_kind control_state::apply_body(const restore_memory &body, const command &, note &written,
                                      applied &) {
     range_record *range = range_at(body.service, body.first);
-    if (range == nullptr || range->memory == range_memory::complete || range->token != body.token) {
+    const bool unchanged = range != nullptr && range->token == body.token &&
+                           range->owner == body.owner && range->memory == body.was;
+    if (!unchanged || range->memory == range_memory::complete) {
         return error_kind::cancelled;
     }
     written.subject = range_subject(body.service, body.first);
