Small messages are packed, and a renewal names only its registration

Cause: a renewal and its answer took 276 + 236 bytes; at five a second with the headers of TCP that is 3.6 KB/s of the 4 KB/s that control may cost a node. Change: messages up to 4 KB are packed (runs of zeros are left out); a registered node sends its number only; the list of voters comes with every 16th answer. Fuzzed at byte level, packed and unpacked.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -164,7 +164,7 @@
     for (const outgoing &item : leader.core->take_outgoing()) {
         if (std::holds_alternative<renew_reply>(item.body)) {
             out.add("control", size + "map update after the loss of one target",
-                    static_cast<double>(encode(item.body).size()), "bytes");
+                    static_cast<double>(frame_of(item.body).size()), "bytes");
         }
     }
 
--- a/bench/node_bench.cpp
+++ b/bench/node_bench.cpp
@@ -76,11 +76,7 @@
     request.body = std::make_shared<const std::string>(std::string(200, 'x'));
     request.time_left = std::chrono::seconds(1);
     renew_request renewal{.sequence = 4, .map_version = 5, .table_version = 6, .has_target = true};
-    renewal.target = {.number = 3,
-                      .name = "target-3",
-                      .service = "emision",
-                      .failure_domain = "lima-a",
-                      .node_address = "10.0.0.1:7000"};
+    renewal.target = {.number = 3, .incarnation = 77};
     renew_request loaded = renewal;
     for (std::uint64_t i = 0; i < 16; ++i) {
         loaded.loads.push_back({i, 700});
@@ -88,12 +84,10 @@
     loaded.hot_keys.resize(8);
     renew_reply reply{.sequence = 4,
                       .is_leader = true,
-                      .leader_hint = "10.0.0.1:7000",
                       .number = 3,
                       .lease = std::chrono::milliseconds(800),
                       .table_version = 6};
     reply.map = {.from = 5, .to = 5};
-    reply.voters = {"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"};
     const std::pair<const char *, message> samples[] = {
         {"forwarded request, 200 bytes of body", forward_request{{1, 2}, 3, request}},
         {"renewal", renewal},
@@ -102,12 +96,16 @@
     for (const auto &[name, value] : samples) {
         const std::string bytes = encode(value);
         std::string reason;
+        const std::string frame = frame_of(value);
+        const std::string packed = frame.substr(frame_header_size);
         out.add("codec", std::string(name) + ": size with header",
-                static_cast<double>(bytes.size() + frame_header_size), "bytes");
-        out.add("codec", std::string(name) + ": encode", least_ns(50'000, [&] { encode(value); }),
+                static_cast<double>(frame.size()), "bytes");
+        out.add("codec", std::string(name) + ": size unpacked", static_cast<double>(bytes.size()),
+                "bytes");
+        out.add("codec", std::string(name) + ": encode", least_ns(50'000, [&] { frame_of(value); }),
                 "ns");
         out.add("codec", std::string(name) + ": decode",
-                least_ns(50'000, [&] { decode_message(bytes, reason); }), "ns");
+                least_ns(50'000, [&] { decode_packed(packed, reason); }), "ns");
     }
 }
 
--- a/include/peppertack/protocol/codec.hpp
+++ b/include/peppertack/protocol/codec.hpp
@@ -20,7 +20,8 @@
 };
 
 inline constexpr std::uint16_t protocol_version = 1;
-/// Frames on a connection are a 4-byte little-endian size and that many bytes of one message.
+/// Frames on a connection are a 4-byte little-endian header (size and a mark for packing) and that
+/// many bytes of one message.
 inline constexpr std::size_t frame_header_size = 4;
 inline constexpr std::size_t max_frame_size = 96U << 20U;
 
@@ -34,7 +35,24 @@
 /// are: lengths, pointers and enums are all checked. Thread safe.
 std::optional<decoded> decode_message(std::string_view bytes, std::string &reason);
 
-/// Header and bytes as they go onto a connection.
-std::string frame_of(std::string_view bytes);
+/// A frame's header, read. Small messages are packed, which leaves out the zeros that make up half
+/// of them; large ones are mostly body and stay as they are.
+struct frame_header {
+    std::size_t size = 0;
+    bool packed = false;
+    enum class kind : std::uint8_t { message, ping, pong } what = kind::message;
+};
+
+/// Precondition: `bytes` holds `frame_header_size` bytes.
+frame_header read_frame_header(const char *bytes);
+std::string ping_frame();
+std::string pong_frame();
+
+/// Header and message as they go onto a connection. Thread safe.
+std::string frame_of(const message &value);
+std::string frame_of(const hello &value);
+
+/// Reads a packed message; as `decode_message` otherwise.
+std::optional<decoded> decode_packed(std::string_view bytes, std::string &reason);
 
 } // namespace peppertack
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -12,6 +12,7 @@
 
 constexpr const char *placement_actor = "placement";
 constexpr std::size_t kept_updates = 64;
+constexpr std::uint64_t renewals_per_voter_list = 16;
 constexpr const char *lease_actor = "leases";
 constexpr duration load_memory = std::chrono::seconds(10);
 constexpr double hot_share = 0.02;
@@ -288,8 +289,7 @@
     }
     const target_record *record = m_state.find_target(request.target.number);
     const bool same = record != nullptr && record->phase != target_phase::gone &&
-                      record->incarnation == request.target.incarnation &&
-                      record->name == request.target.name;
+                      record->incarnation == request.target.incarnation;
     return same ? record : nullptr;
 }
 
@@ -297,12 +297,12 @@
     const renew_request &request = waiting.request;
     renew_reply reply{.sequence = request.sequence,
                       .is_leader = true,
-                      .leader_hint = m_options.replication.self,
                       .table_version = m_state.table_version(),
                       .map = update_since(request.map_version),
                       .map_version = m_state.version()};
-    for (const node_address &voter : m_replica->members().voters) {
-        reply.voters.push_back(voter);
+    // Voters change seldom; a node that asks anew, and now and then every node, is told them.
+    if (request.target.number == no_target || request.sequence % renewals_per_voter_list == 0) {
+        reply.voters.assign(m_replica->members().voters.begin(), m_replica->members().voters.end());
     }
     const bool current = request.table_version == m_state.table_version();
     if (!current) {
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -92,9 +92,10 @@
                           .giving_up = m_giving_up};
     request.target.number = m_number;
     request.target.incarnation = m_registration;
-    request.target.failure_domain = m_options.failure_domain;
-    request.target.node_address = m_options.self;
-    if (m_announcement) {
+    // Once registered, the number says it all: the rest would be half of what a renewal costs.
+    if (m_announcement && m_number == no_target) {
+        request.target.failure_domain = m_options.failure_domain;
+        request.target.node_address = m_options.self;
         request.target.name = m_announcement->name;
         request.target.service = m_announcement->service;
         request.target.slots = m_announcement->slots;
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -3,6 +3,7 @@
 #include "messages.capnp.h"
 
 #include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 #include <cstring>
 #include <kj/exception.h>
@@ -14,6 +15,13 @@
 
 namespace {
 
+constexpr std::uint32_t ping_mark = 0;
+constexpr std::uint32_t pong_mark = 0xffffffffU;
+constexpr std::uint32_t packed_mark = 0x40000000U;
+constexpr std::size_t largest_packed = 512; ///< words; larger messages are not packed
+
+static_assert(max_frame_size < packed_mark, "a size must not look like the mark");
+
 /// A value on the wire that no version of this protocol writes.
 struct bad_value : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -629,6 +637,37 @@
     throw bad_value("an unknown kind of message");
 }
 
+void fill(const message &value, capnp::MallocMessageBuilder &builder) {
+    auto root = builder.initRoot<wire::Message>();
+    std::visit([&](const auto &body) { put(body, root); }, value);
+}
+
+void fill(const hello &value, capnp::MallocMessageBuilder &builder) {
+    auto out = builder.initRoot<wire::Message>().initHello();
+    out.setVersion(value.version);
+    out.setAddress(text_of(value.address));
+    out.setSecret(text_of(value.secret));
+}
+
+capnp::ReaderOptions limits_for(std::size_t words) {
+    capnp::ReaderOptions limits;
+    limits.traversalLimitInWords = 4 * words + 1024;
+    limits.nestingLimit = 16;
+    return limits;
+}
+
+/// Runs a reader and turns whatever it throws into a reason.
+template <class Read> std::optional<decoded> guarded(std::string &reason, Read reader) {
+    try {
+        return reader();
+    } catch (const kj::Exception &error) {
+        reason = error.getDescription().cStr();
+    } catch (const std::exception &error) {
+        reason = error.what();
+    }
+    return std::nullopt;
+}
+
 std::string flat(capnp::MallocMessageBuilder &builder) {
     const auto words = capnp::messageToFlatArray(builder);
     const auto bytes = words.asBytes();
@@ -639,17 +678,13 @@
 
 std::string encode(const message &value) {
     capnp::MallocMessageBuilder builder;
-    auto root = builder.initRoot<wire::Message>();
-    std::visit([&](const auto &body) { put(body, root); }, value);
+    fill(value, builder);
     return flat(builder);
 }
 
 std::string encode(const hello &value) {
     capnp::MallocMessageBuilder builder;
-    auto out = builder.initRoot<wire::Message>().initHello();
-    out.setVersion(value.version);
-    out.setAddress(text_of(value.address));
-    out.setSecret(text_of(value.secret));
+    fill(value, builder);
     return flat(builder);
 }
 
@@ -658,7 +693,7 @@
         reason = "a message of " + std::to_string(bytes.size()) + " bytes";
         return std::nullopt;
     }
-    try {
+    return guarded(reason, [&] {
         // The library reads whole words, so the bytes have to be aligned.
         const bool aligned =
             reinterpret_cast<std::uintptr_t>(bytes.data()) % alignof(capnp::word) == 0;
@@ -670,27 +705,72 @@
             std::memcpy(copy.begin(), bytes.data(), bytes.size());
             words = copy.begin();
         }
-        capnp::ReaderOptions limits;
-        limits.traversalLimitInWords = 4 * count + 1024;
-        limits.nestingLimit = 16;
-        capnp::FlatArrayMessageReader reader({words, count}, limits);
+        capnp::FlatArrayMessageReader reader({words, count}, limits_for(count));
         return read_any(reader.getRoot<wire::Message>());
-    } catch (const kj::Exception &error) {
-        reason = error.getDescription().cStr();
-    } catch (const std::exception &error) {
-        reason = error.what();
+    });
+}
+
+std::optional<decoded> decode_packed(std::string_view bytes, std::string &reason) {
+    return guarded(reason, [&] {
+        kj::ArrayInputStream stream(data_of(bytes));
+        capnp::PackedMessageReader reader(stream, limits_for(largest_packed));
+        return read_any(reader.getRoot<wire::Message>());
+    });
+}
+
+namespace {
+
+std::string header_of(std::uint32_t value) {
+    std::string header;
+    for (std::size_t i = 0; i < frame_header_size; ++i) {
+        header += static_cast<char>((value >> (8 * i)) & 0xffU);
     }
-    return std::nullopt;
+    return header;
+}
+
+std::string frame_from(capnp::MallocMessageBuilder &builder) {
+    if (builder.sizeInWords() > largest_packed) {
+        const std::string bytes = flat(builder);
+        return header_of(static_cast<std::uint32_t>(bytes.size())) + bytes;
+    }
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const auto bytes = packed.getArray();
+    return header_of(static_cast<std::uint32_t>(bytes.size()) | packed_mark)
+        .append(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
 }
 
-std::string frame_of(std::string_view bytes) {
-    std::string frame;
-    frame.reserve(frame_header_size + bytes.size());
+} // namespace
+
+frame_header read_frame_header(const char *bytes) {
+    std::uint32_t value = 0;
     for (std::size_t i = 0; i < frame_header_size; ++i) {
-        frame += static_cast<char>((bytes.size() >> (8 * i)) & 0xffU);
+        value |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
     }
-    frame += bytes;
-    return frame;
+    if (value == ping_mark || value == pong_mark) {
+        return {.what = value == ping_mark ? frame_header::kind::ping : frame_header::kind::pong};
+    }
+    return {.size = value & ~packed_mark, .packed = (value & packed_mark) != 0};
+}
+
+std::string ping_frame() {
+    return header_of(ping_mark);
+}
+
+std::string pong_frame() {
+    return header_of(pong_mark);
+}
+
+std::string frame_of(const message &value) {
+    capnp::MallocMessageBuilder builder;
+    fill(value, builder);
+    return frame_from(builder);
+}
+
+std::string frame_of(const hello &value) {
+    capnp::MallocMessageBuilder builder;
+    fill(value, builder);
+    return frame_from(builder);
 }
 
 } // namespace peppertack
--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -22,8 +22,6 @@
 using tcp = asio::ip::tcp;
 using steady = std::chrono::steady_clock;
 
-constexpr std::uint32_t ping_size = 0;
-constexpr std::uint32_t pong_size = 0xffffffffU;
 constexpr std::size_t first_frame_limit = 4096; ///< before the secret was seen
 constexpr auto watch_interval = std::chrono::milliseconds(50);
 constexpr auto fresh_interval = std::chrono::milliseconds(50);
@@ -43,14 +41,6 @@
     return tcp::endpoint(host, static_cast<unsigned short>(port));
 }
 
-std::string control_frame(std::uint32_t size) {
-    std::string frame;
-    for (std::size_t i = 0; i < frame_header_size; ++i) {
-        frame += static_cast<char>((size >> (8 * i)) & 0xffU);
-    }
-    return frame;
-}
-
 /// Whether the other side will say something after it. Replies only end an exchange.
 bool expects_answer(const message &body) {
     return !std::holds_alternative<renew_reply>(body) &&
@@ -197,8 +187,8 @@
             const std::lock_guard lock(m_write_mutex);
             m_open = true;
             if (!m_inbound) {
-                m_outbox.push_front(frame_of(encode(
-                    hello{protocol_version, m_hub->m_options.self, m_hub->m_options.secret})));
+                m_outbox.push_front(frame_of(
+                    hello{protocol_version, m_hub->m_options.self, m_hub->m_options.secret}));
             }
         }
         write();
@@ -250,24 +240,22 @@
     }
 
     void take_header() {
-        std::uint32_t size = 0;
-        for (std::size_t i = 0; i < frame_header_size; ++i) {
-            size |= static_cast<std::uint32_t>(static_cast<unsigned char>(m_header[i])) << (8 * i);
-        }
+        const frame_header header = read_frame_header(m_header.data());
         note_heard();
-        if (size == ping_size || size == pong_size) {
-            if (size == ping_size && known()) {
-                send(control_frame(pong_size), false);
+        if (header.what != frame_header::kind::message) {
+            if (header.what == frame_header::kind::ping && known()) {
+                send(pong_frame(), false);
             }
             read_header();
             return;
         }
-        if (size > (known() ? max_frame_size : first_frame_limit)) {
+        if (header.size > (known() ? max_frame_size : first_frame_limit)) {
             ++m_hub->counters.bad_messages;
             close();
             return;
         }
-        m_body.resize(size);
+        m_packed = header.packed;
+        m_body.resize(header.size);
         asio::async_read(m_socket, asio::buffer(m_body),
                          [self = shared_from_this()](asio::error_code error, std::size_t read) {
                              self->m_hub->counters.bytes_in += read + frame_header_size;
@@ -283,7 +271,8 @@
 
     bool take_body() {
         std::string reason;
-        std::optional<decoded> value = decode_message(m_body, reason);
+        std::optional<decoded> value =
+            m_packed ? decode_packed(m_body, reason) : decode_message(m_body, reason);
         if (!value) {
             ++m_hub->counters.bad_messages;
             log_event(log_level::warning, "bad_message", {{"peer", m_address}, {"reason", reason}});
@@ -338,7 +327,7 @@
             close();
         } else if (silent > m_hub->m_options.ping_after && !m_ping_sent) {
             m_ping_sent = true;
-            send(control_frame(ping_size), false);
+            send(ping_frame(), false);
         }
     }
 
@@ -375,6 +364,7 @@
     std::deque<std::string> m_in_flight;
     std::array<char, frame_header_size> m_header{};
     std::string m_body;
+    bool m_packed = false;
 };
 
 bool peer_hub::impl::listen(std::string &reason) {
@@ -504,7 +494,7 @@
         return;
     }
     ++counters.messages_out;
-    link->send(frame_of(encode(item.body)), expects_answer(item.body));
+    link->send(frame_of(item.body), expects_answer(item.body));
 }
 
 void peer_hub::impl::stop() {
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -75,7 +75,19 @@
         const std::optional<decoded> read = decode_message(bytes, reason);
         REQUIRE_MESSAGE(read, reason);
         CHECK(encode(std::get<message>(*read)) == bytes);
+        const std::string frame = frame_of(all[i]);
+        const frame_header header = read_frame_header(frame.data());
+        CHECK(header.size == frame.size() - frame_header_size);
+        CHECK(header.packed);
+        const std::optional<decoded> unpacked =
+            decode_packed(std::string_view(frame).substr(frame_header_size), reason);
+        REQUIRE_MESSAGE(unpacked, reason);
+        CHECK(encode(std::get<message>(*unpacked)) == bytes);
     }
+    const forward_reply large{{1, 2}, {.body = std::make_shared<const std::string>(90'000, 'x')}};
+    CHECK_FALSE(read_frame_header(frame_of(message(large)).data()).packed);
+    CHECK(read_frame_header(ping_frame().data()).what == frame_header::kind::ping);
+    CHECK(read_frame_header(pong_frame().data()).what == frame_header::kind::pong);
     std::string reason;
     const hello greeting{1, "h:1", "secret"};
     CHECK(std::get<hello>(*decode_message(encode(greeting), reason)) == greeting);
@@ -93,6 +105,17 @@
         std::string reason;
         const std::optional<decoded> read = decode_message(bytes, reason);
         RC_ASSERT(read.has_value() || !reason.empty());
+        RC_ASSERT(decode_packed(bytes, reason).has_value() || !reason.empty());
+    }));
+    CHECK(rc::check("changed bytes of packed messages", [&] {
+        std::string bytes =
+            frame_of(all[*rc::gen::inRange<std::size_t>(0, all.size())]).substr(frame_header_size);
+        const int changes = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < changes; ++i) {
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        }
+        std::string reason;
+        RC_ASSERT(decode_packed(bytes, reason).has_value() || !reason.empty());
     }));
     CHECK(rc::check("arbitrary bytes", [](const std::string &bytes) {
         std::string reason;
