Grants before standbys; waiting renewals answered in order

Change: renewals wait in a queue ordered by round; standbys are chosen once every range has an owner.

--- a/bench/cluster_bench.cpp
+++ b/bench/cluster_bench.cpp
@@ -101,6 +101,7 @@
         m_process = ::fork();
         if (m_process == 0) {
             std::vector<char *> pointers;
+            pointers.reserve(words.size() + 1);
             for (const std::string &word : words) {
                 pointers.push_back(const_cast<char *>(word.c_str()));
             }
--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -78,9 +78,11 @@
 
     void renew_all(std::size_t count) {
         for (std::size_t i = 0; i < count; ++i) {
+            at.now += std::chrono::microseconds(30); // 33,000 a second
             core->receive("10.0.0.1:" + std::to_string(i), renewal(i), at);
             core->take_outgoing();
         }
+        pass(std::chrono::milliseconds(10));
     }
 
     moment at{instant(std::chrono::seconds(10)), 1};
--- a/bench/node_bench.cpp
+++ b/bench/node_bench.cpp
@@ -93,7 +93,9 @@
         {"renewal", renewal},
         {"renewal with loads of 16 ranges and 8 hot keys", loaded},
         {"answer to a renewal, nothing new", reply}};
-    for (const auto &[name, value] : samples) {
+    for (const auto &sample : samples) {
+        const char *name = sample.first;
+        const message &value = sample.second;
         const std::string bytes = encode(value);
         std::string reason;
         const std::string frame = frame_of(value);
--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -7,6 +7,7 @@
 #include "peppertack/state/control_state.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -154,7 +155,7 @@
     std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>>
         m_tickets; ///< index: term, ticket
     std::vector<submit_answer> m_answers;
-    std::vector<waiting_renewal> m_renewals;
+    std::deque<waiting_renewal> m_renewals; ///< in order of their rounds
     std::map<node_address, node_report> m_nodes;
     std::unordered_set<std::string> m_registering;
     std::unordered_map<std::string, service_load> m_loads;
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -269,13 +269,9 @@
 
 void control_core::answer_renewals(moment at) {
     const std::uint64_t confirmed = m_replica->confirmed_round();
-    std::vector<waiting_renewal> ready;
-    std::vector<waiting_renewal> later;
-    for (waiting_renewal &waiting : m_renewals) {
-        (waiting.round <= confirmed ? ready : later).push_back(std::move(waiting));
-    }
-    m_renewals = std::move(later);
-    for (const waiting_renewal &waiting : ready) {
+    while (!m_renewals.empty() && m_renewals.front().round <= confirmed) {
+        const waiting_renewal waiting = std::move(m_renewals.front());
+        m_renewals.pop_front();
         answer_renewal(waiting, at);
     }
 }
@@ -543,8 +539,16 @@
     }
     const std::set<std::string> services = services_to_place(balance_due);
     m_last_placed = m_state.version();
+    const std::uint64_t proposed_before = m_last_proposed;
     for (const std::string &service : services) {
         place_service(service, at, balance_due);
+    }
+    // Keys without an owner first: after the loss of a failure domain the choice of standbys is
+    // twice as much work, and can wait for the next decisions, which the grants bring about.
+    if (m_last_proposed != proposed_before) {
+        return;
+    }
+    for (const std::string &service : services) {
         choose_standbys(service, at);
         finish_stops(service, at);
     }
