--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -14,6 +14,7 @@
 
 constexpr entry entries[] = {{"lookup", bench_lookup},
                              {"codec", bench_codec},
+                             {"key-memory", bench_key_memory},
                              {"admission", bench_admission},
                              {"overload", bench_overload},
                              {"log", bench_log},
--- a/bench/bench_report.hpp
+++ b/bench/bench_report.hpp
@@ -41,6 +41,7 @@
 
 void bench_lookup(report &out);
 void bench_codec(report &out);
+void bench_key_memory(report &out);
 void bench_admission(report &out);
 void bench_log(report &out);
 void bench_control(report &out);
--- a/bench/node_bench.cpp
+++ b/bench/node_bench.cpp
@@ -1,5 +1,6 @@
 #include "bench_report.hpp"
 #include "peppertack/coordination/admission.hpp"
+#include "peppertack/coordination/key_memory.hpp"
 #include "peppertack/coordination/route_map.hpp"
 #include "peppertack/protocol/codec.hpp"
 #include "peppertack/state/key_hash.hpp"
@@ -111,6 +112,27 @@
     }
 }
 
+void bench_key_memory(report &out) {
+    constexpr std::size_t keys = 200'000;
+    const double before = resident_bytes();
+    key_memory memory({.most_keys = keys});
+    std::size_t number = 0;
+    const double ns = least_ns(keys / 5, [&] {
+        remembered_key key{.service = "emision",
+                           .hash = number * 0x9e3779b97f4a7c15ULL,
+                           .idempotency_key = "0c7e41b2-51d4-4a9d-9d6b-" + std::to_string(number),
+                           .fingerprint = number,
+                           .phase = key_phase::answered,
+                           .wall_ms = static_cast<std::int64_t>(number)};
+        key.response.owner = "emision-1";
+        memory.put(std::move(key));
+        ++number;
+    });
+    out.add("key-memory", "200000 keys, without answers' bodies", (resident_bytes() - before) / 1e6,
+            "MB");
+    out.add("key-memory", "adding a key", ns, "ns");
+}
+
 void bench_admission(report &out) {
     admission gate;
     gate.set_limits({.in_flight = 18, .queue = 200});
--- a/include/peppertack/coordination/key_memory.hpp
+++ b/include/peppertack/coordination/key_memory.hpp
@@ -16,8 +16,8 @@
 class key_memory {
 public:
     struct options {
-        std::size_t most_keys = 200'000;
-        std::size_t most_answer_bytes = 64U << 20U; ///< answers' bodies; the keys stay
+        std::size_t most_keys = 80'000;
+        std::size_t most_answer_bytes = 16U << 20U; ///< answers' bodies; the keys stay
         std::size_t largest_answer = 256U << 10U;   ///< larger bodies are not kept
         std::int64_t retention_ms = 600'000;
     };
--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -22,7 +22,7 @@
 using tcp = asio::ip::tcp;
 using steady = std::chrono::steady_clock;
 
-constexpr std::size_t usual_read = 16U << 10U;
+constexpr std::size_t usual_read = 4U << 10U;   ///< held by each connection; there may be thousands
 constexpr std::size_t first_frame_limit = 4096; ///< before the secret was seen
 constexpr auto watch_interval = std::chrono::milliseconds(50);
 constexpr auto fresh_interval = std::chrono::milliseconds(50);
