--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -108,7 +108,7 @@
     };
 
     void settle(moment at);
-    void apply_committed(moment at);
+    void apply_committed();
     void apply_entry(const log_entry &entry);
     void update_leadership(moment at);
     void answer_renewals(moment at);
@@ -122,7 +122,7 @@
     map_update make_update_since(std::uint64_t version) const;
     void add_own_ranges(map_update &update, const target_record &record) const;
     map_update whole_map() const;
-    void push_updates(moment at);
+    void push_updates();
     void end_leases(moment at);
     void place(moment at);
     std::set<std::string> services_to_place(bool balance_due) const;
--- a/include/peppertack/coordination/standby_link.hpp
+++ b/include/peppertack/coordination/standby_link.hpp
@@ -43,7 +43,7 @@
     /// Sends what is due.
     void step(const key_memory &memory, instant now, std::vector<outgoing> &messages);
     /// Takes a reply; yields the waiters that it releases.
-    std::vector<standby_waiter> receive(const remember_reply &reply, instant now);
+    std::vector<standby_waiter> receive(const remember_reply &reply);
 
     /// The copy may be relied on after a loss, or may be about to be.
     bool counts() const { return m_standby != no_target && (m_complete || m_ready); }
--- a/include/peppertack/state/error_kind.hpp
+++ b/include/peppertack/state/error_kind.hpp
@@ -27,8 +27,6 @@
     bad_table,
     not_leader,
     not_found,
-    shutting_down,
-    storage_failed,
     cancelled,
 };
 
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -118,21 +118,21 @@
 void control_core::settle(moment at) {
     m_now = at.now;
     m_replica->flush(at.now);
-    apply_committed(at);
+    apply_committed();
     update_leadership(at);
     if (m_established) {
         answer_renewals(at);
         place(at);
         m_replica->flush(at.now);
-        apply_committed(at);
-        push_updates(at);
+        apply_committed();
+        push_updates();
     }
     compact_if_due();
 }
 
 // ---- the replicated state ----
 
-void control_core::apply_committed(moment) {
+void control_core::apply_committed() {
     if (const std::optional<log_snapshot> installed = m_replica->take_installed()) {
         std::string reason;
         if (std::optional<control_state> state = control_state::decode(installed->state, reason)) {
@@ -529,7 +529,7 @@
 
 /// Sends a change at once to those it concerns, so that a new owner does not wait for its next
 /// renewal. It carries no lease; one that is lost is made good by that renewal.
-void control_core::push_updates(moment) {
+void control_core::push_updates() {
     if (m_state.version() == m_last_pushed) {
         return;
     }
--- a/src/coordination/range_owner.cpp
+++ b/src/coordination/range_owner.cpp
@@ -503,7 +503,7 @@
 
 void range_owner::receive(const node_address &, const remember_reply &reply, moment at) {
     if (!reply.handover) {
-        wake(m_standby.receive(reply, at.now), at);
+        wake(m_standby.receive(reply), at);
         return;
     }
     for (auto &[first, state] : m_releases) {
--- a/src/coordination/standby_link.cpp
+++ b/src/coordination/standby_link.cpp
@@ -88,7 +88,7 @@
     messages.push_back({m_address, *m_batch});
 }
 
-std::vector<standby_waiter> standby_link::receive(const remember_reply &reply, instant) {
+std::vector<standby_waiter> standby_link::receive(const remember_reply &reply) {
     if (!m_batch || reply.sequence != m_batch_sequence) {
         return {};
     }
--- a/src/protocol/error_answer.cpp
+++ b/src/protocol/error_answer.cpp
@@ -33,8 +33,6 @@
     {error_kind::bad_table, 422, "bad-table", "The table has errors"},
     {error_kind::not_leader, 503, "not-leader", "This process does not lead at the moment"},
     {error_kind::not_found, 404, "not-found", "No such thing"},
-    {error_kind::shutting_down, 503, "shutting-down", "This process is stopping"},
-    {error_kind::storage_failed, 500, "storage-failed", "The data folder can't be written"},
     {error_kind::cancelled, 499, "cancelled", "The request was cancelled"},
 }};
 
--- a/src/transport/http_front.cpp
+++ b/src/transport/http_front.cpp
@@ -74,7 +74,6 @@
 void write_response(const caller_response &response, bool head, httplib::Response &out) {
     if (response.result == outcome::ran && response.error == error_kind::none) {
         out.status = response.status;
-        std::string type;
         for (const header_field &field : response.headers) {
             out.set_header(field.name, field.value);
         }
--- a/tests/coordination/parts_test.cpp
+++ b/tests/coordination/parts_test.cpp
@@ -226,18 +226,18 @@
     const auto first = std::get<remember_request>(sent[0].body);
     CHECK(first.replace_all);
     CHECK_FALSE(link.counts());
-    link.receive({.sequence = first.sequence, .held = true}, start);
+    link.receive({.sequence = first.sequence, .held = true});
     CHECK(link.counts());
     const remembered_key key{.service = "s", .idempotency_key = "k"};
     CHECK(link.add(key, standby_waiter{standby_waiter::kind::request, 5}));
     link.step(memory, start, sent);
     const auto second = std::get<remember_request>(sent[1].body);
     CHECK_FALSE(second.replace_all);
-    CHECK(link.receive({.sequence = second.sequence, .held = false}, start).empty());
+    CHECK(link.receive({.sequence = second.sequence, .held = false}).empty());
     link.step(memory, start, sent);
     const auto third = std::get<remember_request>(sent[2].body);
     CHECK(third.replace_all);
-    const auto released = link.receive({.sequence = third.sequence, .held = true}, start);
+    const auto released = link.receive({.sequence = third.sequence, .held = true});
     REQUIRE(released.size() == 1);
     CHECK(released[0].id == 5);
 }
