--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -4,6 +4,7 @@
 #include "peppertack/coordination/messages.hpp"
 #include "peppertack/coordination/placement.hpp"
 #include "peppertack/coordination/replica.hpp"
+#include "peppertack/coordination/voter_roster.hpp"
 #include "peppertack/state/control_state.hpp"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
     std::size_t push_items = 256; ///< larger changes are fetched by the renewals, spread over time
     std::size_t items_per_update = 512;   ///< the rest follows with the next renewals
     std::size_t losses_per_decision = 16; ///< keeps what one decision touches within an update
+    voter_roster::options roster;
 };
 
 /// Answer to a command that an operator submitted.
@@ -71,6 +73,13 @@
 
     /// Proposes a command. The answer comes by `take_answers` under the yielded ticket.
     std::uint64_t submit(command value, moment at);
+    /// Asks for proof that this voter leads; the answer, without an error once a quorum has confirmed
+    /// it, comes by `take_answers`. The state read in that same step holds all that was acknowledged.
+    std::uint64_t prove_leadership(moment at);
+    /// Whether as many voters take part as the promised tolerance of losses needs.
+    bool enough_voters() const;
+    /// This process is about to end: a spare voter may take its place at once.
+    void announce_leaving(moment at);
     /// Replaces a voter; see `replica::replace_voter`.
     bool replace_voter(const node_address &learner, const std::optional<node_address> &replaces,
                        moment at);
@@ -108,6 +117,12 @@
     };
 
     void settle(moment at);
+    void follow_roster(moment at);
+    void offer_to_join(moment at);
+    void send_to_contacts(const join_request &request);
+    void take_join(const join_request &request, moment at);
+    void answer_proofs();
+    const std::string &encoded_routes();
     void apply_committed();
     void apply_entry(const log_entry &entry);
     void update_leadership(moment at);
@@ -143,6 +158,10 @@
     audit_sink m_audit;
     lease_book m_leases;
     greedy_placement m_placement;
+    voter_roster m_roster;
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> m_proofs; ///< round, ticket
+    std::string m_encoded_routes;
+    std::uint64_t m_encoded_routes_version = 0;
     bool m_established = false;
     std::uint64_t m_last_proposed = 0;
     std::uint64_t m_last_compacted = 0;
--- /dev/null
+++ b/include/peppertack/coordination/hold_keeper.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "peppertack/coordination/lease_client.hpp"
+#include "peppertack/coordination/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peppertack {
+
+/// Ordered keys from `from` to `to`, both included, that a target holds under a fencing token.
+struct held_span {
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    fencing_token token = 0;
+    std::string handover; ///< of the last holder; empty if the keys did not come by a planned move
+
+    friend bool operator==(const held_span &, const held_span &) = default;
+};
+
+/// Ordered keys that a target has released, and what it leaves to the next holder.
+struct freed_span {
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    std::string handover;
+
+    friend bool operator==(const freed_span &, const freed_span &) = default;
+};
+
+/// What a target that keeps leases of its own says in a heartbeat.
+struct hold_report {
+    std::vector<held_span> holds; ///< what it holds or is still working on
+    std::vector<freed_span> freed;
+
+    friend bool operator==(const hold_report &, const hold_report &) = default;
+};
+
+/// Answer to a heartbeat: everything the target is to hold, and for how long from when it sent the
+/// heartbeat. Without `renews` its present hold runs out by itself.
+struct hold_grant {
+    bool renews = false;
+    std::vector<held_span> holds;
+    duration length{};
+
+    friend bool operator==(const hold_grant &, const hold_grant &) = default;
+};
+
+/// Hands a node's lease on to a target that checks a lease of its own. What the target is told to hold
+/// always ends before the node's lease does, so that whoever is given the keys next never overlaps
+/// with it, also when this node is paused, cut off or gone. Not thread safe.
+class hold_keeper {
+public:
+    struct options {
+        duration most_hold = std::chrono::seconds(10); ///< longest hold that a target takes
+        /// Rate by which a target's clock may lag behind: it would hold on for that much longer.
+        double clock_drift = 0.02;
+        /// Taken off each hold: the way of the answer, and a timer that fires late.
+        duration margin = std::chrono::milliseconds(30);
+    };
+    enum class key_state : std::uint8_t {
+        held,      ///< the target holds it and runs requests for it
+        expected,  ///< it is the target's by the map; the next heartbeat brings it
+        moving,    ///< on its way to another target
+        not_owned, ///< another target's
+    };
+
+    explicit hold_keeper(options settings) : m_options(settings) {}
+
+    /// Takes a heartbeat and yields the answer to it.
+    hold_grant take(const hold_report &report, const lease_client &lease, instant now);
+    /// Another target, or none: nothing is held.
+    void reset();
+    /// What a request for the key at `hash` would meet now.
+    key_state state_of(std::uint64_t hash, const lease_client &lease, instant now) const;
+    /// When the last hold given ends for the target.
+    instant held_until() const { return m_until; }
+    /// Adds ranges that the target has released to a renewal.
+    void fill_report(renew_request &request, const lease_client &lease) const;
+    /// Whether a range has been released that the leader should hear of at once.
+    bool has_news() const { return m_news; }
+    void news_sent() { m_news = false; }
+
+private:
+    struct release {
+        fencing_token token = 0;
+        std::string handover;
+    };
+
+    bool still_held(const hold_report &report, const lease_client::own_range &range) const;
+    std::string handover_of(const hold_report &report, const lease_client::own_range &range) const;
+
+    options m_options;
+    std::vector<held_span> m_given;              ///< by the last answer, in order
+    instant m_until{};
+    std::map<std::uint64_t, release> m_released; ///< by the first hash of the range
+    bool m_news = false;
+};
+
+} // namespace peppertack
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -2,6 +2,7 @@
 
 #include "peppertack/coordination/node_options.hpp"
 #include "peppertack/coordination/route_map.hpp"
+#include "peppertack/state/routing_sheet.hpp"
 #include "peppertack/state/table.hpp"
 
 #include <functional>
@@ -29,6 +30,7 @@
         bool map = false;
         bool registration = false; ///< a new number, or none any more
         bool table = false;
+        bool routes = false;
     };
     change receive(const node_address &from, const renew_reply &reply, moment at);
     change receive(const map_update &update);
@@ -42,6 +44,14 @@
     const route_map &map() const { return m_map; }
     const table &current_table() const { return m_table; }
     std::uint64_t table_version() const { return m_table_version; }
+    /// The routing sheet in force here; version 0 before the first.
+    const routing_sheet &routes() const { return m_routes; }
+    /// Ranges of the local target, in order, with the last hash of each.
+    struct own_range {
+        range_record record;
+        std::uint64_t last = 0;
+    };
+    std::vector<own_range> own_ranges() const;
     const std::optional<target_announcement> &announcement() const { return m_announcement; }
     const node_address &leader() const { return m_voters[m_voter]; }
     const std::vector<node_address> &voters() const { return m_voters; }
@@ -61,6 +71,7 @@
     void follow_voters(const node_address &leader, const std::vector<node_address> &voters);
     void end_registration();
     void take_table(const renew_reply &reply, change &changed);
+    void take_routes(const renew_reply &reply, change &changed);
 
     const node_options &m_options;
     std::vector<node_address> m_voters;
@@ -77,6 +88,7 @@
     route_map m_map;
     table m_table;
     std::uint64_t m_table_version = 0;
+    routing_sheet m_routes;
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, sent_renewal> m_sent;
     instant m_renew_at{};
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -63,6 +63,15 @@
     friend bool operator==(const snapshot_request &, const snapshot_request &) = default;
 };
 
+/// A control process that is no voter offers itself, or a voter announces that it is about to end.
+/// Voters that do not lead pass it on to the one that does.
+struct join_request {
+    node_address identity;
+    bool leaving = false;
+
+    friend bool operator==(const join_request &, const join_request &) = default;
+};
+
 // ---- between nodes and the control part ----
 
 struct range_report {
@@ -70,6 +79,7 @@
     std::uint64_t first = 0;
     fencing_token token = 0;
     target_number to = no_target; ///< for a release: who holds the handed-over keys
+    std::string handover;         ///< for a release: from the owner's target, for the next one
 
     friend bool operator==(const range_report &, const range_report &) = default;
 };
@@ -94,6 +104,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t map_version = 0;
     std::uint64_t table_version = 0;
+    std::uint64_t routes_version = 0;
     target_record target; ///< number is zero until one was given
     bool has_target = false;
     bool draining = false;  ///< the target or its node is stopping
@@ -116,6 +127,7 @@
     std::string failure_domain;
     node_address address;
     target_phase phase = target_phase::serving;
+    std::uint32_t slots = 0;
     target_number standby = no_target;
     bool standby_ready = false;
     std::uint64_t standby_epoch = 0;
@@ -154,6 +166,8 @@
     duration lease{};               ///< runs from when the request was sent; zero: none granted
     std::uint64_t table_version = 0;
     std::string table_csv; ///< only if newer than the node's
+    std::uint64_t routes_version = 0;
+    std::string routes; ///< the routing sheet, only if newer than the node's
     map_update map;
     std::vector<node_address> voters;
 
@@ -287,7 +301,8 @@
 using message = std::variant<vote_request, vote_reply, append_request, append_reply,
                              snapshot_request, renew_request, renew_reply, map_update,
                              forward_request, forward_reply, fate_query, fate_reply, cancel_request,
-                             remember_request, remember_reply, recall_request, recall_reply>;
+                             remember_request, remember_reply, recall_request, recall_reply,
+                             join_request>;
 
 /// A message on its way out of a state machine.
 struct outgoing {
--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -26,6 +26,9 @@
     std::vector<placement_target> targets;
     std::unordered_map<std::uint64_t, double> loads;
     std::vector<std::uint64_t> hot_keys; ///< hashes that carry much of a range's load
+    /// Ranges are cut only at multiples of this: the distance between two keys that are ordered
+    /// numbers; 1 where keys are hashed.
+    std::uint64_t key_distance = 1;
     double churn_price = 1;
     double unavailable_price = 1;
 };
--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -65,6 +65,10 @@
     /// this replica does not lead, a change is under way, or it would change nothing.
     bool replace_voter(const node_address &learner, const std::optional<node_address> &replaces);
 
+    /// Gives up a change whose learner does not catch up, so that another can be begun. False if there
+    /// is none, it is not yet recorded, or this replica does not lead.
+    bool cancel_change();
+
     /// Asks for proof of leadership: the yielded round is confirmed when `confirmed_round()` has
     /// reached it. A confirmed round shows that no other leader had been elected when it began.
     std::uint64_t request_round();
@@ -80,6 +84,10 @@
     /// Precondition: `index` was handed out by `take_committed`.
     bool compact(std::uint64_t index, std::string state);
 
+    /// How long `voter` has not been heard of by this leader; zero for this replica itself.
+    duration silence_of(const node_address &voter, instant now) const;
+    /// Whether this replica counts for elections and commits, as far as it knows.
+    bool is_voter() const { return m_members.voters.count(m_options.self) != 0; }
     role current_role() const { return m_role; }
     bool leads() const { return m_role == role::leader; }
     std::uint64_t term() const { return m_log->vote().term; }
@@ -123,6 +131,7 @@
     void advance_commit();
     void advance_round();
     void promote_learner();
+    bool change_settled() const;
     void commit_to(std::uint64_t index);
     void note_members(const log_entry &entry);
     void reload_members(std::uint64_t up_to);
@@ -136,6 +145,7 @@
     node_address m_leader;
     membership m_members;
     std::map<std::uint64_t, membership> m_member_history; ///< by index of its entry
+    instant m_now{}; ///< of the current step
     instant m_election_at{};
     instant m_leader_heard{};
     bool m_pre_vote = false;
--- /dev/null
+++ b/include/peppertack/coordination/target_selector.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "peppertack/coordination/route_map.hpp"
+#include "peppertack/state/time.hpp"
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peppertack {
+
+/// What a node says of its target with each answer.
+struct target_load {
+    std::uint32_t in_flight = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t limit = 0;     ///< requests that the target runs at a time; 0: not known
+    duration service_time{};     ///< usual time of a request
+
+    friend bool operator==(const target_load &, const target_load &) = default;
+};
+
+/// Chooses among the targets of a service without keys: of two drawn at random, in proportion to what
+/// they can do, the one that will be done first, by the load that answers of its node last told and
+/// what this node has sent since. Two draws keep many nodes with the same news from all choosing the
+/// same target. Targets that fail again and again are left out for a while, but never all of them.
+/// Not thread safe.
+class target_selector {
+public:
+    struct options {
+        /// A report older than this says little: requests take about as long.
+        duration report_lifetime = std::chrono::seconds(1);
+        unsigned int failures_until_ejected = 3; ///< in a row
+        duration ejected_for = std::chrono::milliseconds(700); ///< doubles with each time in a row
+        duration longest_ejection = std::chrono::seconds(6);
+        duration prior_service_time = std::chrono::milliseconds(100);
+        std::uint32_t prior_limit = 8;
+    };
+
+    target_selector(options settings, std::uint64_t seed) : m_options(settings), m_random(seed) {}
+
+    /// One of `candidates` that is not in `tried`; `no_target` if there is none.
+    target_number choose(const std::vector<const target_route *> &candidates,
+                         const std::set<target_number> &tried, instant now);
+    void sent(target_number number);
+    /// A call has ended. `failed`: the target or its node did not do its part.
+    void ended(target_number number, bool failed, instant now);
+    void note(target_number number, const target_load &load, instant now);
+    /// Time until an answer, as far as can be told.
+    duration estimate(target_number number, instant now) const;
+    bool ejected(target_number number, instant now) const;
+    /// Forgets targets that are not in the map any more.
+    void keep_only(const std::unordered_map<target_number, target_route> &known);
+
+private:
+    struct state {
+        target_load load;
+        instant reported{};
+        std::uint32_t outstanding = 0;
+        std::uint32_t at_report = 0; ///< outstanding when the report came
+        unsigned int failures = 0;
+        unsigned int ejections = 0;
+        instant ejected_until{};
+    };
+
+    double capacity(const state *known) const;
+
+    options m_options;
+    std::mt19937_64 m_random;
+    std::unordered_map<target_number, state> m_targets;
+};
+
+} // namespace peppertack
--- a/include/peppertack/protocol/codec.hpp
+++ b/include/peppertack/protocol/codec.hpp
@@ -15,6 +15,7 @@
     std::uint16_t version = 1;
     node_address address;
     std::string secret;
+    node_address to; ///< whom the speaker takes the other side for
 
     friend bool operator==(const hello &, const hello &) = default;
 };
--- /dev/null
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peppertack/coordination/target_selector.hpp"
+#include "peppertack/state/error_kind.hpp"
+#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace peppertack {
+
+/// Name of the header in which two nodes tell each other about a request that one forwards to the
+/// other. It never reaches a caller or a target.
+inline constexpr std::string_view hop_header = "Peppertack-Hop";
+
+/// What the node that took a request tells the node beside the chosen target.
+struct hop_request {
+    target_number target = 0; ///< registration that the sender takes the target for
+    std::string route;        ///< requests of one route take alike long
+    int priority = 0;
+    bool nested = false; ///< a running request of another target waits for it
+    bool repeat = false; ///< the request may have been at a target before
+    std::optional<std::uint32_t> key;
+    duration objective_left{}; ///< until the latency objective
+    duration time_left{};      ///< until nobody waits any more
+
+    friend bool operator==(const hop_request &, const hop_request &) = default;
+};
+
+/// What that node tells with its answer. `refused` is set if the request was not given to the target;
+/// then it has not run and never will.
+struct hop_reply {
+    target_load load;
+    error_kind refused = error_kind::none;
+    duration retry_after{}; ///< with a refusal: when there will be room
+    bool may_have_run = false; ///< the answer is this node's, and the request was with the target
+
+    friend bool operator==(const hop_reply &, const hop_reply &) = default;
+};
+
+/// Header values. Thread safe.
+std::string encode(const hop_request &value);
+std::string encode(const hop_reply &value);
+/// Reads what `encode` wrote; nothing for anything else. Thread safe.
+std::optional<hop_request> decode_hop_request(std::string_view text);
+std::optional<hop_reply> decode_hop_reply(std::string_view text);
+
+} // namespace peppertack
--- a/include/peppertack/state/command.hpp
+++ b/include/peppertack/state/command.hpp
@@ -23,6 +23,16 @@
     friend bool operator==(const change_table &, const change_table &) = default;
 };
 
+/// Compare-and-set of the routing sheet. `sheet` is the whole new sheet as `encode` wrote it, with the
+/// version that the operator chose for it. `change_id` makes a resend of an accepted change idempotent.
+struct change_routes {
+    std::string change_id;
+    std::uint64_t base_version = 0;
+    std::string sheet;
+
+    friend bool operator==(const change_routes &, const change_routes &) = default;
+};
+
 /// A target announced itself; `record.number` is chosen when the command is applied.
 struct register_target {
     target_record record;
@@ -83,6 +93,7 @@
     /// Destination the keys were handed to. If it is not the one in force the release is void: the
     /// owner goes on serving once it learns that the move was called off.
     target_number to = no_target;
+    std::string handover; ///< from the owner's target, for the next owner's
 
     friend bool operator==(const release_range &, const release_range &) = default;
 };
@@ -129,7 +140,7 @@
 
 using command_body = std::variant<change_table, register_target, expire_targets, drain_target,
                                   retire_target, grant_ranges, plan_moves, release_range,
-                                  split_range, merge_range, set_standby, restore_memory>;
+                                  split_range, merge_range, set_standby, restore_memory, change_routes>;
 
 struct command {
     std::int64_t wall_ms = 0; ///< leader's wall clock at the proposal, for auditors
--- a/include/peppertack/state/control_state.hpp
+++ b/include/peppertack/state/control_state.hpp
@@ -4,6 +4,7 @@
 #include "peppertack/state/command.hpp"
 #include "peppertack/state/error_kind.hpp"
 #include "peppertack/state/records.hpp"
+#include "peppertack/state/routing_sheet.hpp"
 #include "peppertack/state/table.hpp"
 
 #include <cstdint>
@@ -59,6 +60,12 @@
     const table &current_table() const { return m_table; }
     const std::string &table_change_id() const { return m_table_change_id; }
     const std::string &table_actor() const { return m_table_actor; }
+    /// The operators' routing sheet; version 0 if there is none yet.
+    const routing_sheet &routes() const { return m_routes; }
+    /// Whether targets of the service are taken on: the table or the routing sheet names it.
+    bool has_service(const std::string &service) const;
+    /// Whether the service's keys are ordered numbers: its ranges are cut only between two keys.
+    bool ordered_keys(const std::string &service) const;
     const std::map<target_number, target_record> &targets() const { return m_targets; }
     /// Targets of a service that have not ended, in order of their numbers.
     const std::set<target_number> &live_targets(const std::string &service) const;
@@ -87,6 +94,7 @@
     using service_ranges = std::vector<range_record>;
 
     error_kind apply_body(const change_table &, const command &, note &, applied &);
+    error_kind apply_body(const change_routes &, const command &, note &, applied &);
     error_kind apply_body(const register_target &, const command &, note &, applied &);
     error_kind apply_body(const expire_targets &, const command &, note &, applied &);
     error_kind apply_body(const drain_target &, const command &, note &, applied &);
@@ -111,6 +119,7 @@
     void prune_targets();
     void drop_standby_of(const target_record &record);
     void add_services();
+    void add_ranges(const std::string &service);
     void remember_answer(const std::string &change_id, const change_answer &answer);
 
     std::uint64_t m_version = 0;
@@ -118,10 +127,12 @@
     std::uint64_t m_table_version = 0;
     std::string m_table_change_id;
     std::string m_table_actor;
+    routing_sheet m_routes;
     std::map<target_number, target_record> m_targets;
     std::map<std::string, std::set<target_number>> m_live; ///< by service
     target_number m_last_number = 0;
     std::map<std::string, service_ranges> m_ranges;
+    service_ranges m_no_ranges; ///< stays empty
     std::deque<std::pair<std::string, change_answer>> m_answers;
     audit_head m_audit;
     std::deque<touched_item> m_touched;
--- /dev/null
+++ b/include/peppertack/state/routing_sheet.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "peppertack/state/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peppertack {
+
+/// What may be done with a request whose outcome is unknown.
+enum class repeat_rule : std::uint8_t {
+    idempotent, ///< may run more than once
+    once,       ///< may run at most once for each request of a caller
+    once_large, ///< as `once`; bodies are large
+};
+
+/// One of the services over which a route is split.
+struct weighted_service {
+    std::string service;
+    double weight = 1;
+
+    friend bool operator==(const weighted_service &, const weighted_service &) = default;
+};
+
+/// Which requests go to which service, and under which limits.
+struct route {
+    std::string name;
+    std::string host;        ///< compared without regard to case
+    std::string path_prefix; ///< begins and ends with a slash
+    repeat_rule repeat = repeat_rule::once;
+    duration timeout{};           ///< longest time that a request is kept waiting
+    duration latency_objective{}; ///< an answer within it earns its full worth
+    int priority = 0;             ///< 0 is the most urgent
+    std::uint32_t most_attempts = 1; ///< most targets to which one request is sent
+    std::vector<weighted_service> split;
+    /// The operator's own text of this row, returned as it was given when the sheet is read back.
+    std::string source;
+
+    friend bool operator==(const route &, const route &) = default;
+};
+
+/// A service that routes name.
+struct routed_service {
+    std::string name;
+    bool keyed = false; ///< each target owns a part of the keys, which are ordered numbers
+    std::uint32_t max_connections = 0; ///< to one target, from all callers; 0: not bounded
+    std::string health_path;
+    std::string source; ///< as in `route`
+
+    friend bool operator==(const routed_service &, const routed_service &) = default;
+};
+
+/// Bounds on what a caller may send.
+struct caller_limits {
+    std::size_t header_bytes = 16U << 10U;
+    std::size_t body_bytes = 64U << 20U;
+    duration header_timeout = std::chrono::seconds(3); ///< for a request head to be complete
+    duration idle_timeout = std::chrono::seconds(15);  ///< of a connection between requests
+    std::string source;                                ///< as in `route`
+
+    friend bool operator==(const caller_limits &, const caller_limits &) = default;
+};
+
+/// The second sheet of the operators' table: routes, the services they name, limits of requests.
+/// An immutable value once made.
+struct routing_sheet {
+    std::uint64_t version = 0; ///< chosen by operators; grows in uneven steps; 0: none yet
+    std::map<std::string, route> routes;            ///< by name
+    std::map<std::string, routed_service> services; ///< by name
+    caller_limits limits;
+
+    friend bool operator==(const routing_sheet &, const routing_sheet &) = default;
+};
+
+/// Why a sheet can't be taken: the place in it and what is wrong there.
+struct sheet_problem {
+    std::string place;
+    std::string reason;
+
+    friend bool operator==(const sheet_problem &, const sheet_problem &) = default;
+};
+
+/// First fault of a sheet; nothing if it may be put in force. Thread safe.
+std::optional<sheet_problem> check_sheet(const routing_sheet &sheet);
+
+/// JSON text of a sheet for the log and for nodes. Thread safe.
+std::string encode(const routing_sheet &sheet);
+/// Reads what `encode` wrote. Yields nothing, with the reason, for anything else. Thread safe.
+std::optional<routing_sheet> decode_sheet(std::string_view text, std::string &reason);
+
+/// Answers which route takes a request; made once for each sheet. Immutable, thread safe.
+class route_index {
+public:
+    route_index() = default;
+    explicit route_index(const routing_sheet &sheet);
+
+    /// The route of `host` (a port is ignored) with the longest prefix that begins `path`; null if
+    /// there is none. Valid as long as this index.
+    const route *find(std::string_view host, std::string_view path) const;
+
+private:
+    std::map<std::string, std::vector<route>, std::less<>> m_by_host; ///< longest prefix first
+};
+
+} // namespace peppertack
--- a/include/peppertack/transport/control_host.hpp
+++ b/include/peppertack/transport/control_host.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/coordination/control_core.hpp"
 #include "peppertack/state/audit_log.hpp"
 #include "peppertack/transport/daemon_settings.hpp"
+#include "peppertack/transport/voter_identity.hpp"
 
 #include <functional>
 #include <future>
@@ -14,6 +15,26 @@
 
 namespace peppertack {
 
+/// A change of the routing sheet by an operator.
+struct routes_change {
+    std::string change_id; ///< the same for a resend
+    std::uint64_t base_version = 0;
+    std::string actor;
+    std::string cause;
+    /// Makes the new sheet from the one in force; nothing, with the place and reason, if it can't be.
+    /// Runs on the control thread.
+    std::function<std::optional<routing_sheet>(const routing_sheet &, sheet_problem &)> edit;
+};
+
+/// Answer to a change, or to a reading, of the routing sheet.
+struct routes_answer {
+    error_kind error = error_kind::none;
+    std::uint64_t version = 0;
+    sheet_problem problem; ///< for `bad_table`
+    node_address leader;   ///< for `not_leader`: who leads, if that is known
+    std::optional<routing_sheet> sheet; ///< for a reading
+};
+
 /// Runs the control part of a voter on a thread of its own, with its files. All public methods are
 /// thread safe; they hand work to that thread.
 class control_host {
@@ -21,7 +42,8 @@
     using sender = std::function<void(const outgoing &)>;
 
     /// Opens the data folder. Yields nothing, with the reason, if it can't be used.
-    static std::unique_ptr<control_host> make(const daemon_settings &settings, sender send,
+    static std::unique_ptr<control_host> make(const daemon_settings &settings,
+                                              const voter_identity &identity, sender send,
                                               std::string &reason);
     ~control_host();
 
@@ -32,6 +54,12 @@
     /// Proposes a command and waits for its answer; nothing if none came in time, when it may or
     /// may not take effect.
     std::optional<submit_answer> submit(command value, duration patience);
+    /// Judges a change and puts it into force. The answer comes on the control thread.
+    void change_routes(routes_change change, std::function<void(routes_answer)> done);
+    /// The sheet in force, read with proof that this voter leads. The answer comes as above.
+    void read_routes(std::function<void(routes_answer)> done);
+    /// This process is about to end.
+    void announce_leaving();
     /// False if this voter does not lead, or a change is under way.
     bool replace_voter(const node_address &learner, const std::optional<node_address> &replaces);
 
--- /dev/null
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace peppertack {
+
+/// A TCP connection as a stream of bytes with events, on one thread. Bytes are read into a buffer that
+/// all streams of the thread share, so an idle connection holds none. Not thread safe: everything runs
+/// on the thread of its `io_context`.
+class byte_stream : public std::enable_shared_from_this<byte_stream> {
+public:
+    /// Owner of a stream. A stream calls it until `close` or `on_closed`, whichever comes first.
+    class listener {
+    public:
+        virtual ~listener() = default;
+        virtual void on_bytes(std::string_view bytes) = 0;
+        /// What was queued has been handed to the system.
+        virtual void on_drained() {}
+        /// The other side is gone. `in_order`: it ended its stream, with nothing lost on the way.
+        virtual void on_closed(bool in_order) = 0;
+    };
+
+    byte_stream(asio::ip::tcp::socket socket, listener &owner);
+
+    /// Begins to read. Precondition: connected.
+    void start();
+    /// Stops and resumes reading; the other side is held back by its full window.
+    void pause_reading(bool pause);
+    /// Writes at once what the system takes and queues the rest.
+    void write(std::string_view bytes);
+    std::size_t queued() const { return m_out.size() - m_sent; }
+    /// Ends the connection; no event comes afterwards. What is queued is lost.
+    void close();
+    /// Closes once what is queued has been written, and the other side has had time to read it.
+    void close_after_writes();
+    /// The owner is going: no event comes any more. A stream that is ending goes on to its end.
+    void detach();
+    bool closed() const { return m_closed; }
+    asio::ip::tcp::socket &socket() { return m_socket; }
+
+private:
+    void wait_readable();
+    void read_some();
+    void wait_writable();
+    void write_some();
+    void lost(bool in_order);
+
+    asio::ip::tcp::socket m_socket;
+    listener *m_owner;
+    std::string m_out;
+    std::size_t m_sent = 0; ///< bytes of `m_out` that the system has taken
+    bool m_waiting_read = false;
+    bool m_waiting_write = false;
+    bool m_paused = false;
+    bool m_closed = false;
+    bool m_closing = false; ///< what comes in is dropped; closed when the other side ends
+};
+
+/// Sets what every connection of this system needs: no delay of small writes, and a bound on how long
+/// sent bytes may go unacknowledged. Without the bound a connection that something on the way has lost
+/// track of hangs for minutes, and only the requests on it would show it.
+void set_connection_options(asio::ip::tcp::socket &socket);
+
+/// Endpoint of "IP:port"; a default endpoint with port 0 if the text is no such address.
+asio::ip::tcp::endpoint endpoint_from(std::string_view address);
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "peppertack/state/time.hpp"
+#include "peppertack/transport/http/byte_stream.hpp"
+#include "peppertack/transport/http/http_reader.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peppertack {
+
+/// Why a call ended without a whole answer.
+enum class call_failure : std::uint8_t {
+    not_connected, ///< no connection could be made: nothing was sent
+    refused,       ///< as before, and the other side says that nobody listens there
+    no_answer,     ///< something was sent, and no answer has begun
+    bad_answer,    ///< the answer ended early or is none
+};
+
+/// Takes the answer to one call.
+class http_response_handler {
+public:
+    virtual ~http_response_handler() = default;
+    virtual void on_response_head(http_head head) = 0;
+    virtual void on_response_body(std::string_view piece) = 0;
+    virtual void on_response_end() = 0;
+    virtual void on_call_failed(call_failure why, const std::string &reason) = 0;
+    /// What was queued towards the other side has been written.
+    virtual void on_call_drained() {}
+};
+
+class http_client_pool;
+
+/// One request on its way to a server and its answer back. Not thread safe.
+class http_call : public std::enable_shared_from_this<http_call> {
+public:
+    /// Sends more of the request's body.
+    void send_body(std::string_view piece);
+    /// The request is whole. A connection whose request was not sent whole is never used again.
+    void request_done();
+    /// Ends the call: its connection is closed, which tells the other side to stop working.
+    void cancel();
+    void pause_answer(bool pause);
+    std::size_t queued() const;
+    /// Whether any byte may have reached the other side.
+    bool sent() const;
+    /// Whether the call goes over a connection that served others before.
+    bool reused() const;
+
+private:
+    friend class http_client_pool;
+    class connection;
+    explicit http_call(std::shared_ptr<connection> link) : m_link(std::move(link)) {}
+
+    std::shared_ptr<connection> m_link;
+};
+
+/// Keeps connections to servers and makes calls over them, one at a time on each. An answer that names
+/// another request than the one that waits is dropped, and bytes after an answer end the connection.
+/// Not thread safe; belongs to one thread.
+class http_client_pool {
+public:
+    struct options {
+        duration connect_timeout = std::chrono::milliseconds(400);
+        duration idle_timeout = std::chrono::seconds(8); ///< where the server names none
+        /// A connection is not used in the last part of the time for which the server keeps it: it may
+        /// be closing it at this moment.
+        duration idle_margin = std::chrono::milliseconds(700);
+        /// Header by which an answer is matched to its request.
+        std::string id_header;
+        http_reader::limits limits{.header_bytes = 32U << 10U, .body_bytes = 256U << 20U};
+    };
+
+    http_client_pool(asio::io_context &io, options settings);
+    ~http_client_pool();
+
+    /// Begins a call with `head` to "IP:port". The handler is told of everything from the event loop,
+    /// never within this call. `fresh`: over a new connection, not one that was idle.
+    std::shared_ptr<http_call> start(const std::string &address, const http_head &head,
+                                     std::weak_ptr<http_response_handler> handler,
+                                     bool fresh = false);
+    /// Connections to `address`, idle ones included.
+    std::size_t connections_to(const std::string &address) const;
+    std::size_t idle_to(const std::string &address) const;
+    /// Closes the idle connections to an address whose server is gone.
+    void forget(const std::string &address);
+    std::uint64_t connections_made() const { return m_made; }
+
+private:
+    friend class http_call::connection;
+    using connection_ptr = std::shared_ptr<http_call::connection>;
+
+    connection_ptr take_idle(const std::string &address);
+    void give_back(const connection_ptr &link);
+    void sweep();
+
+    asio::io_context &m_io;
+    options m_options;
+    std::map<std::string, std::vector<connection_ptr>, std::less<>> m_idle; ///< last used at the end
+    std::map<std::string, std::size_t, std::less<>> m_open;
+    asio::steady_timer m_sweep;
+    std::uint64_t m_made = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/http/whole_request.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "peppertack/transport/http/http_server.hpp"
+
+#include <functional>
+#include <string>
+
+namespace peppertack {
+
+/// For calls with small bodies: waits for the whole request, then hands it to a function, which answers
+/// over the connection, at once or later.
+class whole_request : public http_request_handler {
+public:
+    using function =
+        std::function<void(const std::shared_ptr<http_server_connection> &, std::string body)>;
+
+    whole_request(std::shared_ptr<http_server_connection> caller, function handle)
+        : m_caller(std::move(caller)), m_handle(std::move(handle)) {}
+
+    void on_request_body(std::string_view piece) override { m_body.append(piece); }
+    void on_request_end() override {
+        const auto caller = m_caller;
+        m_handle(caller, std::move(m_body));
+    }
+
+    /// Factory for a server whose every request goes to `handle`.
+    static http_server::handler_factory factory(function handle) {
+        return [handle = std::move(handle)](const std::shared_ptr<http_server_connection> &caller) {
+            return std::make_shared<whole_request>(caller, handle);
+        };
+    }
+
+private:
+    std::shared_ptr<http_server_connection> m_caller;
+    function m_handle;
+    std::string m_body;
+};
+
+} // namespace peppertack
--- a/include/peppertack/transport/json_log.hpp
+++ b/include/peppertack/transport/json_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
@@ -7,10 +8,13 @@
 
 enum class log_level : unsigned char { info, warning, error };
 
-/// Sends all logging of this process to standard error as JSON lines. Call once, before threads
+/// Sends all logging of this process to standard output as JSON lines. Call once, before threads
 /// start. Messages below `least` are dropped.
 void start_json_log(const std::string &program, log_level least);
 
+/// Lines that were dropped because the reader of the log did not keep up. Thread safe.
+std::uint64_t dropped_log_lines();
+
 /// One event with fixed field names: `time`, `level`, `event`, then `fields`. Thread safe.
 void log_event(log_level level, const char *event, const nlohmann::json &fields);
 
--- /dev/null
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "peppertack/coordination/hold_keeper.hpp"
+#include "peppertack/coordination/lease_client.hpp"
+#include "peppertack/coordination/work_queue.hpp"
+#include "peppertack/transport/traffic/traffic_options.hpp"
+
+#include <functional>
+#include <optional>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peppertack {
+
+/// What a target says of itself in a heartbeat.
+struct target_heartbeat {
+    std::string name;    ///< new with each start of the target
+    std::string address; ///< IP:port at which it takes requests
+    std::string service;
+    std::uint32_t slots = 1;
+    std::uint64_t sequence = 0; ///< grows with each heartbeat of one target
+    bool draining = false;      ///< about to stop
+    duration cold_left{};       ///< it is slow for so much longer
+    hold_report report;
+
+    friend bool operator==(const target_heartbeat &, const target_heartbeat &) = default;
+};
+
+/// A node's view of the system and of the target beside it: the lease, what the target holds, which
+/// requests it may be given. Everything that traffic decides on is read here. Not thread safe: it
+/// belongs to the traffic thread.
+class node_agent {
+public:
+    using sender = std::function<void(const outgoing &)>;
+    /// Asks the target at an address for its name; the answer, or nothing, goes to the callback.
+    using name_probe =
+        std::function<void(const std::string &address, std::function<void(std::string)>)>;
+
+    node_agent(const traffic_options &options, sender send, name_probe probe);
+
+    void tick(moment at);
+    void receive(const node_address &from, const message &body, moment at);
+
+    /// Takes a heartbeat of the local target; the answer acknowledges it. From one that says
+    /// `draining` on, nothing but keys that it still holds is sent to the target.
+    hold_grant heartbeat(const target_heartbeat &beat, moment at);
+    /// The target is leaving and says nothing more.
+    void target_leaves(const std::string &name, moment at);
+    /// The target's address takes no connections: its process has ended.
+    void target_refused(moment at);
+
+    // ---- the local target ----
+    /// Registration of the local target; zero while it has none.
+    target_number number() const { return m_lease.number(); }
+    bool has_target() const { return m_target.has_value(); }
+    /// Precondition: `has_target()`.
+    const target_heartbeat &target() const { return *m_target; }
+    /// Why the target can't be given a request for `key` now; nothing if it can. `moving` and
+    /// `no_owner` pass by themselves soon.
+    std::optional<error_kind> refusal(const std::optional<std::uint32_t> &key, instant now) const;
+    work_queue &queue() { return m_queue; }
+    target_load load() const;
+    void count_request(std::uint32_t key);
+
+    // ---- the system ----
+    const lease_client &lease() const { return m_lease; }
+    const route_index &routes() const { return m_index; }
+    bool ready() const { return m_lease.routes().version != 0; }
+    /// Targets of a service that take new work.
+    const std::vector<const target_route *> &serving(const std::string &service) const;
+    /// Called when routes, map or target change.
+    void set_on_change(std::function<void()> on_change) { m_on_change = std::move(on_change); }
+    /// Called when the target was replaced or is gone.
+    void set_on_target_gone(std::function<void()> on_gone) { m_on_target_gone = std::move(on_gone); }
+
+private:
+    void adopt(const target_heartbeat &beat, moment at);
+    void check_identity(const target_heartbeat &beat);
+    void drop_target(const char *why, bool ended, moment at);
+    void announce(moment at);
+    void follow(const lease_client::change &changed);
+    void fill_report(renew_request &request, instant now);
+    bool keyed() const;
+
+    const traffic_options &m_options;
+    sender m_send;
+    name_probe m_probe;
+    lease_client m_lease;
+    hold_keeper m_holds;
+    work_queue m_queue;
+    route_index m_index;
+    std::function<void()> m_on_change;
+    std::function<void()> m_on_target_gone;
+    std::optional<target_heartbeat> m_target;
+    instant m_beat_at{};
+    instant m_draining_since{}; ///< zero while the target is not leaving
+    bool m_left = false;        ///< it says nothing more
+    std::deque<std::string> m_ended; ///< names of targets that are known to be gone
+    std::string m_probing;           ///< name that is being checked
+    std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
+    std::unordered_map<std::uint64_t, std::uint32_t> m_key_requests; ///< since the last report
+    instant m_loads_at{};
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "peppertack/transport/http/http_client_pool.hpp"
+#include "peppertack/transport/http/http_server.hpp"
+#include "peppertack/transport/request_log.hpp"
+#include "peppertack/transport/traffic/node_agent.hpp"
+#include "peppertack/transport/traffic/traffic_metrics.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace peppertack {
+
+/// A request being handled, whichever side of a hop it is on.
+class timed_request {
+public:
+    virtual ~timed_request() = default;
+    /// Time has passed, or what is known of the system has changed.
+    virtual void on_time(instant now) = 0;
+};
+
+/// The traffic of one node on one thread: takes requests of callers, forwards each to the node beside
+/// the chosen target, and gives the local target those that others forward. Not thread safe.
+class traffic_host {
+public:
+    traffic_host(asio::io_context &io, traffic_options options, node_agent::sender send);
+    ~traffic_host();
+    traffic_host(const traffic_host &) = delete;
+    traffic_host &operator=(const traffic_host &) = delete;
+
+    /// Listens on both addresses. False, with the reason, if one can't be had.
+    bool start(std::string &reason);
+    /// Takes a message of a peer. Call it on the traffic thread.
+    void receive(const node_address &from, const message &body);
+    node_agent &agent() { return m_agent; }
+    const node_agent &agent() const { return m_agent; }
+    /// Whether callers should be sent here.
+    bool ready() const { return m_agent.ready() && !m_stopping; }
+    /// Stops in order: what is in flight is finished, answers end their connections. `done` is called
+    /// once that is so, or the limit has passed.
+    void begin_stop(std::function<void()> done);
+
+    // ---- for the requests ----
+    const traffic_options &options() const { return m_options; }
+    http_client_pool &pool() { return m_pool; }
+    target_selector &selector() { return m_selector; }
+    retry_budget &retries(const std::string &service);
+    request_log &log() { return m_log; }
+    traffic_metrics &metrics() { return m_metrics; }
+    std::mt19937_64 &random() { return m_random; }
+    void enter(timed_request *request) { m_requests.insert(request); }
+    void leave(timed_request *request) { m_requests.erase(request); }
+    /// Gives the target whatever may start now.
+    void start_waiting(instant now);
+    void expect_start(std::uint64_t id, std::function<void(bool start)> decide);
+    void forget_start(std::uint64_t id) { m_starts.erase(id); }
+    std::uint64_t next_id() { return ++m_last_id; }
+    /// host:port for forwarded requests of the node with this peer address.
+    std::string forward_address(const node_address &peer) const;
+    bool stopping() const { return m_stopping; }
+    std::size_t in_flight() const { return m_requests.size(); }
+
+private:
+    void tick();
+    void step_stop(instant now);
+    void wake_all(instant now);
+    void apply_limits();
+    void probe_name(const std::string &address, std::function<void(std::string)> done);
+
+    asio::io_context &m_io;
+    traffic_options m_options;
+    http_client_pool m_pool;
+    target_selector m_selector;
+    request_log m_log;
+    traffic_metrics m_metrics;
+    std::mt19937_64 m_random;
+    node_agent m_agent;
+    std::unordered_map<std::string, retry_budget> m_retries; ///< by service
+    std::set<timed_request *> m_requests;
+    std::unordered_map<std::uint64_t, std::function<void(bool)>> m_starts;
+    std::uint64_t m_last_id = 0;
+    http_server m_callers;
+    http_server m_nodes;
+    asio::steady_timer m_timer;
+    std::string m_forward_port;
+    bool m_changed = false; ///< what is known of the system has changed since the last step
+    bool m_stopping = false;
+    instant m_stop_since{};
+    std::function<void()> m_stopped;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "peppertack/state/error_kind.hpp"
+#include "peppertack/state/time.hpp"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace peppertack {
+
+/// Counters and latency histograms of a node's traffic. Not thread safe: it belongs to the traffic
+/// thread, which also writes the text.
+class traffic_metrics {
+public:
+    /// A caller has its answer: the target's (`status`), or a refusal of this system (`error`).
+    void note_answer(const std::string &route, int status, error_kind error, duration took);
+    /// A request left the queue beside the target.
+    void note_queue(duration waited);
+    /// The target has answered.
+    void note_target(duration took);
+    void note_retry() { ++m_retries; }
+    void note_cancelled() { ++m_cancelled; }
+    std::uint64_t answers() const { return m_answers; }
+
+    /// Text in the Prometheus exposition format.
+    std::string text() const;
+
+private:
+    using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using histogram = decltype(boost::histogram::make_histogram(axis(1, 1.0, 2.0)));
+    static histogram make_latency_histogram();
+
+    std::map<std::string, histogram> m_by_route;
+    histogram m_queue = make_latency_histogram();
+    histogram m_target = make_latency_histogram();
+    std::array<std::uint64_t, error_kind_count> m_by_error{};
+    std::map<int, std::uint64_t> m_by_status_class;
+    std::uint64_t m_answers = 0;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_cancelled = 0;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "peppertack/coordination/hold_keeper.hpp"
+#include "peppertack/coordination/messages.hpp"
+#include "peppertack/coordination/node_options.hpp"
+#include "peppertack/coordination/retry_budget.hpp"
+#include "peppertack/coordination/target_selector.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace peppertack {
+
+/// Names of the headers that callers, targets and this system exchange. A deployment has its own.
+struct traffic_headers {
+    std::string request_id = "Request-Id";     ///< echoed by targets; tells answers apart
+    std::string deadline_ms = "Deadline-Ms";   ///< how long the sender waits
+    std::string key = "Key";                   ///< ordered key of a request to a keyed service
+    std::string caller_service = "Caller-Service";   ///< set here: service beside which a request began
+    std::string expected_target = "Expected-Target"; ///< set here: any other target refuses to run it
+    std::string not_executed = "Not-Executed";       ///< with an answer: the target did not run it
+    std::string target_name = "Target-Name";         ///< with a health answer: which target this is
+};
+
+/// Options of the traffic part of a node.
+struct traffic_options {
+    std::string caller_address; ///< IP:port for callers and the local target's own calls
+    std::string node_address;   ///< IP:port for requests that other nodes forward
+    std::string service;        ///< of the local target
+    traffic_headers headers;
+    node_options node;
+    hold_keeper::options holds;
+    target_selector::options selector;
+    /// Requests sent to a second target, as a share of this node's requests to a service and a few
+    /// more. All nodes' shares together must stay below what the targets are promised.
+    retry_budget::options retries{.share = 0.1, .most = 3};
+    duration heartbeat_interval = std::chrono::seconds(1); ///< of targets
+    duration stop_acceptance = std::chrono::milliseconds(1800); ///< work is still taken for so long
+    duration stop_limit = std::chrono::milliseconds(5700); ///< a stop takes no longer than this
+    /// Longest wait of a request for its key to get an owner, as a part of its latency objective: a
+    /// planned move is over by then, and the caller is told soon enough to come back if it is not.
+    double parked_part = 0.6;
+    std::size_t retained_body = 512U << 10U; ///< a request up to this can be sent to another target
+    std::size_t buffered_answer = 64U << 10U; ///< an answer up to this is passed on only when whole
+    std::size_t held_back = 256U << 10U; ///< bytes queued on one side before the other is paused
+};
+
+} // namespace peppertack
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -1,6 +1,7 @@
 #include "peppertack/coordination/control_core.hpp"
 
 #include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/state/key_hash.hpp"
 
 #include <algorithm>
 #include <set>
@@ -31,6 +32,7 @@
             .failure_domain = record.failure_domain,
             .address = record.node_address,
             .phase = record.phase,
+            .slots = record.slots,
             .standby = record.standby,
             .standby_ready = record.standby_ready,
             .standby_epoch = record.standby_epoch};
@@ -39,7 +41,8 @@
 control_core::control_core(control_options options, durable_log &log, audit_sink audit, instant now)
     : m_options(std::move(options)),
       m_replica(std::make_unique<replica>(m_options.replication, log, now)),
-      m_audit(std::move(audit)), m_leases(m_options.lease), m_placement(m_options.placement) {}
+      m_audit(std::move(audit)), m_leases(m_options.lease), m_placement(m_options.placement),
+      m_roster(m_options.roster, now) {}
 
 std::unique_ptr<control_core> control_core::make(control_options options, durable_log &log,
                                                  audit_sink audit, moment at, std::string &reason) {
@@ -60,10 +63,87 @@
     m_replica->tick(at.now);
     if (m_established) {
         end_leases(at); // walks all targets, so not on every message
+        follow_roster(at);
+    } else {
+        offer_to_join(at);
     }
     settle(at);
 }
 
+/// One change of membership at a time, as the roster advises.
+void control_core::follow_roster(moment at) {
+    m_roster.note_leader(at.now);
+    const auto silent = [&](const node_address &voter) {
+        return m_replica->silence_of(voter, at.now);
+    };
+    const auto &learner = m_replica->members().learner;
+    if (learner && m_options.roster.wanted != 0 &&
+        silent(*learner) > m_options.roster.voter_patience) {
+        m_replica->cancel_change();
+    }
+    const auto advice = m_roster.advise(m_replica->members(), m_options.replication.self, silent, at.now);
+    if (advice && m_replica->replace_voter(advice->learner, advice->replaces)) {
+        m_roster.forget(advice->learner);
+    }
+}
+
+/// A process that hears no leader may be a stranger here, or a voter that was replaced while it was
+/// away. It cannot tell, so it offers itself; a leader that counts it already ignores that.
+void control_core::offer_to_join(moment at) {
+    if (!m_replica->leader().empty() && m_replica->is_voter()) {
+        m_roster.note_leader(at.now);
+        return;
+    }
+    if (m_roster.offer_due(at.now)) {
+        send_to_contacts(join_request{.identity = m_options.replication.self});
+    }
+}
+
+void control_core::send_to_contacts(const join_request &request) {
+    for (const node_address &contact : m_roster.contacts(m_replica->members())) {
+        if (contact != m_options.replication.self) {
+            m_outgoing.push_back({contact, request});
+        }
+    }
+}
+
+void control_core::announce_leaving(moment at) {
+    const join_request request{.identity = m_options.replication.self, .leaving = true};
+    m_roster.note(request, at.now);
+    send_to_contacts(request);
+}
+
+void control_core::take_join(const join_request &request, moment at) {
+    m_roster.note(request, at.now);
+    const node_address &leader = m_replica->leader();
+    if (!m_established && !leader.empty() && leader != m_options.replication.self &&
+        leader != request.identity) {
+        m_outgoing.push_back({leader, request});
+    }
+}
+
+bool control_core::enough_voters() const {
+    return m_replica->members().voters.size() >= m_options.roster.wanted;
+}
+
+std::uint64_t control_core::prove_leadership(moment at) {
+    const std::uint64_t ticket = m_next_ticket++;
+    if (!m_established) {
+        m_answers.push_back({.ticket = ticket, .error = error_kind::not_leader});
+        return ticket;
+    }
+    m_proofs.push_back({m_replica->request_round(), ticket});
+    settle(at);
+    return ticket;
+}
+
+void control_core::answer_proofs() {
+    while (!m_proofs.empty() && m_proofs.front().first <= m_replica->confirmed_round()) {
+        m_answers.push_back({.ticket = m_proofs.front().second, .version = m_state.version()});
+        m_proofs.pop_front();
+    }
+}
+
 void control_core::receive(const node_address &from, const message &body, moment at) {
     if (const auto *renewal = std::get_if<renew_request>(&body)) {
         if (!m_established) {
@@ -75,6 +155,8 @@
         // that was replaced without noticing must not prolong a lease the new one waits out.
         const std::uint64_t round = g_defects.unconfirmed_leader ? 0 : m_replica->request_round();
         m_renewals.push_back({round, from, *renewal});
+    } else if (const auto *join = std::get_if<join_request>(&body)) {
+        take_join(*join, at);
     } else {
         m_replica->receive(from, body, at.now);
     }
@@ -122,6 +204,7 @@
     update_leadership(at);
     if (m_established) {
         answer_renewals(at);
+        answer_proofs();
         place(at);
         m_replica->flush(at.now);
         apply_committed();
@@ -225,6 +308,10 @@
     m_established = leads;
     m_leases.clear();
     m_renewals.clear();
+    for (const auto &[round, ticket] : m_proofs) {
+        m_answers.push_back({.ticket = ticket, .error = error_kind::not_leader});
+    }
+    m_proofs.clear();
     m_registering.clear();
     m_nodes.clear();
     m_loads.clear();
@@ -296,15 +383,19 @@
     renew_reply reply{.sequence = request.sequence,
                       .is_leader = true,
                       .table_version = m_state.table_version(),
+                      .routes_version = m_state.routes().version,
                       .map = update_since(request.map_version)};
     // Voters change seldom; a node that asks anew, and now and then every node, is told them.
     if (request.target.number == no_target || request.sequence % renewals_per_voter_list == 0) {
         reply.voters.assign(m_replica->members().voters.begin(), m_replica->members().voters.end());
     }
-    const bool current = request.table_version == m_state.table_version();
-    if (!current) {
+    if (request.table_version != m_state.table_version()) {
         reply.table_csv = m_state.current_table().to_csv();
     }
+    if (request.routes_version != m_state.routes().version) {
+        reply.routes = encoded_routes();
+    }
+    const bool current = reply.table_csv.empty() && reply.routes.empty();
     node_report &node = m_nodes[waiting.from];
     node = {waiting.from, request.target.number, request.table_version, reply.map.to, at.now};
     if (request.has_target) {
@@ -331,15 +422,34 @@
     m_outgoing.push_back({waiting.from, std::move(reply)});
 }
 
+/// Many nodes ask for the same sheet right after a change.
+const std::string &control_core::encoded_routes() {
+    if (m_encoded_routes_version != m_state.routes().version) {
+        m_encoded_routes_version = m_state.routes().version;
+        m_encoded_routes = encode(m_state.routes());
+    }
+    return m_encoded_routes;
+}
+
 void control_core::register_node(const renew_request &request, const node_address &from,
                                  moment at) {
     if (request.draining || request.giving_up ||
-        !m_state.current_table().has_service(request.target.service) ||
+        !m_state.has_service(request.target.service) ||
         !m_registering.insert(registration_key(request.target)).second) {
         return;
     }
     target_record record = request.target;
     record.node_address = from;
+    // A node has one target beside it, and reports the next one only after it has seen that the one
+    // before has ended. Waiting for that one's lease would leave its keys unserved for nothing.
+    for (const target_number number : m_state.live_targets(record.service)) {
+        const target_record &other = m_state.targets().at(number);
+        if (other.node_address == from && other.name != record.name && !m_leases.revoked(number)) {
+            m_leases.revoke(number);
+            propose(at, "node " + from, "another target was started in its place",
+                    expire_targets{{number}});
+        }
+    }
     propose(at, "node " + from, "target announced itself", register_target{record});
 }
 
@@ -351,7 +461,8 @@
         if (range != nullptr && range->first == report.first && range->token == report.token &&
             range->owner == record.number && range->next == report.to) {
             propose(at, actor, "range released",
-                    release_range{report.service, report.first, report.token, report.to});
+                    release_range{report.service, report.first, report.token, report.to,
+                                  report.handover});
         }
     }
     for (const range_report &report : request.restored) {
@@ -616,6 +727,7 @@
 
 placement_view control_core::view_of(const std::string &service) const {
     placement_view view;
+    view.key_distance = m_state.ordered_keys(service) ? ordered_key_distance : 1;
     view.ranges = &m_state.ranges().at(service);
     const std::set<target_number> &numbers = m_state.live_targets(service);
     std::map<std::string, std::size_t> in_domain;
@@ -637,6 +749,8 @@
             target.weight = row->weight / static_cast<double>(in_domain[record.failure_domain]);
             view.churn_price = row->churn_price;
             view.unavailable_price = row->unavailable_price;
+        } else if (serving && m_state.ordered_keys(service)) {
+            target.weight = 1; // only the routing sheet names it: all targets count alike
         }
         view.targets.push_back(std::move(target));
     }
@@ -714,6 +828,9 @@
 }
 
 void control_core::choose_standbys(const std::string &service, moment at) {
+    if (m_state.ordered_keys(service)) {
+        return; // its requests carry no idempotency keys to be remembered
+    }
     const std::set<target_number> &numbers = m_state.live_targets(service);
     std::map<target_number, std::size_t> duties;
     for (const target_number number : numbers) {
--- /dev/null
+++ b/src/coordination/hold_keeper.cpp
@@ -0,0 +1,117 @@
+#include "peppertack/coordination/hold_keeper.hpp"
+
+#include "peppertack/state/key_hash.hpp"
+
+#include <algorithm>
+
+namespace peppertack {
+
+namespace {
+
+std::uint32_t first_key(const lease_client::own_range &range) {
+    return ordered_key_at(range.record.first);
+}
+
+std::uint32_t last_key(const lease_client::own_range &range) {
+    return ordered_key_at(range.last);
+}
+
+} // namespace
+
+bool hold_keeper::still_held(const hold_report &report,
+                             const lease_client::own_range &range) const {
+    return std::any_of(report.holds.begin(), report.holds.end(), [&](const held_span &span) {
+        return span.from <= last_key(range) && span.to >= first_key(range);
+    });
+}
+
+std::string hold_keeper::handover_of(const hold_report &report,
+                                     const lease_client::own_range &range) const {
+    const auto place =
+        std::find_if(report.freed.begin(), report.freed.end(), [&](const freed_span &span) {
+            return span.from <= first_key(range) && span.to >= first_key(range);
+        });
+    return place == report.freed.end() ? std::string() : place->handover;
+}
+
+hold_grant hold_keeper::take(const hold_report &report, const lease_client &lease, instant now) {
+    hold_grant grant;
+    const std::vector<lease_client::own_range> own = lease.own_ranges();
+    std::map<std::uint64_t, release> released;
+    for (const lease_client::own_range &range : own) {
+        if (range.record.next == no_target) {
+            grant.holds.push_back({first_key(range), last_key(range), range.record.token,
+                                   range.record.handover});
+            continue;
+        }
+        if (still_held(report, range)) {
+            continue;
+        }
+        const auto known = m_released.find(range.record.first);
+        const bool again = known != m_released.end() && known->second.token == range.record.token;
+        released[range.record.first] =
+            again && !known->second.handover.empty()
+                ? known->second
+                : release{range.record.token, handover_of(report, range)};
+        m_news = m_news || !again;
+    }
+    m_released = std::move(released);
+    if (!lease.lease_valid(now)) {
+        m_given.clear();
+        return {};
+    }
+    const auto left = static_cast<double>((lease.lease_until() - now).count());
+    const duration length(static_cast<duration::rep>(left / (1 + m_options.clock_drift)));
+    grant.length = std::min(length - m_options.margin, m_options.most_hold);
+    if (grant.length <= duration{}) {
+        m_given.clear();
+        return {};
+    }
+    grant.renews = true;
+    m_given = grant.holds;
+    m_until = now + grant.length;
+    return grant;
+}
+
+void hold_keeper::reset() {
+    m_given.clear();
+    m_until = {};
+    m_released.clear();
+    m_news = false;
+}
+
+hold_keeper::key_state hold_keeper::state_of(std::uint64_t hash, const lease_client &lease,
+                                             instant now) const {
+    const std::uint32_t key = ordered_key_at(hash);
+    const bool given = std::any_of(m_given.begin(), m_given.end(), [key](const held_span &span) {
+        return span.from <= key && key <= span.to;
+    });
+    if (given && now < m_until - m_options.margin && lease.lease_valid(now)) {
+        return key_state::held;
+    }
+    if (!lease.announcement() || lease.number() == no_target) {
+        return key_state::not_owned;
+    }
+    const range_record *range = lease.map().find_range(lease.announcement()->service, hash);
+    if (range == nullptr || range->owner != lease.number()) {
+        return key_state::not_owned;
+    }
+    return range->next == no_target ? key_state::expected : key_state::moving;
+}
+
+void hold_keeper::fill_report(renew_request &request, const lease_client &lease) const {
+    if (!lease.announcement()) {
+        return;
+    }
+    for (const auto &[first, item] : m_released) {
+        const range_record *range = lease.map().find_range(lease.announcement()->service, first);
+        const bool open = range != nullptr && range->first == first && range->token == item.token &&
+                          range->owner == lease.number() && range->next != no_target;
+        if (open) {
+            request.released.push_back(
+                {lease.announcement()->service, first, item.token, range->next, item.handover});
+        }
+    }
+}
+
+} // namespace peppertack
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -1,6 +1,7 @@
 #include "peppertack/coordination/lease_client.hpp"
 
 #include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/state/key_hash.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -87,11 +88,14 @@
     renew_request request{.sequence = ++m_sequence,
                           .map_version = m_map.version(),
                           .table_version = m_table_version,
+                          .routes_version = m_routes.version,
                           .has_target = m_announcement.has_value() && !m_retired,
                           .draining = draining(),
                           .giving_up = m_giving_up};
     request.target.number = m_number;
-    request.target.incarnation = m_registration;
+    request.target.incarnation = m_options.named_registrations && m_announcement
+                                     ? key_hash(m_announcement->name)
+                                     : m_registration;
     // Once registered, the number says it all: the rest would be half of what a renewal costs.
     if (m_announcement && m_number == no_target) {
         request.target.failure_domain = m_options.failure_domain;
@@ -152,6 +156,7 @@
     follow_voters(from, reply.voters);
     changed.map = m_map.apply(reply.map);
     take_table(reply, changed);
+    take_routes(reply, changed);
     if (renewal.number == m_number && reply.registration_lost && m_number != no_target) {
         end_registration();
         changed.registration = true;
@@ -199,4 +204,33 @@
     hurry(); // no lease is granted until the table in force is reported back
 }
 
+void lease_client::take_routes(const renew_reply &reply, change &changed) {
+    if (reply.routes_version <= m_routes.version || reply.routes.empty()) {
+        return;
+    }
+    std::string reason;
+    std::optional<routing_sheet> next = decode_sheet(reply.routes, reason);
+    if (!next) {
+        return;
+    }
+    m_routes = std::move(*next);
+    changed.routes = true;
+    hurry(); // as with the table
+}
+
+std::vector<lease_client::own_range> lease_client::own_ranges() const {
+    std::vector<own_range> result;
+    const route_map::service_map *ranges =
+        m_announcement ? m_map.find_service(m_announcement->service) : nullptr;
+    if (ranges == nullptr || m_number == no_target) {
+        return result;
+    }
+    for (std::size_t i = 0; i < ranges->ranges.size(); ++i) {
+        if (ranges->ranges[i].owner == m_number) {
+            result.push_back({ranges->ranges[i], ranges->last_hash(i)});
+        }
+    }
+    return result;
+}
+
 } // namespace peppertack
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -270,6 +270,15 @@
     return static_cast<std::size_t>(std::distance(ranges.begin(), after)) - 1;
 }
 
+/// Middle of the range at position `i`, moved down to where a key begins; nothing if the range holds a
+/// single key.
+std::optional<std::uint64_t> middle_of(const placement_view &view, std::size_t i) {
+    const std::uint64_t first = (*view.ranges)[i].first;
+    const std::uint64_t middle = first + (last_hash(*view.ranges, i) - first) / 2 + 1;
+    const std::uint64_t cut = middle - middle % view.key_distance;
+    return cut > first ? std::optional(cut) : std::nullopt;
+}
+
 /// Cuts hot keys out as ranges of their own, and halves ranges too heavy to be moved.
 void split_heavy(const placement_view &view, const workbench &bench, placement_decision &decision) {
     const std::vector<range_record> &ranges = *view.ranges;
@@ -280,8 +289,8 @@
         }
         if (ranges[at].first != hash) {
             decision.splits.push_back(hash);
-        } else if (last_hash(ranges, at) != hash) {
-            decision.splits.push_back(hash + 1);
+        } else if (last_hash(ranges, at) != hash + (view.key_distance - 1)) {
+            decision.splits.push_back(hash + view.key_distance);
         }
     }
     for (std::size_t i = 0; i < ranges.size(); ++i) {
@@ -291,8 +300,9 @@
             last - ranges[i].first < narrowest_split) {
             continue;
         }
-        if (bench.share(i) > bench.goal(owner) / 4 && bench.ratio(owner) > 1) {
-            decision.splits.push_back(ranges[i].first + (last - ranges[i].first) / 2 + 1);
+        const std::optional<std::uint64_t> cut = middle_of(view, i);
+        if (cut && bench.share(i) > bench.goal(owner) / 4 && bench.ratio(owner) > 1) {
+            decision.splits.push_back(*cut);
         }
     }
 }
@@ -310,8 +320,9 @@
         if (decision.splits.size() >= wanted || width(i) < 2) {
             return;
         }
-        if (ranges[i].next == no_target) {
-            decision.splits.push_back(ranges[i].first + width(i) / 2 + 1);
+        const std::optional<std::uint64_t> cut = middle_of(view, i);
+        if (cut && ranges[i].next == no_target) {
+            decision.splits.push_back(*cut);
         }
     }
 }
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -46,6 +46,7 @@
 }
 
 void replica::tick(instant now) {
+    m_now = now;
     if (m_role == role::failed) {
         return;
     }
@@ -68,6 +69,11 @@
         }
         m_quorum_check_at = now + m_options.heartbeat_interval;
     }
+    if (!is_voter() && change_settled()) {
+        // Replaced while leading: the others elect one of themselves.
+        become_follower(term(), {}, now);
+        return;
+    }
     for (const node_address &peer : peers()) {
         if (m_progress[peer].sent + m_options.heartbeat_interval <= now) {
             send_append(peer, now);
@@ -76,6 +82,7 @@
 }
 
 void replica::receive(const node_address &from, const message &body, instant now) {
+    m_now = now;
     if (m_role == role::failed) {
         return;
     }
@@ -98,6 +105,7 @@
 }
 
 void replica::flush(instant now) {
+    m_now = now;
     if (m_role != role::leader) {
         m_queued.clear();
         return;
@@ -122,9 +130,7 @@
 
 bool replica::replace_voter(const node_address &learner,
                             const std::optional<node_address> &replaces) {
-    const bool change_open =
-        m_members.learner.has_value() ||
-        (!m_member_history.empty() && m_member_history.rbegin()->first > m_commit);
+    const bool change_open = m_members.learner.has_value() || !change_settled();
     const bool bad_old = replaces && m_members.voters.count(*replaces) == 0;
     if (m_role != role::leader || change_open || bad_old || m_members.voters.count(learner) != 0 ||
         m_commit < m_term_start) {
@@ -137,6 +143,17 @@
     return true;
 }
 
+bool replica::cancel_change() {
+    if (m_role != role::leader || !m_members.learner || !change_settled()) {
+        return false;
+    }
+    membership next = m_members;
+    next.learner.reset();
+    next.replaces.reset();
+    propose(entry_kind::members, encode(next));
+    return true;
+}
+
 std::uint64_t replica::request_round() {
     if (m_round_sent == m_round) {
         ++m_round;
@@ -144,6 +161,12 @@
     return m_round;
 }
 
+duration replica::silence_of(const node_address &voter, instant now) const {
+    const auto found = m_progress.find(voter);
+    return voter == m_options.self || found == m_progress.end() ? duration{}
+                                                                : now - found->second.heard;
+}
+
 std::vector<outgoing> replica::take_outgoing() {
     return std::exchange(m_outgoing, {});
 }
@@ -520,9 +543,15 @@
 
 // ---- membership ----
 
+bool replica::change_settled() const {
+    const bool queued = std::any_of(m_queued.begin(), m_queued.end(), [](const log_entry &entry) {
+        return entry.kind == entry_kind::members;
+    });
+    return !queued && (m_member_history.empty() || m_member_history.rbegin()->first <= m_commit);
+}
+
 void replica::promote_learner() {
-    if (!m_members.learner || m_member_history.empty() ||
-        m_member_history.rbegin()->first > m_commit) {
+    if (!m_members.learner || m_member_history.empty() || !change_settled()) {
         return;
     }
     // Counting a voter that still lacks entries would raise the quorum without anyone able to fill
@@ -532,15 +561,12 @@
         return;
     }
     membership next = m_members;
-    next.voters.insert(*next.learner);
-    if (next.replaces) {
-        // One at a time: first the new voter joins, and the old one leaves in a step of its own.
-        if (m_members.voters.count(*next.learner) != 0) {
-            next.voters.erase(*next.replaces);
-        }
-    }
-    const bool finished = !next.replaces || next.voters.count(*next.replaces) == 0;
-    if (finished) {
+    if (next.replaces && next.voters.count(*next.replaces) != 0) {
+        // One at a time, and the old voter, which is mostly lost already, leaves first: joining first
+        // would raise the quorum, and one more loss before it left would stop everything.
+        next.voters.erase(*next.replaces);
+    } else {
+        next.voters.insert(*next.learner);
         next.learner.reset();
         next.replaces.reset();
     }
@@ -559,7 +585,7 @@
     m_member_history[entry.index] = *value;
     m_members = *value;
     for (const node_address &peer : peers()) {
-        m_progress.try_emplace(peer, progress{.next = m_log->last_index() + 1});
+        m_progress.try_emplace(peer, progress{.next = m_log->last_index() + 1, .heard = m_now});
     }
 }
 
--- /dev/null
+++ b/src/coordination/target_selector.cpp
@@ -0,0 +1,110 @@
+#include "peppertack/coordination/target_selector.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace peppertack {
+
+double target_selector::capacity(const state *known) const {
+    const bool told = known != nullptr && known->load.limit > 0;
+    const double limit = told ? known->load.limit : m_options.prior_limit;
+    const duration time = told && known->load.service_time > duration{}
+                              ? known->load.service_time
+                              : m_options.prior_service_time;
+    return limit / static_cast<double>(time.count());
+}
+
+duration target_selector::estimate(target_number number, instant now) const {
+    const auto found = m_targets.find(number);
+    const state none;
+    const state &known = found == m_targets.end() ? none : found->second;
+    const bool fresh = known.load.limit > 0 && known.reported + m_options.report_lifetime > now;
+    const std::uint32_t limit = known.load.limit > 0 ? known.load.limit : m_options.prior_limit;
+    const duration time = known.load.service_time > duration{} ? known.load.service_time
+                                                               : m_options.prior_service_time;
+    std::uint32_t busy = known.outstanding;
+    if (fresh) {
+        const std::uint32_t since =
+            known.outstanding - std::min(known.outstanding, known.at_report);
+        busy = known.load.in_flight + known.load.waiting + since;
+    }
+    const double fill = static_cast<double>(busy + 1) / limit;
+    // Below its limit a target is as quick as ever, but the fuller one is the sooner overtaken by what
+    // other nodes send meanwhile.
+    const double factor = fill <= 1 ? 1 + 0.2 * fill : 0.2 + fill;
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
+bool target_selector::ejected(target_number number, instant now) const {
+    const auto found = m_targets.find(number);
+    return found != m_targets.end() && now < found->second.ejected_until;
+}
+
+target_number target_selector::choose(const std::vector<const target_route *> &candidates,
+                                      const std::set<target_number> &tried, instant now) {
+    std::vector<target_number> open;
+    std::vector<target_number> last_resort;
+    for (const target_route *target : candidates) {
+        if (tried.count(target->number) != 0) {
+            continue;
+        }
+        (ejected(target->number, now) ? last_resort : open).push_back(target->number);
+    }
+    std::vector<target_number> &from = open.empty() ? last_resort : open;
+    if (from.size() < 2) {
+        return from.empty() ? no_target : from.front();
+    }
+    std::vector<double> weights;
+    for (const target_number number : from) {
+        const auto found = m_targets.find(number);
+        weights.push_back(capacity(found == m_targets.end() ? nullptr : &found->second));
+    }
+    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+    const std::size_t first = draw(m_random);
+    weights[first] = 0;
+    std::discrete_distribution<std::size_t> draw_other(weights.begin(), weights.end());
+    const std::size_t second = draw_other(m_random);
+    return estimate(from[second], now) < estimate(from[first], now) ? from[second] : from[first];
+}
+
+void target_selector::sent(target_number number) {
+    ++m_targets[number].outstanding;
+}
+
+void target_selector::ended(target_number number, bool failed, instant now) {
+    const auto found = m_targets.find(number);
+    if (found == m_targets.end()) {
+        return;
+    }
+    state &known = found->second;
+    known.outstanding -= known.outstanding > 0 ? 1 : 0;
+    known.at_report -= known.at_report > 0 ? 1 : 0;
+    if (!failed) {
+        known.failures = 0;
+        known.ejections = 0;
+        known.ejected_until = {};
+        return;
+    }
+    if (++known.failures < m_options.failures_until_ejected) {
+        return;
+    }
+    const duration pause = m_options.ejected_for * (1U << std::min(known.ejections, 4U));
+    known.ejected_until = now + std::min(pause, m_options.longest_ejection);
+    ++known.ejections;
+    known.failures = m_options.failures_until_ejected - 1; // the next failure ejects it again
+}
+
+void target_selector::note(target_number number, const target_load &load, instant now) {
+    state &known = m_targets[number];
+    known.load = load;
+    known.reported = now;
+    known.at_report = known.outstanding;
+}
+
+void target_selector::keep_only(const std::unordered_map<target_number, target_route> &known) {
+    std::erase_if(m_targets, [&](const auto &item) {
+        return known.count(item.first) == 0 && item.second.outstanding == 0;
+    });
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/coordination/work_queue.cpp
@@ -0,0 +1,118 @@
+#include "peppertack/coordination/work_queue.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace peppertack {
+
+namespace {
+
+/// Weight of the latest time is one part in so many: quick enough to follow a target that turned slow
+/// within a second at some tens of requests a second, slow enough to pass over a single outlier.
+constexpr int smoothing = 16;
+constexpr duration least_retry_after = std::chrono::milliseconds(50);
+
+} // namespace
+
+duration work_queue::service_time(const std::string &kind) const {
+    const auto found = m_by_kind.find(kind);
+    return found == m_by_kind.end() ? m_mean : found->second;
+}
+
+bool work_queue::in_time(const item &request, instant now) const {
+    return now + service_time(request.kind) <= request.objective;
+}
+
+bool work_queue::before(const item &a, const item &b, instant now) const {
+    const auto rank = [&](const item &request) {
+        return std::tuple(!in_time(request, now), !request.nested, request.priority);
+    };
+    return rank(a) < rank(b);
+}
+
+duration work_queue::expected_wait(const item &request) const {
+    if (m_in_flight < m_options.limit) {
+        return {};
+    }
+    duration ahead = m_mean;
+    for (const item &other : m_waiting) {
+        const bool first = std::tuple(!other.nested, other.priority) <=
+                           std::tuple(!request.nested, request.priority);
+        ahead += first ? service_time(other.kind) : duration{};
+    }
+    return ahead / std::max<duration::rep>(m_options.limit, 1);
+}
+
+work_queue::verdict work_queue::offer(const item &request, instant now) {
+    if (m_in_flight < m_options.limit && m_waiting.empty()) {
+        if (now >= request.deadline) {
+            return verdict::refuse;
+        }
+        ++m_in_flight;
+        return verdict::start;
+    }
+    // One that would start too late to meet its objective only pushes those behind it past theirs.
+    const instant done = now + expected_wait(request) + service_time(request.kind);
+    const instant latest = std::min(request.objective, request.deadline);
+    if (m_waiting.size() >= m_options.most_waiting || done > latest) {
+        return verdict::refuse;
+    }
+    m_waiting.push_back(request);
+    return verdict::wait;
+}
+
+std::optional<std::uint64_t> work_queue::next(instant now, std::vector<std::uint64_t> &hopeless) {
+    std::erase_if(m_waiting, [&](const item &request) {
+        // Waiting on would only make the refusal late: it came in time to be served, and others that
+        // rank above it have taken the room since.
+        const bool over = !in_time(request, now) || request.deadline <= now;
+        if (over) {
+            hopeless.push_back(request.id);
+        }
+        return over;
+    });
+    if (m_waiting.empty() || m_in_flight >= m_options.limit) {
+        return std::nullopt;
+    }
+    auto best = m_waiting.begin();
+    for (auto place = std::next(best); place != m_waiting.end(); ++place) {
+        best = before(*place, *best, now) ? place : best;
+    }
+    const std::uint64_t id = best->id;
+    m_waiting.erase(best);
+    ++m_in_flight;
+    return id;
+}
+
+void work_queue::finish(const std::string &kind, std::optional<duration> took) {
+    assert(m_in_flight > 0);
+    --m_in_flight;
+    if (!took) {
+        return;
+    }
+    duration &known = m_by_kind.try_emplace(kind, *took).first->second;
+    known += (*took - known) / smoothing;
+    m_mean += (*took - m_mean) / smoothing;
+}
+
+bool work_queue::withdraw(std::uint64_t id) {
+    return std::erase_if(m_waiting, [id](const item &request) { return request.id == id; }) != 0;
+}
+
+std::vector<std::uint64_t> work_queue::withdraw_all() {
+    std::vector<std::uint64_t> ids;
+    for (const item &request : m_waiting) {
+        ids.push_back(request.id);
+    }
+    m_waiting.clear();
+    return ids;
+}
+
+duration work_queue::retry_after() const {
+    const auto slots = std::max<duration::rep>(m_options.limit, 1);
+    const auto ahead = static_cast<duration::rep>(m_waiting.size() + 1);
+    return std::max(least_retry_after, m_mean * ahead / slots);
+}
+
+} // namespace peppertack
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -148,6 +148,7 @@
     out.setService(text_of(value.service));
     out.setFailureDomain(text_of(value.failure_domain));
     out.setAddress(text_of(value.address));
+    out.setSlots(value.slots);
     out.setPhase(byte_of(value.phase));
     out.setStandby(value.standby);
     out.setStandbyReady(value.standby_ready);
@@ -161,6 +162,7 @@
             .failure_domain = string_of(in.getFailureDomain()),
             .address = string_of(in.getAddress()),
             .phase = enum_of(in.getPhase(), target_phase::gone),
+            .slots = in.getSlots(),
             .standby = in.getStandby(),
             .standby_ready = in.getStandbyReady(),
             .standby_epoch = in.getStandbyEpoch()};
@@ -175,6 +177,7 @@
     out.setRecoverFrom(value.recover_from);
     out.setRecoverOf(value.recover_of);
     out.setLostAtMs(value.lost_at_ms);
+    out.setHandover(text_of(value.handover));
 }
 
 range_record read(wire::Range::Reader in) {
@@ -185,7 +188,8 @@
             .memory = enum_of(in.getMemory(), range_memory::lost),
             .recover_from = in.getRecoverFrom(),
             .recover_of = in.getRecoverOf(),
-            .lost_at_ms = in.getLostAtMs()};
+            .lost_at_ms = in.getLostAtMs(),
+            .handover = string_of(in.getHandover())};
 }
 
 void write(const range_report &value, wire::RangeReport::Builder out) {
@@ -193,10 +197,12 @@
     out.setFirst(value.first);
     out.setToken(value.token);
     out.setTo(value.to);
+    out.setHandover(text_of(value.handover));
 }
 
 range_report read(wire::RangeReport::Reader in) {
-    return {string_of(in.getService()), in.getFirst(), in.getToken(), in.getTo()};
+    return {string_of(in.getService()), in.getFirst(), in.getToken(), in.getTo(),
+            string_of(in.getHandover())};
 }
 
 void write(const range_load &value, wire::RangeLoad::Builder out) {
@@ -414,6 +420,7 @@
     out.setSequence(value.sequence);
     out.setMapVersion(value.map_version);
     out.setTableVersion(value.table_version);
+    out.setRoutesVersion(value.routes_version);
     write(value.target, out.initTarget());
     out.setHasTarget(value.has_target);
     out.setDraining(value.draining);
@@ -436,6 +443,7 @@
     value.sequence = in.getSequence();
     value.map_version = in.getMapVersion();
     value.table_version = in.getTableVersion();
+    value.routes_version = in.getRoutesVersion();
     value.target = read_record(in.getTarget());
     value.has_target = in.getHasTarget();
     value.draining = in.getDraining();
@@ -465,6 +473,8 @@
     out.setLeaseUs(value.lease.count());
     out.setTableVersion(value.table_version);
     out.setTableCsv(data_of(value.table_csv));
+    out.setRoutesVersion(value.routes_version);
+    out.setRoutes(data_of(value.routes));
     write(value.map, out.initMap());
     auto voters = out.initVoters(size_of(value.voters.size()));
     for (unsigned int i = 0; i < voters.size(); ++i) {
@@ -482,6 +492,8 @@
     value.lease = duration(in.getLeaseUs());
     value.table_version = in.getTableVersion();
     value.table_csv = string_of(in.getTableCsv());
+    value.routes_version = in.getRoutesVersion();
+    value.routes = string_of(in.getRoutes());
     value.map = read(in.getMap());
     value.voters = read_list<node_address>(
         in.getVoters(), [](capnp::Text::Reader item) { return string_of(item); });
@@ -608,8 +620,19 @@
         read_list<remembered_key>(in.getKeys(), [](auto item) { return read(item); })};
 }
 
+void put(const join_request &value, wire::Message::Builder message) {
+    auto out = message.initJoinRequest();
+    out.setIdentity(text_of(value.identity));
+    out.setLeaving(value.leaving);
+}
+
+message get(wire::JoinRequest::Reader in) {
+    return join_request{string_of(in.getIdentity()), in.getLeaving()};
+}
+
 hello get_hello(wire::Hello::Reader in) {
-    return {in.getVersion(), string_of(in.getAddress()), string_of(in.getSecret())};
+    return {in.getVersion(), string_of(in.getAddress()), string_of(in.getSecret()),
+            string_of(in.getTo())};
 }
 
 decoded read_any(wire::Message::Reader in) {
@@ -631,6 +654,7 @@
     case wire::Message::REMEMBER_REPLY: return get(in.getRememberReply());
     case wire::Message::RECALL_REQUEST: return get(in.getRecallRequest());
     case wire::Message::RECALL_REPLY: return get(in.getRecallReply());
+    case wire::Message::JOIN_REQUEST: return get(in.getJoinRequest());
     case wire::Message::HELLO: return get_hello(in.getHello());
     }
     throw bad_value("an unknown kind of message");
@@ -646,6 +670,7 @@
     out.setVersion(value.version);
     out.setAddress(text_of(value.address));
     out.setSecret(text_of(value.secret));
+    out.setTo(text_of(value.to));
 }
 
 capnp::ReaderOptions limits_for(std::size_t words) {
--- a/src/protocol/error_answer.cpp
+++ b/src/protocol/error_answer.cpp
@@ -33,6 +33,10 @@
     {error_kind::bad_table, 422, "bad-table", "The table has errors"},
     {error_kind::not_leader, 503, "not-leader", "This process does not lead at the moment"},
     {error_kind::not_found, 404, "not-found", "No such thing"},
+    {error_kind::no_route, 404, "no-route", "No route takes this host and path"},
+    {error_kind::not_ready, 503, "not-ready", "This process does not know the routes yet"},
+    {error_kind::draining, 503, "draining", "The target is about to stop"},
+    {error_kind::no_target_left, 503, "no-target", "The service has no target at the moment"},
     {error_kind::cancelled, 499, "cancelled", "The request was cancelled"},
 }};
 
--- /dev/null
+++ b/src/protocol/hop_header.cpp
@@ -0,0 +1,120 @@
+#include "peppertack/protocol/hop_header.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <vector>
+
+namespace peppertack {
+
+namespace {
+
+constexpr char separator = ';';
+constexpr std::string_view no_key = "-";
+
+template <class Number> void put(std::string &out, Number value) {
+    out.append(std::to_string(value)).push_back(separator);
+}
+
+std::vector<std::string_view> parts_of(std::string_view text) {
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const std::size_t end = text.find(separator);
+        parts.push_back(text.substr(0, end));
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+    }
+    return parts;
+}
+
+/// Reads numbers one after the other and remembers whether all of them were.
+class number_reader {
+public:
+    explicit number_reader(std::vector<std::string_view> parts) : m_parts(std::move(parts)) {}
+
+    template <class Number> Number number() {
+        const std::string_view part = text();
+        Number value{};
+        const auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), value);
+        m_good = m_good && error == std::errc{} && end == part.data() + part.size();
+        return value;
+    }
+    std::string_view text() {
+        m_good = m_good && m_at < m_parts.size();
+        return m_good ? m_parts[m_at++] : std::string_view{};
+    }
+    bool done() const { return m_good && m_at == m_parts.size(); }
+
+private:
+    std::vector<std::string_view> m_parts;
+    std::size_t m_at = 0;
+    bool m_good = true;
+};
+
+} // namespace
+
+std::string encode(const hop_request &value) {
+    std::string out;
+    put(out, value.target);
+    const std::string &route = value.route;
+    std::replace_copy(route.begin(), route.end(), std::back_inserter(out), separator, ':');
+    out.push_back(separator);
+    put(out, value.priority);
+    put(out, value.nested ? 1 : 0);
+    put(out, value.repeat ? 1 : 0);
+    out.append(value.key ? std::to_string(*value.key) : std::string(no_key)).push_back(separator);
+    put(out, value.objective_left.count());
+    put(out, value.time_left.count());
+    return out;
+}
+
+std::optional<hop_request> decode_hop_request(std::string_view text) {
+    number_reader in(parts_of(text));
+    hop_request value;
+    value.target = in.number<target_number>();
+    value.route = std::string(in.text());
+    value.priority = in.number<int>();
+    value.nested = in.number<int>() != 0;
+    value.repeat = in.number<int>() != 0;
+    const std::string_view key = in.text();
+    if (key != no_key) {
+        number_reader one({key});
+        value.key = one.number<std::uint32_t>();
+        if (!one.done()) {
+            return std::nullopt;
+        }
+    }
+    value.objective_left = duration(in.number<duration::rep>());
+    value.time_left = duration(in.number<duration::rep>());
+    return in.done() ? std::optional(value) : std::nullopt;
+}
+
+std::string encode(const hop_reply &value) {
+    std::string out;
+    put(out, value.load.in_flight);
+    put(out, value.load.waiting);
+    put(out, value.load.limit);
+    put(out, value.load.service_time.count());
+    put(out, static_cast<int>(value.refused));
+    put(out, value.retry_after.count());
+    put(out, value.may_have_run ? 1 : 0);
+    return out;
+}
+
+std::optional<hop_reply> decode_hop_reply(std::string_view text) {
+    number_reader in(parts_of(text));
+    hop_reply value;
+    value.load.in_flight = in.number<std::uint32_t>();
+    value.load.waiting = in.number<std::uint32_t>();
+    value.load.limit = in.number<std::uint32_t>();
+    value.load.service_time = duration(in.number<duration::rep>());
+    const int refused = in.number<int>();
+    value.retry_after = duration(in.number<duration::rep>());
+    value.may_have_run = in.number<int>() != 0;
+    if (!in.done() || refused < 0 || refused >= error_kind_count) {
+        return std::nullopt;
+    }
+    value.refused = static_cast<error_kind>(refused);
+    return value;
+}
+
+} // namespace peppertack
--- a/src/protocol/messages.capnp
+++ b/src/protocol/messages.capnp
@@ -15,9 +15,11 @@
 }
 struct Range {
   first @0 :UInt64; owner @1 :UInt32; token @2 :UInt64; next @3 :UInt32; memory @4 :UInt8;
-  recoverFrom @5 :UInt32; recoverOf @6 :UInt32; lostAtMs @7 :Int64;
+  recoverFrom @5 :UInt32; recoverOf @6 :UInt32; lostAtMs @7 :Int64; handover @8 :Text;
+}
+struct RangeReport {
+  service @0 :Text; first @1 :UInt64; token @2 :UInt64; to @3 :UInt32; handover @4 :Text;
 }
-struct RangeReport { service @0 :Text; first @1 :UInt64; token @2 :UInt64; to @3 :UInt32; }
 struct RangeLoad { first @0 :UInt64; requests @1 :UInt32; }
 struct ServiceRanges {
   service @0 :Text; whole @1 :Bool; ranges @2 :List(Range); removed @3 :List(UInt64);
@@ -39,7 +41,8 @@
   phase @4 :UInt8; wallMs @5 :Int64; response @6 :CallerResponse;
 }
 
-struct Hello { version @0 :UInt16; address @1 :Text; secret @2 :Text; }
+struct Hello { version @0 :UInt16; address @1 :Text; secret @2 :Text; to @3 :Text; }
+struct JoinRequest { identity @0 :Text; leaving @1 :Bool; }
 struct VoteRequest { term @0 :UInt64; lastIndex @1 :UInt64; lastTerm @2 :UInt64; preVote @3 :Bool; }
 struct VoteReply { term @0 :UInt64; preVote @1 :Bool; granted @2 :Bool; }
 struct AppendRequest {
@@ -56,11 +59,12 @@
   hasTarget @4 :Bool; draining @5 :Bool; givingUp @6 :Bool; released @7 :List(RangeReport);
   restored @8 :List(RangeReport); syncedStandby @9 :UInt32; unsyncedStandby @10 :UInt32;
   standbyEpoch @11 :UInt64; loads @12 :List(RangeLoad); hotKeys @13 :List(RangeLoad);
+  routesVersion @14 :UInt64;
 }
 struct RenewReply {
   sequence @0 :UInt64; isLeader @1 :Bool; leaderHint @2 :Text; number @3 :UInt32;
   registrationLost @4 :Bool; leaseUs @5 :Int64; tableVersion @6 :UInt64; tableCsv @7 :Data;
-  map @8 :MapUpdate; voters @9 :List(Text);
+  map @8 :MapUpdate; voters @9 :List(Text); routesVersion @10 :UInt64; routes @11 :Data;
 }
 struct ForwardRequest { id @0 :RequestId; owner @1 :UInt32; request @2 :CallerRequest; }
 struct ForwardReply { id @0 :RequestId; response @1 :CallerResponse; }
@@ -98,5 +102,6 @@
     recallRequest @15 :RecallRequest;
     recallReply @16 :RecallReply;
     hello @17 :Hello;
+    joinRequest @18 :JoinRequest;
   }
 }
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -200,22 +200,70 @@
 /// A service that leaves the table keeps its ranges: a typing error in the table must not lose
 /// the owners, and its targets go on until they stop.
 void control_state::add_services() {
-    constexpr std::uint64_t count = 1ULL << initial_range_bits;
     for (const std::string &service : m_table.services()) {
-        service_ranges &ranges = m_ranges[service];
-        if (!ranges.empty()) {
-            continue;
-        }
-        for (std::uint64_t i = 0; i < count; ++i) {
-            ranges.push_back({.first = i << (64U - initial_range_bits)});
-            touch_range(service, ranges.back().first);
+        add_ranges(service);
+    }
+    for (const auto &[name, service] : m_routes.services) {
+        if (service.keyed) {
+            add_ranges(name);
         }
     }
 }
 
+void control_state::add_ranges(const std::string &service) {
+    constexpr std::uint64_t count = 1ULL << initial_range_bits;
+    service_ranges &ranges = m_ranges[service];
+    if (!ranges.empty()) {
+        return;
+    }
+    for (std::uint64_t i = 0; i < count; ++i) {
+        ranges.push_back({.first = i << (64U - initial_range_bits)});
+        touch_range(service, ranges.back().first);
+    }
+}
+
+bool control_state::has_service(const std::string &service) const {
+    return m_table.has_service(service) || m_routes.services.count(service) != 0;
+}
+
+bool control_state::ordered_keys(const std::string &service) const {
+    const auto found = m_routes.services.find(service);
+    return found != m_routes.services.end() && found->second.keyed;
+}
+
+error_kind control_state::apply_body(const change_routes &body, const command &value, note &written,
+                                     applied &result) {
+    if (const auto earlier = earlier_answer(body.change_id)) {
+        result.answer = earlier;
+        return error_kind::cancelled;
+    }
+    change_answer answer{.version = m_routes.version, .winner_actor = value.actor};
+    std::string reason;
+    std::optional<routing_sheet> next = decode_sheet(body.sheet, reason);
+    written.subject = "routes";
+    written.before = "version " + std::to_string(m_routes.version);
+    if (!next || check_sheet(*next)) {
+        answer.error = error_kind::bad_table;
+    } else if (body.base_version != m_routes.version || next->version <= m_routes.version) {
+        answer.error = error_kind::version_conflict;
+        written.after = "refused: version " + std::to_string(next->version) + " based on " +
+                        std::to_string(body.base_version);
+    } else {
+        m_routes = std::move(*next);
+        answer.version = m_routes.version;
+        answer.winner_change_id = body.change_id;
+        written.after = "version " + std::to_string(m_routes.version) + "\n" + body.sheet;
+        add_services();
+        // Only what was accepted is remembered: a change that lost may be sent again on a new base.
+        remember_answer(body.change_id, answer);
+    }
+    result.answer = answer;
+    return answer.error;
+}
+
 error_kind control_state::apply_body(const register_target &body, const command &, note &written,
                                      applied &) {
-    if (!m_table.has_service(body.record.service)) {
+    if (!has_service(body.record.service)) {
         return error_kind::unknown_service;
     }
     for (const target_number number : live_targets(body.record.service)) {
@@ -242,7 +290,9 @@
                                std::int64_t wall_ms) {
     range.owner = no_target;
     range.next = no_target;
-    if (range.memory == range_memory::lost) {
+    range.handover.clear();
+    // Requests to services with ordered keys carry no idempotency keys: there is nothing to restore.
+    if (range.memory == range_memory::lost || ordered_keys(owner.service)) {
         return;
     }
     const target_record *standby = find_target(owner.standby);
@@ -263,7 +313,9 @@
 
 /// Ranges, moves and standbys never cross services, so what a target's end touches is found there.
 control_state::service_ranges &control_state::ranges_of(const target_record &record) {
-    return m_ranges[record.service];
+    // Services without keys have none; an entry made here would look like a service that lost its ranges.
+    const auto found = m_ranges.find(record.service);
+    return found == m_ranges.end() ? m_no_ranges : found->second;
 }
 
 void control_state::cancel_moves_to(const target_record &record) {
@@ -462,6 +514,7 @@
     range->owner = range->next;
     range->next = no_target;
     range->token = m_version;
+    range->handover = body.handover;
     if (range->memory == range_memory::fetch) {
         range->memory = range_memory::complete;
         range->recover_from = no_target;
@@ -575,6 +628,7 @@
                               {"table_version", m_table_version},
                               {"table_change_id", m_table_change_id},
                               {"table_actor", m_table_actor},
+                              {"routes", m_routes.version == 0 ? "" : peppertack::encode(m_routes)},
                               {"targets", targets},
                               {"last_number", m_last_number},
                               {"ranges", m_ranges},
@@ -605,6 +659,15 @@
         json.at("table_version").get_to(state.m_table_version);
         json.at("table_change_id").get_to(state.m_table_change_id);
         json.at("table_actor").get_to(state.m_table_actor);
+        // Snapshots written before there was a routing sheet hold none.
+        if (const std::string sheet = json.value("routes", ""); !sheet.empty()) {
+            std::optional<routing_sheet> read = decode_sheet(sheet, reason);
+            if (!read) {
+                reason = "routing sheet in the snapshot: " + reason;
+                return std::nullopt;
+            }
+            state.m_routes = std::move(*read);
+        }
         for (const auto &item : json.at("targets")) {
             const auto record = item.get<target_record>();
             state.m_targets[record.number] = record;
--- a/src/state/json_fields.hpp
+++ b/src/state/json_fields.hpp
@@ -16,9 +16,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_record, number, name, service, failure_domain,
                                    node_address, incarnation, slots, connections, checks_tokens,
                                    phase, standby, standby_ready, standby_epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_record, first, owner, token, next, memory, recover_from,
-                                   recover_of, lost_at_ms)
+// Records written before `handover` was added have none.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(range_record, first, owner, token, next, memory,
+                                                recover_from, recover_of, lost_at_ms, handover)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_table, change_id, base_version, csv)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_routes, change_id, base_version, sheet)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_target, record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(expire_targets, numbers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(drain_target, number)
@@ -26,7 +28,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(range_choice, first, to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(grant_ranges, service, choices)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(plan_moves, service, choices)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(release_range, service, first, token, to)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(release_range, service, first, token, to, handover)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(split_range, service, at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(merge_range, service, first)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_standby, number, standby, ready, epoch)
--- a/src/transport/audit_report.cpp
+++ b/src/transport/audit_report.cpp
@@ -52,8 +52,9 @@
 }
 
 std::string plain_kind(const std::string &kind) {
-    constexpr std::array<std::array<const char *, 2>, 12> names{{
+    constexpr std::array<std::array<const char *, 2>, 13> names{{
         {"change_table", "table edited"},
+        {"change_routes", "routes edited"},
         {"register_target", "target joined"},
         {"expire_targets", "targets lost"},
         {"drain_target", "planned stop begun"},
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -81,14 +81,92 @@
         std::future<submit_answer> future = promise->get_future();
         post([this, promise, value = std::move(value)](control_core &core) mutable {
             const std::uint64_t ticket = core.submit(std::move(value), read_clocks());
-            m_waiting[ticket] = promise;
+            m_waiting[ticket] = [promise](submit_answer answer) {
+                promise->set_value(std::move(answer));
+            };
         });
         return future;
     }
 
+    void change_routes(routes_change change, std::function<void(routes_answer)> done) {
+        post([this, change = std::move(change), done = std::move(done)](control_core &core) mutable {
+            if (!core.enough_voters()) {
+                done({.error = error_kind::not_leader, .leader = core.replication().leader()});
+                return;
+            }
+            // Also a refusal must come from the leader: one that was replaced without noticing would
+            // refuse what builds on changes it has not seen.
+            const std::uint64_t ticket = core.prove_leadership(read_clocks());
+            m_waiting[ticket] = [this, change = std::move(change),
+                                 done = std::move(done)](const submit_answer &proof) {
+                if (proof.error != error_kind::none) {
+                    done({.error = proof.error, .leader = m_core->replication().leader()});
+                } else {
+                    judge(change, done);
+                }
+            };
+        });
+    }
+
+    void read_routes(std::function<void(routes_answer)> done) {
+        post([this, done = std::move(done)](control_core &core) mutable {
+            const std::uint64_t ticket = core.prove_leadership(read_clocks());
+            m_waiting[ticket] = [this, done = std::move(done)](const submit_answer &proof) {
+                routes_answer answer{.error = proof.error, .leader = m_core->replication().leader()};
+                if (proof.error == error_kind::none) {
+                    answer.sheet = m_core->state().routes();
+                }
+                done(std::move(answer));
+            };
+        });
+    }
+
+    void announce_leaving() {
+        post([](control_core &core) { core.announce_leaving(read_clocks()); });
+    }
+
     audit_log &audit() { return m_audit; }
 
 private:
+    /// Precondition: leadership was proved in this step.
+    void judge(const routes_change &change, const std::function<void(routes_answer)> &done) {
+        const control_state &state = m_core->state();
+        if (const auto earlier = state.earlier_answer(change.change_id)) {
+            done({.error = earlier->error, .version = earlier->version});
+            return;
+        }
+        routes_answer refusal{.version = state.routes().version};
+        const std::optional<routing_sheet> next = change.edit(state.routes(), refusal.problem);
+        if (!next) {
+            refusal.error = error_kind::bad_table;
+            done(refusal);
+            return;
+        }
+        if (change.base_version != state.routes().version) {
+            refusal.error = error_kind::version_conflict;
+            done(refusal);
+            return;
+        }
+        if (const auto problem = check_sheet(*next)) {
+            refusal.error = error_kind::bad_table;
+            refusal.problem = *problem;
+            done(refusal);
+            return;
+        }
+        command value{.actor = change.actor, .cause = change.cause};
+        value.body = peppertack::change_routes{change.change_id, change.base_version, encode(*next)};
+        const std::uint64_t ticket = m_core->submit(std::move(value), read_clocks());
+        m_waiting[ticket] = [this, done](const submit_answer &answer) {
+            routes_answer told{.error = answer.error, .leader = m_core->replication().leader()};
+            if (answer.change) {
+                // The same change may have been taken from another process meanwhile.
+                told.error = answer.change->error;
+                told.version = answer.change->version;
+            }
+            done(std::move(told));
+        };
+    }
+
     bool note(const audit_record &record) {
         log_event(log_level::info, "decision",
                   {{"kind", record.kind},
@@ -120,13 +198,18 @@
         for (const outgoing &item : m_core->take_outgoing()) {
             m_send(item);
         }
-        for (submit_answer &answer : m_core->take_answers()) {
-            const auto found = m_waiting.find(answer.ticket);
-            if (found != m_waiting.end()) {
-                found->second->set_value(std::move(answer));
-                m_waiting.erase(found);
+        // An answer may lead to another submission, whose answer is then here too.
+        for (std::vector<submit_answer> answers = m_core->take_answers(); !answers.empty();
+             answers = m_core->take_answers()) {
+            for (submit_answer &answer : answers) {
+                if (auto found = m_waiting.extract(answer.ticket)) {
+                    found.mapped()(std::move(answer));
+                }
             }
         }
+        for (const outgoing &item : m_core->take_outgoing()) {
+            m_send(item);
+        }
     }
 
     void note_role() {
@@ -149,7 +232,7 @@
     asio::steady_timer m_timer;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::unique_ptr<control_core> m_core;
-    std::map<std::uint64_t, std::shared_ptr<std::promise<submit_answer>>> m_waiting;
+    std::map<std::uint64_t, std::function<void(submit_answer)>> m_waiting;
     replica::role m_role = replica::role::follower;
     std::thread m_thread;
 };
@@ -160,7 +243,8 @@
     stop();
 }
 
-std::unique_ptr<control_host> control_host::make(const daemon_settings &settings, sender send,
+std::unique_ptr<control_host> control_host::make(const daemon_settings &settings,
+                                                 const voter_identity &identity, sender send,
                                                  std::string &reason) {
     std::unique_ptr<posix_storage> files = posix_storage::make(settings.data_folder, reason);
     if (!files) {
@@ -177,7 +261,12 @@
     }
     auto body = std::make_unique<impl>(std::move(files), std::move(*log), std::move(*audit),
                                        std::move(send));
-    if (!body->prepare(control_options_of(settings, random_number()), reason)) {
+    control_options options = control_options_of(settings, random_number());
+    options.replication.self = identity.name;
+    if (!identity.founders.empty()) {
+        options.replication.initial.voters = {identity.founders.begin(), identity.founders.end()};
+    }
+    if (!body->prepare(std::move(options), reason)) {
         return nullptr;
     }
     return std::unique_ptr<control_host>(new control_host(std::move(body)));
@@ -205,6 +294,18 @@
     return answer.get();
 }
 
+void control_host::change_routes(routes_change change, std::function<void(routes_answer)> done) {
+    m_impl->change_routes(std::move(change), std::move(done));
+}
+
+void control_host::read_routes(std::function<void(routes_answer)> done) {
+    m_impl->read_routes(std::move(done));
+}
+
+void control_host::announce_leaving() {
+    m_impl->announce_leaving();
+}
+
 bool control_host::replace_voter(const node_address &learner,
                                  const std::optional<node_address> &replaces) {
     const std::function<bool(control_core &, impl &)> work = [&](control_core &core, impl &) {
--- a/src/transport/daemon_settings.cpp
+++ b/src/transport/daemon_settings.cpp
@@ -19,11 +19,13 @@
     const char *help;
 };
 
-constexpr std::array<setting_rule, 20> rules{{
+constexpr std::array<setting_rule, 22> rules{{
     {"peer-address", nullptr, "IP:port on which other processes of the system reach this one"},
     {"http-address", nullptr, "IP:port for callers, the local target and operators"},
     {"failure-domain", nullptr, "failure domain of this instance"},
     {"voters", nullptr, "peer addresses of the voters, separated by commas"},
+    {"losses", "0", "losses of voters to be borne at once; 0: voters are changed by operators only"},
+    {"founding", "no", "the system starts for the first time, with empty disks"},
     {"cluster-secret", nullptr, "secret shared by all processes of the system"},
     {"data-folder", "", "folder for the state of a voter; empty on instances without a disk"},
     {"operator-token", "", "token for calls that change something; empty refuses them all"},
@@ -168,6 +170,8 @@
     settings.voters = in.addresses("voters");
     settings.cluster_secret = in.text("cluster-secret", 8, 1024);
     settings.data_folder = in.text("data-folder", 0, most_text);
+    settings.losses = static_cast<std::uint32_t>(in.number("losses", 0, 3));
+    settings.founding = in.choice("founding", {"no", "yes"}) == 1;
     settings.operator_token = in.text("operator-token", 0, 1024);
     settings.open_reading = in.choice("open-reading", {"no", "yes"}) == 1;
     settings.lease = milliseconds(in.number("lease-ms", 100, 60'000));
@@ -253,7 +257,12 @@
 control_options control_options_of(const daemon_settings &settings, std::uint64_t seed) {
     control_options options;
     options.replication.self = settings.peer_address;
-    options.replication.initial.voters = {settings.voters.begin(), settings.voters.end()};
+    if (settings.losses == 0) {
+        options.replication.initial.voters = {settings.voters.begin(), settings.voters.end()};
+    } else {
+        options.roster.wanted = 2 * static_cast<std::size_t>(settings.losses) + 1;
+        options.roster.contacts = settings.voters;
+    }
     options.replication.election_timeout = settings.election_timeout;
     options.replication.heartbeat_interval = settings.heartbeat;
     options.replication.seed = seed;
--- /dev/null
+++ b/src/transport/http/byte_stream.cpp
@@ -0,0 +1,202 @@
+#include "peppertack/transport/http/byte_stream.hpp"
+
+#include "peppertack/transport/http/http_head.hpp"
+
+#include <array>
+#include <asio/ip/address.hpp>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::size_t read_size = 64U << 10U;
+/// Several round trips and one retransmission within an instance group; far below the deadlines.
+constexpr unsigned int unacknowledged_limit_ms = 800;
+/// Idle connections are probed so that one that was lost is not first noticed by a request.
+constexpr int probe_after_s = 2;
+constexpr int probe_interval_s = 1;
+constexpr int probes_until_lost = 2;
+
+std::array<char, read_size> &shared_buffer() {
+    thread_local std::array<char, read_size> buffer;
+    return buffer;
+}
+
+} // namespace
+
+void set_connection_options(asio::ip::tcp::socket &socket) {
+    const int fd = socket.native_handle();
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s, sizeof probe_after_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof probe_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes_until_lost, sizeof probes_until_lost);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+               sizeof unacknowledged_limit_ms);
+}
+
+asio::ip::tcp::endpoint endpoint_from(std::string_view address) {
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string_view::npos) {
+        return {};
+    }
+    asio::error_code error;
+    const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), error);
+    const auto port = parse_decimal(address.substr(colon + 1));
+    if (error || !port || *port == 0 || *port > 65535) {
+        return {};
+    }
+    return {host, static_cast<unsigned short>(*port)};
+}
+
+byte_stream::byte_stream(asio::ip::tcp::socket socket, listener &owner)
+    : m_socket(std::move(socket)), m_owner(&owner) {}
+
+void byte_stream::start() {
+    asio::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    wait_readable();
+}
+
+void byte_stream::pause_reading(bool pause) {
+    m_paused = pause;
+    if (!pause) {
+        wait_readable();
+    }
+}
+
+void byte_stream::wait_readable() {
+    if (m_closed || m_paused || m_waiting_read) {
+        return;
+    }
+    m_waiting_read = true;
+    m_socket.async_wait(asio::socket_base::wait_read,
+                        [self = shared_from_this()](asio::error_code error) {
+                            self->m_waiting_read = false;
+                            if (error || self->m_closed || self->m_paused) {
+                                return;
+                            }
+                            self->read_some();
+                        });
+}
+
+void byte_stream::read_some() {
+    std::array<char, read_size> &buffer = shared_buffer();
+    const ssize_t size = ::recv(m_socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size > 0) {
+        if (!m_closing) {
+            m_owner->on_bytes({buffer.data(), static_cast<std::size_t>(size)});
+        }
+        wait_readable();
+    } else if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+        wait_readable();
+    } else {
+        lost(size == 0);
+    }
+}
+
+void byte_stream::write(std::string_view bytes) {
+    if (m_closed || m_closing) {
+        return;
+    }
+    m_out.append(bytes);
+    if (!m_waiting_write) {
+        write_some();
+    }
+}
+
+void byte_stream::write_some() {
+    while (m_sent < m_out.size()) {
+        const ssize_t size = ::send(m_socket.native_handle(), m_out.data() + m_sent,
+                                    m_out.size() - m_sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (size > 0) {
+            m_sent += static_cast<std::size_t>(size);
+        } else if (size < 0 && errno == EINTR) {
+            continue;
+        } else if (size < 0 && errno == EAGAIN) {
+            wait_writable();
+            return;
+        } else {
+            // Reported from the event loop: the owner may be in the middle of a step. What came in
+            // before the loss is still read first, since it may be the answer.
+            m_out.clear();
+            m_sent = 0;
+            asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+                if (!self->m_closed && self->m_paused) {
+                    self->lost(false);
+                }
+            });
+            return;
+        }
+    }
+    m_out.clear();
+    m_sent = 0;
+}
+
+void byte_stream::wait_writable() {
+    if (m_waiting_write || m_closed) {
+        return;
+    }
+    m_waiting_write = true;
+    m_socket.async_wait(asio::socket_base::wait_write,
+                        [self = shared_from_this()](asio::error_code error) {
+                            self->m_waiting_write = false;
+                            if (error || self->m_closed) {
+                                return;
+                            }
+                            self->write_some();
+                            if (self->m_out.empty() && !self->m_closed && !self->m_closing) {
+                                self->m_owner->on_drained();
+                            } else if (self->m_out.empty() && self->m_closing) {
+                                self->close_after_writes();
+                            }
+                        });
+}
+
+void byte_stream::close() {
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void byte_stream::close_after_writes() {
+    if (m_closed) {
+        return;
+    }
+    m_closing = true;
+    if (!m_out.empty()) {
+        return;
+    }
+    // Closing with unread bytes resets the connection, and the last answer could be lost with it: end
+    // this side only and read on until the other side ends too.
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_paused = false;
+    wait_readable();
+}
+
+void byte_stream::detach() {
+    if (!m_closing) {
+        close();
+    }
+}
+
+void byte_stream::lost(bool in_order) {
+    if (m_closed) {
+        return;
+    }
+    const bool tell = !m_closing;
+    close();
+    if (tell) {
+        m_owner->on_closed(in_order);
+    }
+}
+
+} // namespace peppertack
--- a/src/transport/json_log.cpp
+++ b/src/transport/json_log.cpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <chrono>
-#include <cstdio>
+#include <atomic>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace peppertack {
 
@@ -19,6 +21,22 @@
         .count();
 }
 
+std::atomic<std::uint64_t> g_dropped{0};
+
+/// Writes a line whole or not at all. A reader of the log that stalls must never hold up a decision, so
+/// a line that the pipe has no room for is dropped and counted.
+void write_line(const std::string &line) {
+    pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (::poll(&out, 1, 0) < 1 || (out.revents & POLLOUT) == 0) {
+        ++g_dropped;
+        return;
+    }
+    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size())) {
+        ++g_dropped;
+    }
+}
+
 /// Writes each message as one line. A message of `log_event` is JSON already; one of a library is
 /// wrapped.
 class json_sink final : public google::LogSink {
@@ -34,7 +52,7 @@
         json["source"] = std::string(file) + ":" + std::to_string(line);
         const std::string out =
             json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-        std::fwrite(out.data(), 1, out.size(), stderr);
+        write_line(out);
     }
 };
 
@@ -53,6 +71,10 @@
     google::AddLogSink(&sink);
 }
 
+std::uint64_t dropped_log_lines() {
+    return g_dropped;
+}
+
 void log_event(log_level level, const char *event, const nlohmann::json &fields) {
     if (level < g_least) {
         return;
--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -1,5 +1,6 @@
 #include "peppertack/transport/peer_hub.hpp"
 
+#include "peppertack/coordination/voter_roster.hpp"
 #include "peppertack/protocol/codec.hpp"
 #include "peppertack/transport/json_log.hpp"
 
@@ -28,7 +29,8 @@
 constexpr auto fresh_interval = std::chrono::milliseconds(50);
 constexpr int listen_backlog = 4096;
 
-std::optional<tcp::endpoint> endpoint_of(const node_address &address) {
+std::optional<tcp::endpoint> endpoint_of(const node_address &identity) {
+    const node_address address = address_of(identity);
     const std::size_t colon = address.rfind(':');
     if (colon == std::string::npos) {
         return std::nullopt;
@@ -188,7 +190,7 @@
             m_open = true;
             if (!m_inbound) {
                 m_outbox.push_front(frame_of(
-                    hello{protocol_version, m_hub->m_options.self, m_hub->m_options.secret}));
+                    hello{protocol_version, m_hub->m_options.self, m_hub->m_options.secret, m_address}));
             }
         }
         write();
@@ -321,6 +323,14 @@
                       {{"peer", greeting.address}, {"version", greeting.version}});
             return false;
         }
+        // The process that had this identity lost its disk, and this one has come up in its place: what
+        // is meant for the other must not be taken by this one.
+        if (greeting.to != m_hub->m_options.self &&
+            greeting.to != address_of(m_hub->m_options.self)) {
+            log_event(log_level::info, "peer_meant_another",
+                      {{"peer", greeting.address}, {"meant", greeting.to}});
+            return false;
+        }
         m_greeted = true;
         m_address = greeting.address;
         m_hub->adopt(m_address, shared_from_this());
--- /dev/null
+++ b/src/transport/traffic/entry_relay.cpp
@@ -0,0 +1,462 @@
+#include "entry_relay.hpp"
+
+#include "../wall_clock.hpp"
+#include "peppertack/protocol/error_answer.hpp"
+#include "peppertack/state/key_hash.hpp"
+#include "peppertack/transport/json_log.hpp"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace peppertack {
+
+namespace {
+
+constexpr const char *problem_type = "application/problem+json";
+/// Pause before a target whose node could not be reached, or did not own the key, is asked again: the
+/// map learns of most changes sooner, and wakes the request.
+constexpr duration park_interval = std::chrono::milliseconds(40);
+/// Targets tried one after the other for a request that none has taken. More would mean that the
+/// service is full, and that the news of it has not come yet.
+constexpr std::size_t most_refusals = 3;
+/// Time to come back where nothing better is known: a lease renewal and an election both fit.
+constexpr duration usual_retry_after = std::chrono::milliseconds(250);
+constexpr int first_failure_status = 500;
+constexpr int unavailable = 503;
+
+std::string seconds_text(duration value) {
+    const auto ms = std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+    std::string fraction = std::to_string(ms % 1000);
+    return std::to_string(ms / 1000) + "." + std::string(3 - fraction.size(), '0') + fraction;
+}
+
+std::int64_t ms_of(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace
+
+std::shared_ptr<entry_relay>
+entry_relay::make(traffic_host &host, const std::shared_ptr<http_server_connection> &caller) {
+    auto relay = std::make_shared<entry_relay>(host, caller);
+    relay->begin();
+    return relay;
+}
+
+entry_relay::entry_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &caller)
+    : m_host(host), m_caller(caller),
+      m_body(*caller, host.options().retained_body, host.options().held_back),
+      m_received(steady_instant()) {
+    m_host.enter(this);
+}
+
+entry_relay::~entry_relay() {
+    m_host.leave(this);
+}
+
+void entry_relay::begin() {
+    m_deadline = m_received + m_host.options().node.owner_wait;
+    m_objective = m_deadline;
+    if (const std::string *id = m_caller->request().find(m_host.options().headers.request_id)) {
+        m_id = *id;
+    }
+    if (!m_host.agent().ready()) {
+        refuse(error_kind::not_ready, outcome::not_run, usual_retry_after);
+        return;
+    }
+    if (!read_route() || !read_key()) {
+        return;
+    }
+    m_host.retries(m_service).note_request();
+}
+
+bool entry_relay::read_route() {
+    const http_head &head = m_caller->request();
+    const std::string *host = head.find("Host");
+    const route *found = host == nullptr ? nullptr : m_host.agent().routes().find(*host, head.path());
+    if (found == nullptr) {
+        refuse(host == nullptr ? error_kind::malformed_request : error_kind::no_route,
+               outcome::not_run, {});
+        return false;
+    }
+    m_route = *found;
+    m_service = pick_service();
+    m_nested = m_caller->peer() == endpoint_from(m_host.options().caller_address).address();
+    m_objective = m_received + m_route.latency_objective;
+    m_deadline = m_received + m_route.timeout;
+    if (const std::string *text = head.find(m_host.options().headers.deadline_ms)) {
+        const auto patience = parse_decimal(*text);
+        if (!patience) {
+            refuse(error_kind::malformed_request, outcome::not_run, {});
+            return false;
+        }
+        m_deadline = std::min(m_deadline, m_received + std::chrono::milliseconds(*patience));
+    }
+    return true;
+}
+
+bool entry_relay::read_key() {
+    const auto &services = m_host.agent().lease().routes().services;
+    const auto service = services.find(m_service);
+    if (service == services.end() || !service->second.keyed) {
+        return true;
+    }
+    const std::string *text = m_caller->request().find(m_host.options().headers.key);
+    const auto number = text == nullptr ? std::nullopt : parse_decimal(*text);
+    if (!number || *number > most_ordered_key) {
+        refuse(error_kind::malformed_request, outcome::not_run, {});
+        return false;
+    }
+    m_key = static_cast<std::uint32_t>(*number);
+    return true;
+}
+
+std::string entry_relay::pick_service() const {
+    double total = 0;
+    for (const weighted_service &part : m_route.split) {
+        total += part.weight;
+    }
+    double draw = std::uniform_real_distribution<double>(0, total)(m_host.random());
+    for (const weighted_service &part : m_route.split) {
+        if (draw < part.weight) {
+            return part.service;
+        }
+        draw -= part.weight;
+    }
+    return m_route.split.back().service;
+}
+
+void entry_relay::on_request_body(std::string_view piece) {
+    if (!m_done && m_body.take(piece) && !m_call && !m_parked) {
+        dispatch(steady_instant());
+    }
+}
+
+void entry_relay::on_request_end() {
+    if (m_done) {
+        return;
+    }
+    m_body.note_end();
+    if (!m_call && !m_parked) {
+        dispatch(steady_instant());
+    }
+}
+
+void entry_relay::on_caller_gone() {
+    if (m_done) {
+        return;
+    }
+    m_host.metrics().note_cancelled();
+    done();
+}
+
+void entry_relay::on_caller_drained() {
+    if (m_call) {
+        m_call->pause_answer(false);
+    }
+}
+
+// ---- finding a target ----
+
+target_number entry_relay::choose(instant now) {
+    if (m_key) {
+        const range_record *range =
+            m_host.agent().lease().map().find_range(m_service, ordered_key_hash(*m_key));
+        return range == nullptr ? no_target : range->owner;
+    }
+    return m_host.selector().choose(m_host.agent().serving(m_service), m_tried, now);
+}
+
+void entry_relay::dispatch(instant now) {
+    m_parked = false;
+    const target_number number = choose(now);
+    const target_route *target = m_host.agent().lease().map().find_target(number);
+    if (target == nullptr) {
+        if (!m_key && !m_tried.empty()) {
+            refuse(m_parked_for == error_kind::none ? error_kind::no_target_left : m_parked_for,
+                   outcome::not_run, usual_retry_after);
+            return;
+        }
+        park(m_key ? error_kind::no_owner : error_kind::no_target_left, now);
+        return;
+    }
+    send_to(*target, now);
+}
+
+void entry_relay::send_to(const target_route &target, instant now) {
+    const traffic_headers &names = m_host.options().headers;
+    http_head head;
+    head.method = m_caller->request().method;
+    head.target = m_caller->request().target;
+    head.headers = forwarded_headers(m_caller->request());
+    remove_header(head.headers, hop_header);
+    set_header(head.headers, names.caller_service, m_host.options().service);
+    const hop_request hop{.target = target.number,
+                          .route = m_route.name,
+                          .priority = m_route.priority,
+                          .nested = m_nested,
+                          .repeat = m_arrivals > 0,
+                          .key = m_key,
+                          .objective_left = m_objective - now,
+                          .time_left = m_deadline - now};
+    head.headers.push_back({std::string(hop_header), encode(hop)});
+    m_body.frame(head);
+    m_target = target.number;
+    m_target_name = target.name;
+    m_sent = now;
+    m_hop_known = false;
+    m_answer_body.clear();
+    m_host.selector().sent(m_target);
+    m_call = m_host.pool().start(m_host.forward_address(target.address), head, weak_from_this());
+    m_body.attach(m_call);
+}
+
+instant entry_relay::park_limit() const {
+    const auto part = static_cast<double>(m_route.latency_objective.count()) *
+                      m_host.options().parked_part;
+    return m_received + duration(static_cast<duration::rep>(part));
+}
+
+/// Waits for the map to change, for a part of the objective: a planned move takes about as long.
+void entry_relay::park(error_kind kind, instant now) {
+    m_parked_for = kind;
+    if (now >= park_limit() || now >= m_deadline) {
+        refuse(kind, outcome::not_run, usual_retry_after);
+        return;
+    }
+    m_parked = true;
+    m_retry_at = now + park_interval;
+}
+
+void entry_relay::on_time(instant now) {
+    if (m_done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (now >= m_deadline) {
+        if (m_passing_on) {
+            m_caller->abort();
+            done();
+        } else if (m_call) {
+            m_host.selector().ended(m_target, true, now);
+            refuse(error_kind::deadline_after_target, outcome::unknown, {});
+        } else {
+            refuse(error_kind::deadline_before_target, outcome::not_run, usual_retry_after);
+        }
+    } else if (m_parked && now >= m_retry_at) {
+        dispatch(now);
+    }
+}
+
+// ---- the answer ----
+
+void entry_relay::on_response_head(http_head head) {
+    const instant now = steady_instant();
+    const std::string *hop = head.find(hop_header);
+    const auto told = hop == nullptr ? std::nullopt : decode_hop_reply(*hop);
+    m_hop_known = told.has_value();
+    m_hop = told.value_or(hop_reply{});
+    if (m_hop_known) {
+        m_host.selector().note(m_target, m_hop.load, now);
+    }
+    m_answer = std::move(head);
+    remove_header(m_answer.headers, hop_header);
+    const bool ran = m_hop_known && m_hop.refused == error_kind::none && !m_hop.may_have_run;
+    if (ran && m_answer.framing == body_framing::length &&
+        m_answer.content_length > m_host.options().buffered_answer) {
+        begin_passing_on();
+    }
+}
+
+void entry_relay::on_response_body(std::string_view piece) {
+    if (!m_passing_on) {
+        m_answer_body.append(piece);
+        if (m_answer_body.size() > m_host.options().buffered_answer) {
+            begin_passing_on();
+        }
+        return;
+    }
+    m_caller->send_body(piece);
+    if (m_caller->queued() > m_host.options().held_back) {
+        m_call->pause_answer(true);
+    }
+}
+
+void entry_relay::begin_passing_on() {
+    m_passing_on = true;
+    http_head head;
+    head.status = m_answer.status;
+    head.headers = forwarded_headers(m_answer);
+    head.framing = m_answer.framing == body_framing::length ? body_framing::length
+                                                            : body_framing::chunked;
+    head.content_length = m_answer.content_length;
+    m_caller->send_head(std::move(head));
+    m_caller->send_body(std::exchange(m_answer_body, {}));
+}
+
+void entry_relay::on_response_end() {
+    if (m_done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const instant now = steady_instant();
+    m_body.detach();
+    m_call.reset();
+    if (!m_hop_known) {
+        m_host.selector().ended(m_target, true, now);
+        after_unknown(error_kind::target_lost, now);
+    } else if (m_hop.refused != error_kind::none) {
+        // A full target does its part; one that is gone does not.
+        const bool failed = m_hop.refused == error_kind::target_unreachable;
+        m_host.selector().ended(m_target, failed, now);
+        after_not_run(m_hop.refused, m_hop.retry_after, now);
+    } else if (m_hop.may_have_run) {
+        m_host.selector().ended(m_target, true, now);
+        after_unknown(error_kind::target_lost, now);
+    } else {
+        const bool failed = m_answer.status >= first_failure_status;
+        m_host.selector().ended(m_target, failed, now);
+        ++m_arrivals;
+        if (!retry_executed_nowhere(now)) {
+            pass_on();
+        }
+    }
+}
+
+/// The target answered that it did not run the request. Another may: that costs the budget, since the
+/// request has arrived at a target, but nothing else.
+bool entry_relay::retry_executed_nowhere(instant now) {
+    const bool not_run = m_answer.status >= 400 && !m_passing_on &&
+                         m_answer.find(m_host.options().headers.not_executed) != nullptr;
+    if (!not_run || m_arrivals >= m_route.most_attempts || !m_body.replayable() ||
+        now + m_hop.load.service_time > m_objective || !m_host.retries(m_service).take()) {
+        return false;
+    }
+    m_host.metrics().note_retry();
+    m_tried.insert(m_target);
+    dispatch(now);
+    return true;
+}
+
+void entry_relay::pass_on() {
+    const instant now = steady_instant();
+    log_end(m_answer.status, error_kind::none, now);
+    m_host.metrics().note_answer(m_route.name, m_answer.status, error_kind::none, now - m_received);
+    if (m_passing_on) {
+        m_caller->finish();
+    } else {
+        m_caller->respond(m_answer.status, forwarded_headers(m_answer), m_answer_body);
+    }
+    done();
+}
+
+void entry_relay::on_call_failed(call_failure why, const std::string &reason) {
+    if (m_done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const instant now = steady_instant();
+    m_body.detach();
+    m_call.reset();
+    m_host.selector().ended(m_target, true, now);
+    m_host.log().note("attempt_failed",
+                      {{"request", m_id},
+                       {"target", m_target_name},
+                       {"reason", reason},
+                       {"after_ms", ms_of(now - m_sent)}},
+                      now);
+    if (m_passing_on) {
+        m_caller->abort();
+        done();
+    } else if (why == call_failure::not_connected || why == call_failure::refused) {
+        after_not_run(error_kind::owner_unreachable, usual_retry_after, now);
+    } else {
+        after_unknown(error_kind::target_lost, now);
+    }
+}
+
+void entry_relay::after_not_run(error_kind kind, duration retry_after, instant now) {
+    m_tried.insert(m_target);
+    m_parked_for = kind;
+    if (!m_body.replayable()) {
+        refuse(kind, outcome::not_run, retry_after);
+    } else if (!m_key && m_tried.size() < most_refusals && now < m_objective) {
+        dispatch(now);
+    } else if (m_key && kind != error_kind::overloaded) {
+        park(kind, now);
+    } else {
+        refuse(kind, outcome::not_run, retry_after);
+    }
+}
+
+void entry_relay::after_unknown(error_kind kind, instant now) {
+    ++m_arrivals;
+    m_tried.insert(m_target);
+    const bool again = m_route.repeat == repeat_rule::idempotent && m_body.replayable() &&
+                       m_arrivals < m_route.most_attempts &&
+                       now + m_hop.load.service_time < m_deadline;
+    if (!again || !m_host.retries(m_service).take()) {
+        refuse(kind, outcome::unknown, {});
+        return;
+    }
+    m_host.metrics().note_retry();
+    dispatch(now);
+}
+
+void entry_relay::refuse(error_kind kind, outcome result, duration retry_after) {
+    const instant now = steady_instant();
+    const error_answer &answer = answer_for(kind);
+    const bool promise = result == outcome::not_run;
+    // What has not run is told by a status that promises it, so that the caller may send it again.
+    const int status = promise && answer.status >= first_failure_status ? unavailable : answer.status;
+    std::vector<header_field> headers{{"Content-Type", problem_type}};
+    if (!m_id.empty()) {
+        headers.push_back({m_host.options().headers.request_id, m_id});
+    }
+    if (promise && status == unavailable) {
+        // Spread, so that those refused together do not come back together.
+        const double factor = std::uniform_real_distribution<double>(0.7, 1.6)(m_host.random());
+        const auto pause = static_cast<double>(std::max(retry_after, duration(1000)).count());
+        headers.push_back({"Retry-After",
+                           seconds_text(duration(static_cast<duration::rep>(pause * factor)))});
+    }
+    log_end(status, kind, now);
+    m_host.metrics().note_answer(m_route.name, status, kind, now - m_received);
+    const auto caller = m_caller;
+    done();
+    caller->respond(status, std::move(headers), problem_json(kind, {}, result));
+}
+
+void entry_relay::done() {
+    m_done = true;
+    m_parked = false;
+    m_body.detach();
+    if (m_call) {
+        m_call->cancel();
+        m_call.reset();
+    }
+}
+
+void entry_relay::log_end(int status, error_kind kind, instant now) {
+    if (kind == error_kind::none && status < 400 && m_tried.empty()) {
+        return;
+    }
+    m_host.log().note("request_ended",
+                      {{"request", m_id},
+                       {"status", status},
+                       {"kind", answer_for(kind).name},
+                       {"route", m_route.name},
+                       {"service", m_service},
+                       {"key", m_key ? static_cast<std::int64_t>(*m_key) : -1},
+                       {"target", m_target_name},
+                       {"tried", m_tried.size()},
+                       {"waiting", m_hop.load.waiting},
+                       {"in_flight", m_hop.load.in_flight},
+                       {"took_ms", ms_of(now - m_received)},
+                       {"map_version", m_host.agent().lease().map().version()},
+                       {"routes_version", m_host.agent().lease().routes().version}},
+                      now);
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/entry_relay.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "peppertack/protocol/hop_header.hpp"
+#include "peppertack/transport/traffic/traffic_host.hpp"
+#include "request_body.hpp"
+
+namespace peppertack {
+
+/// A caller's request at the node that took it: finds its route and a target, forwards it to the node
+/// beside that target, and brings the answer back. Sends it to another target only where it certainly
+/// has not run, or may run more than once.
+class entry_relay final : public http_request_handler,
+                          public http_response_handler,
+                          public timed_request,
+                          public std::enable_shared_from_this<entry_relay> {
+public:
+    static std::shared_ptr<entry_relay> make(traffic_host &host,
+                                             const std::shared_ptr<http_server_connection> &caller);
+    entry_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &caller);
+    ~entry_relay() override;
+
+    void on_request_body(std::string_view piece) override;
+    void on_request_end() override;
+    void on_caller_gone() override;
+    void on_caller_drained() override;
+    void on_response_head(http_head head) override;
+    void on_response_body(std::string_view piece) override;
+    void on_response_end() override;
+    void on_call_failed(call_failure why, const std::string &reason) override;
+    void on_call_drained() override { m_body.on_drained(); }
+    void on_time(instant now) override;
+
+private:
+    void begin();
+    bool read_route();
+    bool read_key();
+    std::string pick_service() const;
+    void dispatch(instant now);
+    target_number choose(instant now);
+    void send_to(const target_route &target, instant now);
+    void after_not_run(error_kind kind, duration retry_after, instant now);
+    void after_unknown(error_kind kind, instant now);
+    bool retry_executed_nowhere(instant now);
+    void park(error_kind kind, instant now);
+    void pass_on();
+    void begin_passing_on();
+    void refuse(error_kind kind, outcome result, duration retry_after);
+    void done();
+    void log_end(int status, error_kind kind, instant now);
+    instant park_limit() const;
+
+    traffic_host &m_host;
+    std::shared_ptr<http_server_connection> m_caller;
+    request_body m_body;
+    std::string m_id;
+    route m_route; ///< a copy: the sheet may change meanwhile
+    std::string m_service;
+    std::optional<std::uint32_t> m_key;
+    bool m_nested = false;
+    instant m_received{};
+    instant m_objective{};
+    instant m_deadline{};
+    bool m_done = false;
+    bool m_parked = false;
+    error_kind m_parked_for = error_kind::none;
+    instant m_retry_at{};
+    std::set<target_number> m_tried;
+    std::uint32_t m_arrivals = 0; ///< targets at which the request may have arrived
+    // ---- the present attempt ----
+    std::shared_ptr<http_call> m_call;
+    target_number m_target = no_target;
+    std::string m_target_name;
+    instant m_sent{};
+    hop_reply m_hop;
+    bool m_hop_known = false;
+    http_head m_answer;
+    std::string m_answer_body;
+    bool m_passing_on = false;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/node_agent.cpp
@@ -0,0 +1,275 @@
+#include "peppertack/transport/traffic/node_agent.hpp"
+
+#include "peppertack/state/key_hash.hpp"
+#include "peppertack/transport/json_log.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace peppertack {
+
+namespace {
+
+/// Heartbeats missed in a row until a target that keeps no hold counts as gone.
+constexpr int missed_heartbeats = 4;
+/// A target that leaves is given nothing later than this after it was told so: well below the two
+/// seconds that the protocol allows, since a request may be on its way between two nodes.
+constexpr duration leaving_work = std::chrono::milliseconds(1200);
+constexpr std::size_t most_hot_keys = 8;
+constexpr std::size_t most_ended_names = 64;
+
+} // namespace
+
+node_agent::node_agent(const traffic_options &options, sender send, name_probe probe)
+    : m_options(options), m_send(std::move(send)), m_probe(std::move(probe)),
+      m_lease(options.node), m_holds(options.holds), m_queue({}) {}
+
+bool node_agent::keyed() const {
+    const auto &services = m_lease.routes().services;
+    const auto found = m_target ? services.find(m_target->service) : services.end();
+    return found != services.end() && found->second.keyed;
+}
+
+void node_agent::tick(moment at) {
+    if (m_target) {
+        const bool silent = m_beat_at + m_options.heartbeat_interval * missed_heartbeats < at.now;
+        // A target that is silent, or has said that it leaves, may still hold its keys: the lease is
+        // given up only when that has ended, since from then on they may go to another.
+        const bool holds = keyed() && at.now < m_holds.held_until();
+        const bool missed = m_beat_at + m_options.heartbeat_interval * 2 < at.now;
+        if (!holds && (m_left || silent || (keyed() && missed && m_holds.held_until() != instant{}))) {
+            // One that fell silent may only have been cut off or paused, and may report again.
+            drop_target(m_left ? "left" : "silent", m_left, at);
+        } else if (!m_lease.announcement()) {
+            announce(at); // an earlier registration had to end first
+        }
+    }
+    std::vector<outgoing> messages;
+    m_lease.tick(
+        at, [this](renew_request &request, instant now) { fill_report(request, now); }, messages);
+    for (const outgoing &item : messages) {
+        m_send(item);
+    }
+}
+
+void node_agent::announce(moment at) {
+    m_lease.announce({.name = m_target->name,
+                      .service = m_target->service,
+                      .slots = m_target->slots,
+                      .connections = m_target->slots,
+                      .checks_tokens = true,
+                      .draining = m_target->draining || m_left},
+                     at);
+}
+
+void node_agent::receive(const node_address &from, const message &body, moment at) {
+    if (const auto *reply = std::get_if<renew_reply>(&body)) {
+        follow(m_lease.receive(from, *reply, at));
+    } else if (const auto *update = std::get_if<map_update>(&body)) {
+        follow(m_lease.receive(*update));
+    }
+}
+
+void node_agent::follow(const lease_client::change &changed) {
+    if (changed.routes) {
+        m_index = route_index(m_lease.routes());
+        log_event(log_level::info, "routes_in_force",
+                  {{"version", m_lease.routes().version},
+                   {"routes", m_lease.routes().routes.size()}});
+    }
+    if (changed.registration) {
+        m_holds.reset(); // what was given under the old number is not this one's
+        log_event(log_level::info, "registration",
+                  {{"number", m_lease.number()},
+                   {"target", m_target ? m_target->name : std::string()}});
+    }
+    if (changed.map) {
+        m_serving.clear();
+        for (const auto &[number, target] : m_lease.map().targets()) {
+            if (target.phase == target_phase::serving) {
+                m_serving[target.service].push_back(&target);
+            }
+        }
+    }
+    if (m_on_change && (changed.map || changed.routes || changed.registration)) {
+        m_on_change();
+    }
+}
+
+const std::vector<const target_route *> &node_agent::serving(const std::string &service) const {
+    static const std::vector<const target_route *> none;
+    const auto found = m_serving.find(service);
+    return found == m_serving.end() ? none : found->second;
+}
+
+// ---- the target ----
+
+hold_grant node_agent::heartbeat(const target_heartbeat &beat, moment at) {
+    if (std::find(m_ended.begin(), m_ended.end(), beat.name) != m_ended.end()) {
+        return {}; // sent by a target that has ended since, and held up on its way
+    }
+    if (m_target && m_target->name != beat.name) {
+        check_identity(beat);
+        return {};
+    }
+    if (m_target && beat.sequence < m_target->sequence) {
+        return {}; // overtaken by a later one
+    }
+    if (m_left) {
+        return {};
+    }
+    const bool was_draining = m_target && m_target->draining;
+    if (!m_target) {
+        adopt(beat, at);
+    }
+    m_target = beat;
+    m_beat_at = at.now;
+    if (beat.draining && !was_draining) {
+        m_draining_since = at.now;
+        log_event(log_level::info, "target_draining", {{"target", beat.name}});
+    }
+    m_queue.set_limit(std::max<std::uint32_t>(beat.slots, 1));
+    announce(at);
+    if (!keyed()) {
+        return {};
+    }
+    const hold_grant grant = m_holds.take(beat.report, m_lease, at.now);
+    if (m_holds.has_news()) {
+        m_holds.news_sent();
+        m_lease.hurry();
+    }
+    if (m_on_change) {
+        m_on_change();
+    }
+    return grant;
+}
+
+void node_agent::adopt(const target_heartbeat &beat, moment) {
+    log_event(log_level::info, "target_found",
+              {{"target", beat.name}, {"address", beat.address}, {"service", beat.service}});
+    m_holds.reset();
+    m_draining_since = {};
+    m_left = false;
+}
+
+/// Another target reports from beside this node. Either it was started in place of the one known, or
+/// this is a late heartbeat of one that ended before: only the address itself can tell which.
+void node_agent::check_identity(const target_heartbeat &beat) {
+    if (!m_probing.empty()) {
+        return;
+    }
+    m_probing = beat.name;
+    m_probe(beat.address, [this, name = beat.name](std::string found) {
+        m_probing.clear();
+        log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found}});
+        if (found != name) {
+            return;
+        }
+        if (m_target && m_target->name != name) {
+            // The address is the new one's: the old process has ended, and holds nothing.
+            drop_target("replaced", true, {});
+        }
+    });
+}
+
+void node_agent::drop_target(const char *why, bool ended, moment at) {
+    if (!m_target) {
+        return;
+    }
+    log_event(log_level::info, "target_gone",
+              {{"target", m_target->name}, {"cause", why}, {"in_flight", m_queue.in_flight()}});
+    if (ended) {
+        m_ended.push_back(m_target->name);
+        if (m_ended.size() > most_ended_names) {
+            m_ended.pop_front();
+        }
+    }
+    m_target.reset();
+    m_holds.reset();
+    m_left = false;
+    m_draining_since = {};
+    m_lease.give_up(at);
+    if (m_on_target_gone) {
+        m_on_target_gone();
+    }
+}
+
+void node_agent::target_leaves(const std::string &name, moment at) {
+    if (!m_target || m_target->name != name || m_left) {
+        return;
+    }
+    log_event(log_level::info, "target_leaves", {{"target", name}});
+    m_left = true;
+    if (m_draining_since == instant{}) {
+        m_draining_since = at.now;
+    }
+    announce(at);
+}
+
+void node_agent::target_refused(moment at) {
+    drop_target("connection refused", true, at);
+}
+
+std::optional<error_kind> node_agent::refusal(const std::optional<std::uint32_t> &key,
+                                              instant now) const {
+    if (!m_target) {
+        return error_kind::target_unreachable;
+    }
+    const bool leaving = m_draining_since != instant{};
+    if (!keyed()) {
+        return leaving ? std::optional(error_kind::draining) : std::nullopt;
+    }
+    if (!key) {
+        return error_kind::malformed_request;
+    }
+    if (leaving && m_draining_since + leaving_work < now) {
+        return error_kind::draining;
+    }
+    switch (m_holds.state_of(ordered_key_hash(*key), m_lease, now)) {
+    case hold_keeper::key_state::held: return std::nullopt;
+    case hold_keeper::key_state::expected: return error_kind::no_owner;
+    case hold_keeper::key_state::moving: return error_kind::moving;
+    case hold_keeper::key_state::not_owned: break;
+    }
+    return error_kind::not_owner;
+}
+
+target_load node_agent::load() const {
+    return {.in_flight = m_queue.in_flight(),
+            .waiting = static_cast<std::uint32_t>(m_queue.waiting()),
+            .limit = m_queue.limit(),
+            .service_time = m_queue.mean_service_time()};
+}
+
+void node_agent::count_request(std::uint32_t key) {
+    ++m_key_requests[key];
+}
+
+/// Loads go out once an interval; releases with each renewal until the map shows that they are known.
+void node_agent::fill_report(renew_request &request, instant now) {
+    m_holds.fill_report(request, m_lease);
+    if (m_loads_at + m_options.node.load_interval > now || m_lease.number() == no_target) {
+        return;
+    }
+    m_loads_at = now;
+    for (const lease_client::own_range &range : m_lease.own_ranges()) {
+        std::uint32_t requests = 0;
+        for (const auto &[key, count] : m_key_requests) {
+            const std::uint64_t hash = ordered_key_hash(key);
+            requests += range.record.first <= hash && hash <= range.last ? count : 0;
+        }
+        request.loads.push_back({range.record.first, requests});
+    }
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> busiest; // requests, key
+    for (const auto &[key, count] : m_key_requests) {
+        busiest.emplace_back(count, key);
+    }
+    std::sort(busiest.rbegin(), busiest.rend());
+    busiest.resize(std::min(busiest.size(), most_hot_keys));
+    for (const auto &[count, key] : busiest) {
+        request.hot_keys.push_back({ordered_key_hash(key), count});
+    }
+    m_key_requests.clear();
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/request_body.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "peppertack/transport/http/http_client_pool.hpp"
+#include "peppertack/transport/http/http_head.hpp"
+#include "peppertack/transport/http/http_server.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace peppertack {
+
+/// The body of a request on its way through a node. Up to a limit it is kept, so that the request can be
+/// sent once more; beyond it the body streams through, held back by whichever side is slower.
+class request_body {
+public:
+    request_body(http_server_connection &from, std::size_t retained, std::size_t held_back);
+
+    /// More has come. True if there is so much that sending should begin before all is here.
+    bool take(std::string_view piece);
+    void note_end();
+    bool whole() const { return m_whole; }
+    /// Whether the request can be sent from its beginning.
+    bool replayable() const { return m_replayable; }
+    /// Sets how `head` tells the end of the body.
+    void frame(http_head &head) const;
+    /// Sends what is here over a call that has just begun, and from then on whatever comes.
+    void attach(std::shared_ptr<http_call> call);
+    void detach() { m_call.reset(); }
+    /// The call has written what was queued.
+    void on_drained();
+
+private:
+    void send(std::string_view piece);
+
+    http_server_connection *m_from;
+    std::size_t m_retained;
+    std::size_t m_held_back;
+    body_framing m_framing;
+    std::uint64_t m_length;
+    std::string m_kept;
+    std::shared_ptr<http_call> m_call;
+    bool m_whole = false;
+    bool m_replayable = true;
+    bool m_paused = false;
+    bool m_chunked = false; ///< towards the call
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/target_relay.cpp
@@ -0,0 +1,300 @@
+#include "target_relay.hpp"
+
+#include "../wall_clock.hpp"
+#include "peppertack/protocol/error_answer.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace peppertack {
+
+namespace {
+
+/// The sender gives up at the deadline too, and says so to the caller; ending the work a little later
+/// lets an answer that is ready at the last moment still pass.
+constexpr duration deadline_slack = std::chrono::milliseconds(30);
+constexpr duration usual_retry_after = std::chrono::milliseconds(250);
+
+std::int64_t ms_of(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace
+
+std::shared_ptr<target_relay>
+target_relay::make(traffic_host &host, const std::shared_ptr<http_server_connection> &sender) {
+    auto relay = std::make_shared<target_relay>(host, sender);
+    relay->begin();
+    return relay;
+}
+
+target_relay::target_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &sender)
+    : m_host(host), m_sender(sender),
+      m_body(*sender, host.options().retained_body, host.options().held_back),
+      m_id(host.next_id()), m_received(steady_instant()) {
+    m_host.enter(this);
+}
+
+target_relay::~target_relay() {
+    m_host.leave(this);
+}
+
+void target_relay::begin() {
+    const http_head &head = m_sender->request();
+    const std::string *hop = head.find(hop_header);
+    const auto told = hop == nullptr ? std::nullopt : decode_hop_request(*hop);
+    if (const std::string *id = head.find(m_host.options().headers.request_id)) {
+        m_request_id = *id;
+    }
+    if (!told) {
+        refuse(error_kind::malformed_request, m_received, {});
+        return;
+    }
+    m_hop = *told;
+    m_deadline = m_received + m_hop.time_left;
+    m_objective = m_received + m_hop.objective_left;
+    if (m_host.agent().number() != m_hop.target) {
+        const bool unknown = m_host.agent().number() == no_target;
+        refuse(unknown ? error_kind::not_ready : error_kind::not_owner, m_received,
+               usual_retry_after);
+    }
+}
+
+void target_relay::on_request_body(std::string_view piece) {
+    if (m_phase != phase::done && m_body.take(piece) && m_phase == phase::receiving) {
+        offer(steady_instant());
+    }
+}
+
+void target_relay::on_request_end() {
+    if (m_phase == phase::done) {
+        return;
+    }
+    m_body.note_end();
+    if (m_phase == phase::receiving) {
+        offer(steady_instant());
+    }
+}
+
+void target_relay::offer(instant now) {
+    if (const auto kind = m_host.agent().refusal(m_hop.key, now)) {
+        // By the map the key is the target's; its next heartbeat brings it.
+        const bool soon = *kind == error_kind::no_owner && now < m_objective;
+        if (soon) {
+            m_phase = phase::waiting_for_key;
+        } else {
+            refuse(*kind, now, usual_retry_after);
+        }
+        return;
+    }
+    work_queue &queue = m_host.agent().queue();
+    const work_queue::verdict verdict = queue.offer({.id = m_id,
+                                                     .kind = m_hop.route,
+                                                     .priority = m_hop.priority,
+                                                     .nested = m_hop.nested,
+                                                     .objective = m_objective,
+                                                     .deadline = m_deadline},
+                                                    now);
+    if (verdict == work_queue::verdict::start) {
+        start(now);
+    } else if (verdict == work_queue::verdict::wait) {
+        m_phase = phase::queued;
+        m_host.expect_start(m_id, [this](bool may_start) {
+            const auto self = shared_from_this();
+            const instant when = steady_instant();
+            if (may_start) {
+                start(when);
+            } else {
+                m_phase = phase::waiting_for_key; // out of the queue already
+                refuse(error_kind::overloaded, when, m_host.agent().queue().retry_after());
+            }
+        });
+    } else {
+        refuse(error_kind::overloaded, now, queue.retry_after());
+    }
+}
+
+/// Precondition: counted as in flight by the queue.
+void target_relay::start(instant now) {
+    m_phase = phase::running;
+    // The key may have moved, or the target left, while the request waited.
+    if (const auto kind = m_host.agent().refusal(m_hop.key, now)) {
+        leave_queue(std::nullopt);
+        refuse(*kind, now, usual_retry_after);
+        return;
+    }
+    m_host.metrics().note_queue(now - m_received);
+    m_started = now;
+    const target_heartbeat &target = m_host.agent().target();
+    const traffic_headers &names = m_host.options().headers;
+    m_target_name = target.name;
+    http_head head;
+    head.method = m_sender->request().method;
+    head.target = m_sender->request().target;
+    head.headers = forwarded_headers(m_sender->request());
+    remove_header(head.headers, hop_header);
+    set_header(head.headers, names.deadline_ms,
+               std::to_string(std::max<std::int64_t>(1, ms_of(m_deadline - now))));
+    set_header(head.headers, names.expected_target, target.name);
+    m_body.frame(head);
+    if (m_hop.key) {
+        m_host.agent().count_request(*m_hop.key);
+    }
+    m_call = m_host.pool().start(target.address, head, weak_from_this());
+    m_body.attach(m_call);
+}
+
+void target_relay::on_response_head(http_head head) {
+    m_status = head.status;
+    m_not_executed = head.find(m_host.options().headers.not_executed) != nullptr;
+    http_head out;
+    out.status = head.status;
+    out.headers = forwarded_headers(head);
+    remove_header(out.headers, hop_header);
+    out.headers.push_back({std::string(hop_header), encode(hop_reply{.load = m_host.agent().load()})});
+    const bool sized = head.framing == body_framing::length || head.framing == body_framing::none;
+    out.framing = sized ? body_framing::length : body_framing::chunked;
+    out.content_length = head.content_length;
+    m_sender->send_head(std::move(out));
+}
+
+void target_relay::on_response_body(std::string_view piece) {
+    m_sender->send_body(piece);
+    if (m_sender->queued() > m_host.options().held_back) {
+        m_call->pause_answer(true);
+    }
+}
+
+void target_relay::on_caller_drained() {
+    if (m_call) {
+        m_call->pause_answer(false);
+    }
+}
+
+void target_relay::on_response_end() {
+    if (m_phase == phase::done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const instant now = steady_instant();
+    m_body.detach();
+    m_call.reset();
+    m_host.metrics().note_target(now - m_started);
+    leave_queue(m_not_executed ? std::nullopt : std::optional(now - m_started));
+    m_phase = phase::done;
+    m_sender->finish();
+    m_host.start_waiting(now);
+}
+
+void target_relay::on_call_failed(call_failure why, const std::string &reason) {
+    if (m_phase == phase::done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const instant now = steady_instant();
+    m_body.detach();
+    m_call.reset();
+    leave_queue(std::nullopt);
+    m_host.log().note("target_failed",
+                      {{"request", m_request_id}, {"target", m_target_name}, {"reason", reason}},
+                      now);
+    if (m_sender->answer_begun()) {
+        m_phase = phase::done;
+        m_sender->abort();
+    } else if (why == call_failure::not_connected || why == call_failure::refused) {
+        const bool same = m_host.agent().has_target() &&
+                          m_host.agent().target().name == m_target_name;
+        if (why == call_failure::refused && same) {
+            m_host.agent().target_refused({now, 0});
+        }
+        refuse(error_kind::target_unreachable, now, usual_retry_after);
+    } else {
+        fail(error_kind::target_lost, now);
+    }
+    m_host.start_waiting(now);
+}
+
+void target_relay::on_caller_gone() {
+    if (m_phase == phase::done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_host.metrics().note_cancelled();
+    if (m_call) {
+        // Closing the connection is what tells the target to stop working.
+        m_call->cancel();
+        m_call.reset();
+    }
+    m_body.detach();
+    leave_queue(std::nullopt);
+    m_phase = phase::done;
+    m_host.start_waiting(steady_instant());
+}
+
+void target_relay::on_time(instant now) {
+    if (m_phase == phase::done) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (m_phase == phase::waiting_for_key) {
+        if (now >= m_objective) {
+            refuse(error_kind::no_owner, now, usual_retry_after);
+            return;
+        }
+        m_phase = phase::receiving;
+        offer(now);
+        return;
+    }
+    if (m_phase == phase::queued) {
+        const auto kind = m_host.agent().refusal(m_hop.key, now);
+        if (kind) {
+            leave_queue(std::nullopt);
+            refuse(*kind, now, usual_retry_after);
+        }
+        return;
+    }
+    if (m_phase == phase::running && now >= m_deadline + deadline_slack) {
+        if (m_call) {
+            m_call->cancel();
+            m_call.reset();
+        }
+        m_body.detach();
+        leave_queue(std::nullopt);
+        if (m_sender->answer_begun()) {
+            m_phase = phase::done;
+            m_sender->abort();
+        } else {
+            fail(error_kind::deadline_after_target, now);
+        }
+        m_host.start_waiting(now);
+    }
+}
+
+void target_relay::leave_queue(std::optional<duration> took) {
+    work_queue &queue = m_host.agent().queue();
+    if (m_phase == phase::running) {
+        queue.finish(m_hop.route, took);
+    } else if (m_phase == phase::queued) {
+        queue.withdraw(m_id);
+        m_host.forget_start(m_id);
+    }
+    m_phase = phase::receiving;
+}
+
+void target_relay::refuse(error_kind kind, instant, duration retry_after) {
+    answer(kind, {.load = m_host.agent().load(), .refused = kind, .retry_after = retry_after});
+}
+
+void target_relay::fail(error_kind kind, instant) {
+    answer(kind, {.load = m_host.agent().load(), .may_have_run = true});
+}
+
+void target_relay::answer(error_kind kind, const hop_reply &hop) {
+    m_phase = phase::done;
+    std::vector<header_field> headers{{std::string(hop_header), encode(hop)}};
+    if (!m_request_id.empty()) {
+        headers.push_back({m_host.options().headers.request_id, m_request_id});
+    }
+    m_sender->respond(answer_for(kind).status, std::move(headers), {});
+}
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/target_relay.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "peppertack/protocol/hop_header.hpp"
+#include "peppertack/transport/traffic/traffic_host.hpp"
+#include "request_body.hpp"
+
+namespace peppertack {
+
+/// A request that another node forwards, at the node beside the chosen target: waits for its turn, is
+/// given to the target, and the answer streams back. Whatever is refused here has not run.
+class target_relay final : public http_request_handler,
+                           public http_response_handler,
+                           public timed_request,
+                           public std::enable_shared_from_this<target_relay> {
+public:
+    static std::shared_ptr<target_relay>
+    make(traffic_host &host, const std::shared_ptr<http_server_connection> &sender);
+    target_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &sender);
+    ~target_relay() override;
+
+    void on_request_body(std::string_view piece) override;
+    void on_request_end() override;
+    void on_caller_gone() override;
+    void on_caller_drained() override;
+    void on_response_head(http_head head) override;
+    void on_response_body(std::string_view piece) override;
+    void on_response_end() override;
+    void on_call_failed(call_failure why, const std::string &reason) override;
+    void on_call_drained() override { m_body.on_drained(); }
+    void on_time(instant now) override;
+
+private:
+    enum class phase : std::uint8_t { receiving, waiting_for_key, queued, running, done };
+
+    void begin();
+    void offer(instant now);
+    void start(instant now);
+    void refuse(error_kind kind, instant now, duration retry_after);
+    void fail(error_kind kind, instant now);
+    void answer(error_kind kind, const hop_reply &hop);
+    /// Leaves the queue or the target's slots.
+    void leave_queue(std::optional<duration> took);
+
+    traffic_host &m_host;
+    std::shared_ptr<http_server_connection> m_sender;
+    request_body m_body;
+    std::uint64_t m_id;
+    std::string m_request_id;
+    hop_request m_hop;
+    phase m_phase = phase::receiving;
+    instant m_received{};
+    instant m_deadline{};
+    instant m_objective{};
+    instant m_started{};
+    std::string m_target_name;
+    std::shared_ptr<http_call> m_call;
+    int m_status = 0;
+    bool m_not_executed = false;
+};
+
+} // namespace peppertack
--- /dev/null
+++ b/src/transport/traffic/traffic_host.cpp
@@ -0,0 +1,198 @@
+#include "peppertack/transport/traffic/traffic_host.hpp"
+
+#include "../wall_clock.hpp"
+#include "entry_relay.hpp"
+#include "peppertack/transport/json_log.hpp"
+#include "target_relay.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace peppertack {
+
+namespace {
+
+constexpr duration busy_tick = std::chrono::milliseconds(10);
+constexpr duration idle_tick = std::chrono::milliseconds(40);
+/// Requests that other nodes forward have been checked against the callers' limits already.
+constexpr http_reader::limits forwarded_limits{.header_bytes = 128U << 10U,
+                                               .body_bytes = 1U << 30U};
+constexpr duration forwarded_idle = std::chrono::seconds(60);
+/// Kept below `forwarded_idle`, so that no request meets a connection that is being closed.
+constexpr duration pool_idle = std::chrono::seconds(30);
+
+class name_probe_handler final : public http_response_handler {
+public:
+    name_probe_handler(std::string header, std::function<void(std::string)> done)
+        : m_header(std::move(header)), m_done(std::move(done)) {}
+
+    void on_response_head(http_head head) override {
+        const std::string *name = head.find(m_header);
+        m_name = name == nullptr ? std::string() : *name;
+    }
+    void on_response_body(std::string_view) override {}
+    void on_response_end() override { m_done(m_name); }
+    void on_call_failed(call_failure, const std::string &) override { m_done({}); }
+
+private:
+    std::string m_header;
+    std::string m_name;
+    std::function<void(std::string)> m_done;
+};
+
+} // namespace
+
+traffic_host::traffic_host(asio::io_context &io, traffic_options options, node_agent::sender send)
+    : m_io(io), m_options(std::move(options)),
+      m_pool(io, {.idle_timeout = pool_idle, .id_header = m_options.headers.request_id}),
+      m_selector(m_options.selector, m_options.node.seed), m_random(m_options.node.seed),
+      m_agent(m_options, std::move(send),
+              [this](const std::string &address, std::function<void(std::string)> done) {
+                  probe_name(address, std::move(done));
+              }),
+      m_callers(io, {.address = m_options.caller_address},
+                [this](const auto &connection) { return entry_relay::make(*this, connection); }),
+      m_nodes(io,
+              {.address = m_options.node_address,
+               .limits = forwarded_limits,
+               .idle_timeout = forwarded_idle},
+              [this](const auto &connection) { return target_relay::make(*this, connection); }),
+      m_timer(io) {
+    const std::string &address = m_options.node_address;
+    m_forward_port = address.substr(address.rfind(':'));
+    m_agent.set_on_change([this] { m_changed = true; });
+    m_agent.set_on_target_gone([this] { m_changed = true; });
+}
+
+traffic_host::~traffic_host() = default;
+
+bool traffic_host::start(std::string &reason) {
+    if (!m_callers.start(reason) || !m_nodes.start(reason)) {
+        return false;
+    }
+    tick();
+    return true;
+}
+
+std::string traffic_host::forward_address(const node_address &peer) const {
+    return peer.substr(0, peer.rfind(':')) + m_forward_port;
+}
+
+retry_budget &traffic_host::retries(const std::string &service) {
+    return m_retries.try_emplace(service, m_options.retries).first->second;
+}
+
+void traffic_host::receive(const node_address &from, const message &body) {
+    const moment at = read_clocks();
+    m_agent.receive(from, body, at);
+    if (m_changed) {
+        wake_all(at.now);
+    }
+}
+
+void traffic_host::wake_all(instant now) {
+    m_changed = false;
+    apply_limits();
+    m_selector.keep_only(m_agent.lease().map().targets());
+    const std::vector<timed_request *> all(m_requests.begin(), m_requests.end());
+    for (timed_request *request : all) {
+        if (m_requests.count(request) != 0) {
+            request->on_time(now);
+        }
+    }
+    start_waiting(now);
+}
+
+void traffic_host::apply_limits() {
+    const caller_limits &limits = m_agent.lease().routes().limits;
+    m_callers.set_limits({limits.header_bytes, limits.body_bytes}, limits.header_timeout,
+                         limits.idle_timeout);
+}
+
+void traffic_host::tick() {
+    m_timer.expires_after(m_requests.empty() ? idle_tick : busy_tick);
+    m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](asio::error_code error) {
+        if (error || alive.expired()) {
+            return;
+        }
+        const moment at = read_clocks();
+        m_agent.tick(at);
+        wake_all(at.now);
+        step_stop(at.now);
+        tick();
+    });
+}
+
+void traffic_host::expect_start(std::uint64_t id, std::function<void(bool)> decide) {
+    m_starts[id] = std::move(decide);
+}
+
+void traffic_host::start_waiting(instant now) {
+    while (true) {
+        std::vector<std::uint64_t> hopeless;
+        const auto next = m_agent.queue().next(now, hopeless);
+        for (const std::uint64_t id : hopeless) {
+            if (auto found = m_starts.extract(id)) {
+                found.mapped()(false);
+            }
+        }
+        if (!next) {
+            return;
+        }
+        if (auto found = m_starts.extract(*next)) {
+            found.mapped()(true);
+        }
+    }
+}
+
+void traffic_host::probe_name(const std::string &address, std::function<void(std::string)> done) {
+    http_head head;
+    head.method = "GET";
+    const auto &services = m_agent.lease().routes().services;
+    const auto service = services.find(m_options.service);
+    head.target = service == services.end() || service->second.health_path.empty()
+                      ? "/healthz"
+                      : service->second.health_path;
+    head.headers = {{"Host", address}};
+    // The handler lives until it has been told the end.
+    auto handler = std::make_shared<std::shared_ptr<name_probe_handler>>();
+    *handler = std::make_shared<name_probe_handler>(
+        m_options.headers.target_name,
+        [this, handler, done = std::move(done)](std::string name) {
+            done(std::move(name));
+            asio::post(m_io, [handler] { handler->reset(); });
+        });
+    m_pool.start(address, head, *handler, true)->request_done();
+}
+
+void traffic_host::begin_stop(std::function<void()> done) {
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stop_since = steady_instant();
+    m_stopped = std::move(done);
+    m_callers.begin_drain();
+}
+
+/// Callers learn within two probes of readiness that this node stops. Until then their requests are
+/// served as ever; later ones would only be cut off.
+void traffic_host::step_stop(instant now) {
+    if (!m_stopping || !m_stopped) {
+        return;
+    }
+    const duration passed = now - m_stop_since;
+    const bool quiet = passed > m_options.stop_acceptance && m_callers.busy() == 0 &&
+                       m_requests.empty();
+    if (quiet || passed > m_options.stop_limit) {
+        m_callers.stop_accepting();
+        m_nodes.stop_accepting();
+        const auto stopped = std::exchange(m_stopped, nullptr);
+        log_event(log_level::info, "stop_finished",
+                  {{"in_flight", m_requests.size()},
+                   {"after_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(passed).count()}});
+        stopped();
+    }
+}
+
+} // namespace peppertack
--- a/src/transport/wall_clock.hpp
+++ b/src/transport/wall_clock.hpp
@@ -3,13 +3,18 @@
 #include "peppertack/state/time.hpp"
 
 #include <chrono>
+#include <ctime>
 #include <random>
 
 namespace peppertack {
 
+/// Runs on while the instance is suspended. A clock that stands still then would let a process that
+/// wakes go on with a lease that others have long waited out.
 inline instant steady_instant() {
-    return instant(
-        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 inline moment read_clocks() {
--- a/tools/peppertackd.cpp
+++ b/tools/peppertackd.cpp
@@ -49,7 +49,8 @@
            std::holds_alternative<append_request>(body) ||
            std::holds_alternative<append_reply>(body) ||
            std::holds_alternative<snapshot_request>(body) ||
-           std::holds_alternative<renew_request>(body);
+           std::holds_alternative<renew_request>(body) ||
+           std::holds_alternative<join_request>(body);
 }
 
 /// Waits for a signal, then hands the target's keys over. A second signal ends it at once.
@@ -78,7 +79,11 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     std::string reason;
-    const std::unique_ptr<peer_hub> hub = peer_hub::make({.self = settings.peer_address,
+    const std::optional<voter_identity> identity = load_identity(settings, reason);
+    if (!identity) {
+        return fail("data_folder_failed", reason);
+    }
+    const std::unique_ptr<peer_hub> hub = peer_hub::make({.self = identity->name,
                                                           .secret = settings.cluster_secret,
                                                           .threads = settings.peer_threads},
                                                          reason);
@@ -88,7 +93,7 @@
     const auto send = [&hub](const outgoing &item) { hub->send(item); };
     std::unique_ptr<control_host> control;
     if (!settings.data_folder.empty()) {
-        control = control_host::make(settings, send, reason);
+        control = control_host::make(settings, *identity, send, reason);
         if (!control) {
             return fail("data_folder_failed", reason);
         }
