Truth of refusals, stops in order, bounded resends of the log

(2) A request that may have run at a target was refused as not-run after a second attempt found no owner.

--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -36,6 +36,9 @@
     /// Least time between two rounds that only prove leadership. What asks for proof meanwhile
     /// shares the next one.
     duration round_interval = std::chrono::milliseconds(5);
+    /// Entries sent again after a refusal count as under way for so long: a round trip over a link that
+    /// loses packets. Refusals of older heartbeats that come meanwhile would only copy them.
+    duration resend_interval = std::chrono::milliseconds(200);
     std::size_t entries_per_message = 512;
     std::size_t bytes_per_message = 4U << 20U;
     std::uint64_t seed = 1;
@@ -107,6 +110,8 @@
         instant heard{};
         instant sent{};
         bool snapshot_sent = false;
+        std::uint64_t resent_from = 0; ///< first entry that a refusal made this leader send again
+        instant resent_at{};
     };
 
     void on(const node_address &from, const vote_request &request, instant now);
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -43,9 +43,16 @@
     void tick(moment at);
     void receive(const node_address &from, const message &body, moment at);
 
+    using heartbeat_answer = std::function<void(const hold_grant &)>;
     /// Takes a heartbeat of the local target; the answer acknowledges it. From one that says
-    /// `draining` on, nothing but keys that it still holds is sent to the target.
-    hold_grant heartbeat(const target_heartbeat &beat, moment at);
+    /// `draining` on, nothing but keys that it still holds is sent to the target. The answer waits a
+    /// moment for the lease if this node has none yet: without it the keys of a target whose node was
+    /// restarted would stay unserved until the next heartbeat.
+    void heartbeat(const target_heartbeat &beat, moment at, heartbeat_answer answer);
+    /// This node is about to end. Work that others can do goes to them from now on.
+    void begin_stop(moment at);
+    /// Nothing more is given to the target; what it runs is finished.
+    void refuse_new_work() { m_refusing = true; }
     /// The target is leaving and says nothing more.
     void target_leaves(const std::string &name, moment at);
     /// The target's address takes no connections: its process has ended.
@@ -77,6 +84,8 @@
 
 private:
     void adopt(const target_heartbeat &beat, moment at);
+    void answer_heartbeat(instant now);
+    bool accept_heartbeat(const target_heartbeat &beat, moment at);
     void check_identity(const target_heartbeat &beat);
     void drop_target(const char *why, bool ended, moment at);
     void announce(moment at);
@@ -102,6 +111,11 @@
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::unordered_map<std::uint64_t, std::uint32_t> m_key_requests; ///< since the last report
     instant m_loads_at{};
+    heartbeat_answer m_unanswered; ///< of a heartbeat that waits for the lease
+    hold_report m_unanswered_report;
+    instant m_answer_by{};
+    bool m_stopping = false;
+    bool m_refusing = false;
 };
 
 } // namespace peppertack
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -465,8 +465,16 @@
     state.round = std::max(state.round, reply.round);
     advance_round();
     if (!reply.accepted) {
-        state.next = std::clamp<std::uint64_t>(reply.match_index + 1, state.match + 1,
-                                               m_log->last_index() + 1);
+        const auto wanted = std::clamp<std::uint64_t>(reply.match_index + 1, state.match + 1,
+                                                      m_log->last_index() + 1);
+        const bool under_way = wanted >= state.resent_from && state.resent_from != 0 &&
+                               state.resent_at + m_options.resend_interval > now;
+        if (under_way) {
+            return;
+        }
+        state.next = wanted;
+        state.resent_from = wanted;
+        state.resent_at = now;
         send_append(from, now);
         return;
     }
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -136,14 +136,14 @@
             return;
         }
         routes_answer refusal{.version = state.routes().version};
-        const std::optional<routing_sheet> next = change.edit(state.routes(), refusal.problem);
-        if (!next) {
-            refusal.error = error_kind::bad_table;
+        if (change.base_version != state.routes().version) {
+            refusal.error = error_kind::version_conflict;
             done(refusal);
             return;
         }
-        if (change.base_version != state.routes().version) {
-            refusal.error = error_kind::version_conflict;
+        const std::optional<routing_sheet> next = change.edit(state.routes(), refusal.problem);
+        if (!next) {
+            refusal.error = error_kind::bad_table;
             done(refusal);
             return;
         }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -341,6 +341,11 @@
 
 void entry_relay::pass_on() {
     const instant now = steady_instant();
+    const bool promise = m_answer.find(m_host.options().headers.not_executed) != nullptr;
+    if (promise && m_may_have_run && !m_passing_on) {
+        refuse(error_kind::target_lost, outcome::unknown, {}); // true of this target only
+        return;
+    }
     log_end(m_answer.status, error_kind::none, now);
     m_host.metrics().note_answer(m_route.name, m_answer.status, error_kind::none, now - m_received);
     if (m_passing_on) {
@@ -392,6 +397,7 @@
 
 void entry_relay::after_unknown(error_kind kind, instant now) {
     ++m_arrivals;
+    m_may_have_run = true;
     m_tried.insert(m_target);
     const bool again = m_route.repeat == repeat_rule::idempotent && m_body.replayable() &&
                        m_arrivals < m_route.most_attempts &&
@@ -406,6 +412,11 @@
 
 void entry_relay::refuse(error_kind kind, outcome result, duration retry_after) {
     const instant now = steady_instant();
+    // That the last attempt did not run says nothing of an earlier one whose end is not known.
+    if (m_may_have_run && result == outcome::not_run) {
+        result = outcome::unknown;
+        kind = error_kind::target_lost;
+    }
     const error_answer &answer = answer_for(kind);
     const bool promise = result == outcome::not_run;
     // What has not run is told by a status that promises it, so that the caller may send it again.
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -66,6 +66,7 @@
     instant m_retry_at{};
     std::set<target_number> m_tried;
     std::uint32_t m_arrivals = 0; ///< targets at which the request may have arrived
+    bool m_may_have_run = false;  ///< an earlier attempt had no certain end
     // ---- the present attempt ----
     std::shared_ptr<http_call> m_call;
     target_number m_target = no_target;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -15,6 +15,8 @@
 /// A target that leaves is given nothing later than this after it was told so: well below the two
 /// seconds that the protocol allows, since a request may be on its way between two nodes.
 constexpr duration leaving_work = std::chrono::milliseconds(1200);
+/// Longest wait of a heartbeat's answer for the lease: targets give up on an answer after a second.
+constexpr duration lease_wait = std::chrono::milliseconds(300);
 constexpr std::size_t most_hot_keys = 8;
 constexpr std::size_t most_ended_names = 64;
 
@@ -50,9 +52,15 @@
     for (const outgoing &item : messages) {
         m_send(item);
     }
+    if (m_unanswered && (m_lease.lease_valid(at.now) || at.now >= m_answer_by)) {
+        answer_heartbeat(at.now);
+    }
 }
 
 void node_agent::announce(moment at) {
+    if (m_stopping && !keyed()) {
+        return;
+    }
     m_lease.announce({.name = m_target->name,
                       .service = m_target->service,
                       .slots = m_target->slots,
@@ -65,6 +73,9 @@
 void node_agent::receive(const node_address &from, const message &body, moment at) {
     if (const auto *reply = std::get_if<renew_reply>(&body)) {
         follow(m_lease.receive(from, *reply, at));
+        if (m_lease.lease_valid(at.now)) {
+            answer_heartbeat(at.now);
+        }
     } else if (const auto *update = std::get_if<map_update>(&body)) {
         follow(m_lease.receive(*update));
     }
@@ -104,19 +115,58 @@
 
 // ---- the target ----
 
-hold_grant node_agent::heartbeat(const target_heartbeat &beat, moment at) {
+void node_agent::heartbeat(const target_heartbeat &beat, moment at, heartbeat_answer answer) {
+    if (!accept_heartbeat(beat, at) || !keyed()) {
+        answer({});
+        return;
+    }
+    if (m_unanswered) {
+        std::exchange(m_unanswered, nullptr)({});
+    }
+    m_unanswered = std::move(answer);
+    m_unanswered_report = beat.report;
+    m_answer_by = at.now + lease_wait;
+    if (m_lease.lease_valid(at.now)) {
+        answer_heartbeat(at.now);
+    }
+}
+
+void node_agent::answer_heartbeat(instant now) {
+    if (!m_unanswered) {
+        return;
+    }
+    const hold_grant grant = m_holds.take(m_unanswered_report, m_lease, now);
+    if (m_holds.has_news()) {
+        m_holds.news_sent();
+        m_lease.hurry();
+    }
+    std::exchange(m_unanswered, nullptr)(grant);
+    if (m_on_change) {
+        m_on_change();
+    }
+}
+
+void node_agent::begin_stop(moment at) {
+    m_stopping = true;
+    if (m_target && !keyed()) {
+        m_lease.give_up(at);
+    }
+}
+
+/// False if the heartbeat says nothing about the target as it is now.
+bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
     if (std::find(m_ended.begin(), m_ended.end(), beat.name) != m_ended.end()) {
-        return {}; // sent by a target that has ended since, and held up on its way
+        return false; // sent by a target that has ended since, and held up on its way
     }
     if (m_target && m_target->name != beat.name) {
         check_identity(beat);
-        return {};
+        return false;
     }
     if (m_target && beat.sequence < m_target->sequence) {
-        return {}; // overtaken by a later one
+        return false; // overtaken by a later one
     }
     if (m_left) {
-        return {};
+        return false;
     }
     const bool was_draining = m_target && m_target->draining;
     if (!m_target) {
@@ -130,18 +180,7 @@
     }
     m_queue.set_limit(std::max<std::uint32_t>(beat.slots, 1));
     announce(at);
-    if (!keyed()) {
-        return {};
-    }
-    const hold_grant grant = m_holds.take(beat.report, m_lease, at.now);
-    if (m_holds.has_news()) {
-        m_holds.news_sent();
-        m_lease.hurry();
-    }
-    if (m_on_change) {
-        m_on_change();
-    }
-    return grant;
+    return true;
 }
 
 void node_agent::adopt(const target_heartbeat &beat, moment) {
@@ -215,6 +254,9 @@
     if (!m_target) {
         return error_kind::target_unreachable;
     }
+    if (m_refusing) {
+        return error_kind::draining;
+    }
     const bool leaving = m_draining_since != instant{};
     if (!keyed()) {
         return leaving ? std::optional(error_kind::draining) : std::nullopt;
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -172,6 +172,7 @@
     m_stop_since = steady_instant();
     m_stopped = std::move(done);
     m_callers.begin_drain();
+    m_agent.begin_stop(read_clocks());
 }
 
 /// Callers learn within two probes of readiness that this node stops. Until then their requests are
@@ -181,8 +182,12 @@
         return;
     }
     const duration passed = now - m_stop_since;
-    const bool quiet = passed > m_options.stop_acceptance && m_callers.busy() == 0 &&
-                       m_requests.empty();
+    const bool callers_gone = passed > m_options.stop_acceptance && m_callers.busy() == 0;
+    if (callers_gone || passed > m_options.stop_acceptance * 2) {
+        // Other nodes go on sending what only this target can do, and would never let it become quiet.
+        m_agent.refuse_new_work();
+    }
+    const bool quiet = callers_gone && m_requests.empty();
     if (quiet || passed > m_options.stop_limit) {
         m_callers.stop_accepting();
         m_nodes.stop_accepting();
