Heartbeat answers wait up to 550 ms for keys on their way; buffers give large bodies' memory back

Cause: keys that move to another target wait for its next heartbeat, 0.43 s on average at intervals of 0.87 s; buffers of idle connections kept the size of the largest body that had passed.

Change: while the map shows keys on their way to a target, its heartbeat's answer waits; a hold is measured from the heartbeat's receipt, so waiting does not shorten it; releases count at once. Buffers above 4 KiB are given back.

--- a/include/peppertack/coordination/hold_keeper.hpp
+++ b/include/peppertack/coordination/hold_keeper.hpp
@@ -68,8 +68,13 @@
 
     explicit hold_keeper(options settings) : m_options(settings) {}
 
-    /// Takes a heartbeat and yields the answer to it.
-    hold_grant take(const hold_report &report, const lease_client &lease, instant now);
+    /// Takes what a heartbeat says of released keys.
+    void note(const hold_report &report, const lease_client &lease);
+    /// The answer to a heartbeat that came at `received`. The target counts its hold from when it
+    /// sent the heartbeat, so the hold is measured from no later than its receipt.
+    hold_grant grant(const lease_client &lease, instant received, instant now);
+    /// Whether keys are on their way to the target: an answer a little later could bring them.
+    bool expects_keys(const lease_client &lease) const;
     /// Another target, or none: nothing is held.
     void reset();
     /// What a request for the key at `hash` would meet now.
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -86,6 +86,7 @@
 
 private:
     void adopt(const target_heartbeat &beat, moment at);
+    void answer_heartbeat_if_due(instant now);
     void answer_heartbeat(instant now);
     bool accept_heartbeat(const target_heartbeat &beat, moment at);
     void check_identity(const target_heartbeat &beat);
@@ -116,8 +117,7 @@
     instant m_loads_at{};
     std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
     heartbeat_answer m_unanswered;         ///< of a heartbeat that waits for the lease
-    hold_report m_unanswered_report;
-    instant m_answer_by{};
+    instant m_heartbeat_at{};              ///< when that one came
     bool m_stopping = false;
     bool m_refusing = false;
 };
--- a/src/coordination/hold_keeper.cpp
+++ b/src/coordination/hold_keeper.cpp
@@ -34,17 +34,19 @@
     return place == report.freed.end() ? std::string() : place->handover;
 }
 
-hold_grant hold_keeper::take(const hold_report &report, const lease_client &lease, instant now) {
-    hold_grant grant;
-    const std::vector<lease_client::own_range> own = lease.own_ranges();
+bool hold_keeper::expects_keys(const lease_client &lease) const {
+    const auto &announced = lease.announcement();
+    const route_map::service_map *ranges =
+        announced ? lease.map().find_service(announced->service) : nullptr;
+    return ranges != nullptr && lease.number() != no_target &&
+           std::any_of(ranges->ranges.begin(), ranges->ranges.end(),
+                       [&](const range_record &range) { return range.next == lease.number(); });
+}
+
+void hold_keeper::note(const hold_report &report, const lease_client &lease) {
     std::map<std::uint64_t, release> released;
-    for (const lease_client::own_range &range : own) {
-        if (range.record.next == no_target) {
-            grant.holds.push_back(
-                {first_key(range), last_key(range), range.record.token, range.record.handover});
-            continue;
-        }
-        if (still_held(report, range)) {
+    for (const lease_client::own_range &range : lease.own_ranges()) {
+        if (range.record.next == no_target || still_held(report, range)) {
             continue;
         }
         const auto known = m_released.find(range.record.first);
@@ -56,21 +58,29 @@
         m_news = m_news || !again;
     }
     m_released = std::move(released);
+}
+
+hold_grant hold_keeper::grant(const lease_client &lease, instant received, instant now) {
+    m_given.clear();
     if (!lease.lease_valid(now)) {
-        m_given.clear();
         return {};
     }
-    const auto left = static_cast<double>((lease.lease_until() - now).count());
+    const auto left = static_cast<double>((lease.lease_until() - received).count());
     const duration length(static_cast<duration::rep>(left / (1 + m_options.clock_drift)));
-    grant.length = std::min(length - m_options.margin, m_options.most_hold);
-    if (grant.length <= duration{}) {
-        m_given.clear();
+    hold_grant result{.length = std::min(length - m_options.margin, m_options.most_hold)};
+    if (received + result.length <= now) {
         return {};
     }
-    grant.renews = true;
-    m_given = grant.holds;
-    m_until = now + grant.length;
-    return grant;
+    for (const lease_client::own_range &range : lease.own_ranges()) {
+        if (range.record.next == no_target) {
+            result.holds.push_back(
+                {first_key(range), last_key(range), range.record.token, range.record.handover});
+        }
+    }
+    result.renews = true;
+    m_given = result.holds;
+    m_until = received + result.length;
+    return result;
 }
 
 void hold_keeper::reset() {
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t read_size = 64U << 10U;
+/// Room for usual heads and small bodies.
+constexpr std::size_t kept_capacity = 4U << 10U;
 /// Several round trips and one retransmission within an instance group; far below the deadlines.
 constexpr unsigned int unacknowledged_limit_ms = 800;
 /// Idle connections are probed so that one that was lost is not first noticed by a request.
@@ -25,6 +27,15 @@
     return buffer;
 }
 
+/// A buffer that once held a large body would keep its memory for as long as the connection lives.
+void release_if_large(std::string &buffer) {
+    if (buffer.capacity() > kept_capacity) {
+        std::string().swap(buffer);
+    } else {
+        buffer.clear();
+    }
+}
+
 } // namespace
 
 void set_connection_options(asio::ip::tcp::socket &socket) {
@@ -134,8 +145,8 @@
             return;
         }
     }
-    m_out.clear();
     m_sent = 0;
+    release_if_large(m_out);
 }
 
 void byte_stream::wait_writable() {
--- a/src/transport/http/http_reader.cpp
+++ b/src/transport/http/http_reader.cpp
@@ -11,6 +11,8 @@
 using beast::http::verb;
 
 constexpr std::string_view blank_line = "\r\n\r\n";
+/// Room for usual heads, kept between messages.
+constexpr std::size_t kept_capacity = 4U << 10U;
 constexpr int bad_request = 400;
 constexpr int header_too_large = 431;
 constexpr int body_too_large = 413;
@@ -184,6 +186,9 @@
         boost::system::error_code error;
         const std::size_t used = parser.put(boost::asio::buffer(m_kept), error);
         m_kept.erase(0, used);
+        if (m_kept.empty() && m_kept.capacity() > kept_capacity) {
+            std::string().swap(m_kept); // a large body has passed through
+        }
         if (error == beast::http::error::need_more) {
             return state::more;
         }
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -17,6 +17,9 @@
 constexpr duration leaving_work = std::chrono::milliseconds(1200);
 /// Longest wait of a heartbeat's answer for the lease: targets give up on an answer after a second.
 constexpr duration lease_wait = std::chrono::milliseconds(300);
+/// Longest wait for keys that another target is letting go of. Its sum with a heartbeat interval
+/// stays below what a target holds, so that a hold never ends for it.
+constexpr duration keys_wait = std::chrono::milliseconds(550);
 constexpr std::size_t most_hot_keys = 8;
 constexpr std::size_t most_ended_names = 64;
 /// Requests within an interval from which its target's capacity can be told.
@@ -55,9 +58,7 @@
     for (const outgoing &item : messages) {
         m_send(item);
     }
-    if (m_unanswered && (m_lease.lease_valid(at.now) || at.now >= m_answer_by)) {
-        answer_heartbeat(at.now);
-    }
+    answer_heartbeat_if_due(at.now);
 }
 
 void node_agent::announce(moment at) {
@@ -76,11 +77,10 @@
 void node_agent::receive(const node_address &from, const message &body, moment at) {
     if (const auto *reply = std::get_if<renew_reply>(&body)) {
         follow(m_lease.receive(from, *reply, at));
-        if (m_lease.lease_valid(at.now)) {
-            answer_heartbeat(at.now);
-        }
+        answer_heartbeat_if_due(at.now);
     } else if (const auto *update = std::get_if<map_update>(&body)) {
         follow(m_lease.receive(*update));
+        answer_heartbeat_if_due(at.now);
     }
 }
 
@@ -127,23 +127,33 @@
         std::exchange(m_unanswered, nullptr)({});
     }
     m_unanswered = std::move(answer);
-    m_unanswered_report = beat.report;
-    m_answer_by = at.now + lease_wait;
-    if (m_lease.lease_valid(at.now)) {
-        answer_heartbeat(at.now);
+    m_holds.note(beat.report, m_lease);
+    if (m_holds.has_news()) {
+        m_holds.news_sent();
+        m_lease.hurry();
     }
+    m_heartbeat_at = at.now;
+    answer_heartbeat_if_due(at.now);
 }
 
-void node_agent::answer_heartbeat(instant now) {
+/// Without a lease nothing can be held, and keys that are on their way here would wait for the next
+/// heartbeat: for both the answer waits a little. The report counts at once, whenever the answer
+/// goes.
+void node_agent::answer_heartbeat_if_due(instant now) {
     if (!m_unanswered) {
         return;
     }
-    const hold_grant grant = m_holds.take(m_unanswered_report, m_lease, now);
-    if (m_holds.has_news()) {
-        m_holds.news_sent();
-        m_lease.hurry();
+    const bool valid = m_lease.lease_valid(now);
+    const bool waits = valid ? m_holds.expects_keys(m_lease) : true;
+    const duration limit = valid ? keys_wait : lease_wait;
+    if (waits && now < m_heartbeat_at + limit) {
+        return;
     }
-    std::exchange(m_unanswered, nullptr)(grant);
+    answer_heartbeat(now);
+}
+
+void node_agent::answer_heartbeat(instant now) {
+    std::exchange(m_unanswered, nullptr)(m_holds.grant(m_lease, m_heartbeat_at, now));
     if (m_on_change) {
         m_on_change();
     }
--- a/tests/coordination/hold_keeper_test.cpp
+++ b/tests/coordination/hold_keeper_test.cpp
@@ -63,7 +63,7 @@
     REQUIRE(node.lease.lease_valid(start + 20ms));
     hold_keeper holds({});
     CHECK(holds.state_of(key_50, node.lease, start + 20ms) == hold_keeper::key_state::expected);
-    const hold_grant grant = holds.take({}, node.lease, start + 20ms);
+    const hold_grant grant = holds.grant(node.lease, start + 20ms, start + 20ms);
     REQUIRE(grant.renews);
     CHECK(grant.holds == std::vector<held_span>{{0, 99, 5, "from-before"}, {100, 65535, 6, ""}});
     // A clock that runs two parts in a hundred slow holds on longer.
@@ -72,32 +72,32 @@
     CHECK(start + 20ms + longest <= node.lease.lease_until());
     CHECK(holds.state_of(key_50, node.lease, start + 20ms) == hold_keeper::key_state::held);
     CHECK(holds.state_of(key_50, node.lease, start + 3s) != hold_keeper::key_state::held);
-    CHECK_FALSE(holds.take({}, node.lease, start + 3s).renews);
+    CHECK_FALSE(holds.grant(node.lease, start + 3s, start + 3s).renews);
 }
 
 TEST_CASE("a range that moves is left out, and reported once the target has let go of it") {
     lease_fixture node(9);
     hold_keeper holds({});
-    const hold_grant grant = holds.take({}, node.lease, start + 20ms);
+    const hold_grant grant = holds.grant(node.lease, start + 20ms, start + 20ms);
     CHECK(grant.holds.size() == 1);
     CHECK(holds.state_of(key_500, node.lease, start + 20ms) == hold_keeper::key_state::moving);
 
     hold_report still{.holds = {{0, 99, 5, ""}, {100, 65535, 6, ""}}};
     holds.reset();
-    holds.take(still, node.lease, start + 30ms);
+    holds.note(still, node.lease);
     renew_request request;
     holds.fill_report(request, node.lease);
     CHECK(request.released.empty());
     CHECK_FALSE(holds.has_news());
 
     hold_report let_go{.holds = {{0, 99, 5, ""}}, .freed = {{100, 65535, "what-it-knew"}}};
-    holds.take(let_go, node.lease, start + 40ms);
+    holds.note(let_go, node.lease);
     CHECK(holds.has_news());
     holds.fill_report(request, node.lease);
     REQUIRE(request.released.size() == 1);
     CHECK(request.released[0] == range_report{"s", ordered_key_hash(100), 6, 9, "what-it-knew"});
     // The list of what it freed is not sent again once it was acknowledged.
-    holds.take({.holds = {{0, 99, 5, ""}}}, node.lease, start + 50ms);
+    holds.note({.holds = {{0, 99, 5, ""}}}, node.lease);
     request.released.clear();
     holds.fill_report(request, node.lease);
     REQUIRE(request.released.size() == 1);
@@ -107,9 +107,18 @@
 TEST_CASE("nothing is held under a lease that has ended, or by another target") {
     lease_fixture node;
     hold_keeper holds({});
-    holds.take({}, node.lease, start + 20ms);
+    holds.grant(node.lease, start + 20ms, start + 20ms);
     holds.reset();
     CHECK(holds.state_of(key_50, node.lease, start + 20ms) == hold_keeper::key_state::expected);
     node.lease.give_up({start + 30ms, 0});
     CHECK(holds.state_of(key_50, node.lease, start + 40ms) != hold_keeper::key_state::held);
 }
+
+TEST_CASE("an answer that waits does not shorten or lengthen what it grants") {
+    lease_fixture node;
+    hold_keeper holds({});
+    const hold_grant at_once = holds.grant(node.lease, start + 20ms, start + 20ms);
+    const hold_grant waited = holds.grant(node.lease, start + 20ms, start + 420ms);
+    CHECK(waited.length == at_once.length);
+    CHECK_FALSE(holds.grant(node.lease, start - 9s, start + 3s).renews);
+}
