Ranges are cut where their load halves; loads are told twice a second

Change: nodes tell where the load of each range halves, cuts are made there, each part is taken to have half of the load until it is measured; loads and balance twice a second, six moves at a time.

--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -25,6 +25,9 @@
     const std::vector<range_record> *ranges = nullptr;
     std::vector<placement_target> targets;
     std::unordered_map<std::uint64_t, double> loads;
+    /// Where the load of a range halves, by its first hash; ranges that are missing are cut in the
+    /// middle of their width.
+    std::unordered_map<std::uint64_t, std::uint64_t> middles;
     std::vector<std::uint64_t> hot_keys; ///< hashes that carry much of a range's load
     /// Ranges are cut only at multiples of this: the distance between two keys that are ordered
     /// numbers; 1 where keys are hashed.
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -95,6 +96,7 @@
     void follow(const lease_client::change &changed);
     void fill_report(renew_request &request, instant now);
     std::uint32_t measured_capacity();
+    range_load load_of(const lease_client::own_range &range, double seconds) const;
     bool keyed() const;
 
     const traffic_options &m_options;
@@ -113,7 +115,7 @@
     std::deque<std::string> m_ended; ///< names of targets that are known to be gone
     std::string m_probing;           ///< name that is being checked
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
-    std::unordered_map<std::uint64_t, std::uint32_t> m_key_requests; ///< since the last report
+    std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
     instant m_loads_at{};
     std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
     heartbeat_answer m_unanswered;         ///< of a heartbeat that waits for the lease
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -518,7 +518,7 @@
     service_load &load = m_loads[record.service];
     for (const range_load &item : request.loads) {
         measured_rate &measured = load.ranges[item.first];
-        measured = {measured.rate * 0.5 + item.requests * 0.5, at.now};
+        measured = {measured.rate * 0.5 + item.requests * 0.5, at.now, item.middle};
     }
     for (const hot_key &item : request.hot_keys) {
         load.hot[item.hash] = {static_cast<double>(item.requests), at.now};
@@ -776,6 +776,7 @@
         double total = 0;
         for (const auto &[first, measured] : load->second.ranges) {
             view.loads[first] = measured.rate;
+            view.middles[first] = measured.middle;
             total += measured.rate;
         }
         for (const auto &[hash, measured] : load->second.hot) {
@@ -817,6 +818,23 @@
     }
 }
 
+/// A range was cut where its load halves. Until its parts are measured, each is taken to have half:
+/// without that the upper one would look idle, and the lower one as heavy as before.
+void control_core::share_load(const std::string &service, std::uint64_t first, std::uint64_t cut) {
+    const auto load = m_loads.find(service);
+    if (load == m_loads.end()) {
+        return;
+    }
+    const auto found = load->second.ranges.find(first);
+    if (found == load->second.ranges.end()) {
+        return;
+    }
+    found->second.rate /= 2;
+    found->second.middle = 0;
+    const measured_rate half = found->second;
+    load->second.ranges[cut] = half;
+}
+
 void control_core::place_service(const std::string &service, moment at, bool balance_due) {
     const std::vector<range_record> &ranges = m_state.ranges().at(service);
     const bool orphans = std::any_of(ranges.begin(), ranges.end(), [](const range_record &range) {
@@ -845,6 +863,7 @@
     }
     for (const std::uint64_t cut : decision.splits) {
         propose(at, placement_actor, "range too heavy or too wide", split_range{service, cut});
+        share_load(service, m_state.find_range(service, cut)->first, cut);
     }
     for (const std::uint64_t first : decision.merges) {
         propose(at, placement_actor, "neighbours are cold", merge_range{service, first});
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -274,7 +274,11 @@
 /// holds a single key.
 std::optional<std::uint64_t> middle_of(const placement_view &view, std::size_t i) {
     const std::uint64_t first = (*view.ranges)[i].first;
-    const std::uint64_t middle = first + (last_hash(*view.ranges, i) - first) / 2 + 1;
+    const std::uint64_t last = last_hash(*view.ranges, i);
+    const auto measured = view.middles.find(first);
+    const bool known =
+        measured != view.middles.end() && measured->second > first && measured->second <= last;
+    const std::uint64_t middle = known ? measured->second : first + (last - first) / 2 + 1;
     const std::uint64_t cut = middle - middle % view.key_distance;
     return cut > first ? std::optional(cut) : std::nullopt;
 }
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -208,6 +208,7 @@
 void write(const range_load &value, wire::RangeLoad::Builder out) {
     out.setFirst(value.first);
     out.setRequests(value.requests);
+    out.setMiddle(value.middle);
 }
 
 void write(const hot_key &value, wire::RangeLoad::Builder out) {
@@ -457,7 +458,7 @@
     value.standby_epoch = in.getStandbyEpoch();
     value.capacity = in.getCapacity();
     value.loads = read_list<range_load>(in.getLoads(), [](auto item) {
-        return range_load{item.getFirst(), item.getRequests()};
+        return range_load{item.getFirst(), item.getRequests(), item.getMiddle()};
     });
     value.hot_keys = read_list<hot_key>(in.getHotKeys(), [](auto item) {
         return hot_key{item.getFirst(), item.getRequests()};
--- a/src/transport/daemon_settings.cpp
+++ b/src/transport/daemon_settings.cpp
@@ -263,6 +263,8 @@
     } else {
         options.roster.wanted = 2 * static_cast<std::size_t>(settings.losses) + 1;
         options.roster.contacts = settings.voters;
+        options.balance_interval = std::chrono::milliseconds(500);
+        options.placement.moves_at_a_time = 6;
     }
     options.replication.election_timeout = settings.election_timeout;
     options.replication.heartbeat_interval = settings.heartbeat;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -20,6 +20,8 @@
 /// Longest wait for keys that another target is letting go of. Its sum with a heartbeat interval
 /// stays below what a target holds, so that a hold never ends for it.
 constexpr duration keys_wait = std::chrono::milliseconds(550);
+/// Counts over a longer time than this are no present load.
+constexpr double longest_load_interval = 5;
 constexpr std::size_t most_hot_keys = 8;
 constexpr std::size_t most_ended_names = 64;
 /// Requests within an interval from which its target's capacity can be told.
@@ -312,6 +314,27 @@
     return static_cast<std::uint32_t>(m_queue.limit() / std::max(seconds, 0.0001));
 }
 
+/// Load of one range from the counts of its keys, as requests a second.
+range_load node_agent::load_of(const lease_client::own_range &range, double seconds) const {
+    const auto begin = m_key_requests.lower_bound(ordered_key_at(range.record.first));
+    const auto end = m_key_requests.upper_bound(ordered_key_at(range.last));
+    std::uint64_t total = 0;
+    for (auto place = begin; place != end; ++place) {
+        total += place->second;
+    }
+    range_load load{.first = range.record.first};
+    load.requests = static_cast<std::uint32_t>(static_cast<double>(total) / seconds);
+    std::uint64_t below = 0;
+    for (auto place = begin; place != end && load.middle == 0; ++place) {
+        // The first key that has half of the load before it, or ends there with more than half.
+        if (below * 2 >= total && below > 0) {
+            load.middle = ordered_key_hash(place->first);
+        }
+        below += place->second;
+    }
+    return load;
+}
+
 /// Loads go out once an interval; releases with each renewal until the map shows that they are
 /// known.
 void node_agent::fill_report(renew_request &request, instant now) {
@@ -319,15 +342,15 @@
     if (m_loads_at + m_options.node.load_interval > now || m_lease.number() == no_target) {
         return;
     }
-    m_loads_at = now;
+    const double seconds =
+        std::chrono::duration<double>(now - std::exchange(m_loads_at, now)).count();
     request.capacity = measured_capacity();
+    if (seconds > longest_load_interval) {
+        m_key_requests.clear(); // counted before the target was registered
+        return;
+    }
     for (const lease_client::own_range &range : m_lease.own_ranges()) {
-        std::uint32_t requests = 0;
-        for (const auto &[key, count] : m_key_requests) {
-            const std::uint64_t hash = ordered_key_hash(key);
-            requests += range.record.first <= hash && hash <= range.last ? count : 0;
-        }
-        request.loads.push_back({range.record.first, requests});
+        request.loads.push_back(load_of(range, seconds));
     }
     std::vector<std::pair<std::uint32_t, std::uint32_t>> busiest; // requests, key
     for (const auto &[key, count] : m_key_requests) {
@@ -336,7 +359,8 @@
     std::sort(busiest.rbegin(), busiest.rend());
     busiest.resize(std::min(busiest.size(), most_hot_keys));
     for (const auto &[count, key] : busiest) {
-        request.hot_keys.push_back({ordered_key_hash(key), count});
+        const auto rate = static_cast<std::uint32_t>(static_cast<double>(count) / seconds);
+        request.hot_keys.push_back({ordered_key_hash(key), rate});
     }
     m_key_requests.clear();
 }
