--- a/include/peppertack/transport/control_host.hpp
+++ b/include/peppertack/transport/control_host.hpp
@@ -58,6 +58,9 @@
     void change_routes(routes_change change, std::function<void(routes_answer)> done);
     /// The sheet in force, read with proof that this voter leads. The answer comes as above.
     void read_routes(std::function<void(routes_answer)> done);
+    /// Counters and states in the Prometheus exposition format. The text comes on the control
+    /// thread.
+    void read_metrics(std::function<void(std::string)> done);
     /// This process is about to end.
     void announce_leaving();
     /// False if this voter does not lead, or a change is under way.
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -4,9 +4,11 @@
 #include "peppertack/transport/json_log.hpp"
 #include "wall_clock.hpp"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <thread>
 
 namespace peppertack {
@@ -305,6 +307,42 @@
     m_impl->read_routes(std::move(done));
 }
 
+namespace {
+
+std::string metrics_text(const control_core &core) {
+    const replica &log = core.replication();
+    std::ostringstream out;
+    out << "peppertack_voter_leads " << (core.established() ? 1 : 0) << "\n"
+        << "peppertack_voter_failed " << (log.current_role() == replica::role::failed ? 1 : 0)
+        << "\n"
+        << "peppertack_voter_term " << log.term() << "\n"
+        << "peppertack_voters " << log.members().voters.size() << "\n"
+        << "peppertack_commit_index " << log.commit_index() << "\n"
+        << "peppertack_state_version " << core.state().version() << "\n"
+        << "peppertack_routes_version " << core.state().routes().version << "\n"
+        << "peppertack_nodes_known " << core.nodes().size() << "\n"
+        << "peppertack_log_lines_dropped_total " << dropped_log_lines() << "\n";
+    for (const auto &[service, ranges] : core.state().ranges()) {
+        const auto count = [&ranges = ranges](auto holds) {
+            return std::count_if(ranges.begin(), ranges.end(), holds);
+        };
+        const std::string label = "{service=\"" + service + "\"} ";
+        out << "peppertack_ranges" << label << ranges.size() << "\n"
+            << "peppertack_ranges_without_owner" << label
+            << count([](const range_record &range) { return range.owner == no_target; }) << "\n"
+            << "peppertack_ranges_moving" << label
+            << count([](const range_record &range) { return range.next != no_target; }) << "\n"
+            << "peppertack_owner_changes_total" << label << core.owner_changes(service) << "\n";
+    }
+    return out.str();
+}
+
+} // namespace
+
+void control_host::read_metrics(std::function<void(std::string)> done) {
+    m_impl->post([done = std::move(done)](control_core &core) { done(metrics_text(core)); });
+}
+
 void control_host::announce_leaving() {
     m_impl->announce_leaving();
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -30,14 +30,18 @@
         }
         mend();
         const bool again = m_cluster.serves();
-        std::cout << (again ? "" : "does not serve again\n");
+        std::cout << (again ? "" : "does not serve again: " + m_cluster.last_answers() + "\n");
         m_cluster.run_for(2s);
         m_cluster.check_requests();
         check_configuration();
         for (const std::string &what : m_cluster.violations()) {
             std::cout << what << "\n";
         }
-        return again && m_sound && m_cluster.violations().empty();
+        const bool good = again && m_sound && m_cluster.violations().empty();
+        if (!good) {
+            std::cout << "logs are in " << m_cluster.keep_folder() << "\n";
+        }
+        return good;
     }
 
 private:
@@ -58,7 +62,9 @@
         mend();
         const std::size_t node = draw(m_cluster.nodes());
         const std::size_t voter = draw(3);
-        switch (draw(8)) {
+        const std::uint64_t kind = draw(8);
+        std::cout << "strike " << kind << " node " << node << " voter " << voter << "\n";
+        switch (kind) {
         case 0:
             m_cluster.end_node(node);
             m_down_node = node;
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -229,8 +229,10 @@
             end(process);
         }
     }
-    std::error_code ignored;
-    std::filesystem::remove_all(m_folder, ignored);
+    if (!m_keep) {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
 }
 
 // Each deployment has addresses of its own, so that several can run on one machine.
@@ -320,11 +322,13 @@
 
 bool platform_cluster::run_until(const std::function<bool()> &condition, duration patience) {
     const instant limit = steady_instant() + patience;
-    while (!condition() && steady_instant() < limit) {
+    bool holds = condition(); // evaluated once a round: it may send requests
+    while (!holds && steady_instant() < limit) {
         m_io.restart();
         m_io.run_one_for(std::chrono::milliseconds(10));
+        holds = condition();
     }
-    return condition();
+    return holds;
 }
 
 void platform_cluster::run_for(duration time) {
@@ -422,6 +426,9 @@
                                       static_cast<std::uint32_t>(random() % 65536));
             run_until([&] { return attempt->status != 0; }, std::chrono::seconds(3));
             good = good && attempt->status == 200;
+            m_last_answers = m_last_answers.substr(m_last_answers.size() > 400 ? 100 : 0) +
+                             attempt->id + (keyed ? " keyed " : " plain ") +
+                             std::to_string(attempt->status) + "; ";
         }
         return good;
     });
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -117,6 +117,13 @@
 
     stand_in_platform_target &target(std::size_t place) { return *m_targets[place]; }
     std::size_t nodes() const { return m_options.services.size(); }
+    /// Logs and disks stay when this goes; yields where.
+    const std::string &keep_folder() {
+        m_keep = true;
+        return m_folder;
+    }
+    /// Last answers that `serves` got, for people.
+    const std::string &last_answers() const { return m_last_answers; }
     const std::vector<std::string> &violations() const { return m_violations; }
     /// Checks what became of all requests sent so far.
     void check_requests();
@@ -148,6 +155,8 @@
     std::map<std::string, int> m_runs;
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
         m_tokens; ///< by key: highest, who
+    std::string m_last_answers;
+    bool m_keep = false;
     std::uint64_t m_next_id = 0;
     std::uint64_t m_lives = 0;
     std::vector<std::string> m_violations;
