Large bodies wait to be asked for by the node that takes them in

Cause: at 82 instances with links of 8 Mbit/s, nine targets take 116 uploads a second of 60 KB, 0.78 of their links, and every upload was sent at once, refused ones too.

Change: a body above 16 KB crosses to another node by Expect: 100-continue. The selector adds that wait for large bodies, and always looks at the target beside the node, which needs no link.

--- a/include/peppertack/coordination/target_selector.hpp
+++ b/include/peppertack/coordination/target_selector.hpp
@@ -19,15 +19,16 @@
     std::uint32_t waiting = 0;
     std::uint32_t limit = 0; ///< requests that the target runs at a time; 0: not known
     duration service_time{}; ///< usual time of a request
+    duration body_wait{};    ///< until the node could take in a large body that is offered now
 
     friend bool operator==(const target_load &, const target_load &) = default;
 };
 
 /// Chooses among the targets of a service without keys: of two drawn at random, in proportion to
-/// what they can do, the one that will be done first, by the load that answers of its node last
-/// told and what this node has sent since. Two draws keep many nodes with the same news from all
-/// choosing the same target. Targets that fail again and again are left out for a while, but never
-/// all of them. Not thread safe.
+/// what they can do, and the one beside this node, the one that will be done first, by the load
+/// that answers of its node last told and what this node has sent since. Two draws keep many nodes
+/// with the same news from all choosing the same target. Targets that fail again and again are left
+/// out for a while, but never all of them. Not thread safe.
 class target_selector {
 public:
     struct options {
@@ -39,6 +40,7 @@
         duration prior_service_time = std::chrono::milliseconds(100);
         std::uint32_t prior_limit = 8;
         std::string failure_domain; ///< of this node
+        node_address self;          ///< of this node
         /// A target elsewhere counts as so much slower: what goes there crosses a link that is
         /// shared, and paid for. Small against a queue, so that load still evens out.
         double distance_factor = 1.15;
@@ -47,9 +49,15 @@
     target_selector(options settings, std::uint64_t seed)
         : m_options(std::move(settings)), m_random(seed) {}
 
+    /// What a request needs of a target.
+    struct request_shape {
+        bool large_body = false; ///< it has to wait for its turn to be taken in
+    };
+
     /// One of `candidates` that is not in `tried`; `no_target` if there is none.
     target_number choose(const std::vector<const target_route *> &candidates,
-                         const std::set<target_number> &tried, instant now);
+                         const request_shape &shape, const std::set<target_number> &tried,
+                         instant now);
     void sent(target_number number);
     /// A call has ended. `failed`: the target or its node did not do its part.
     void ended(target_number number, bool failed, instant now);
@@ -73,8 +81,9 @@
     struct candidate {
         target_number number = no_target;
         bool near = false;
+        bool own = false; ///< beside this very node
     };
-    double cost(const candidate &item, instant now) const;
+    double cost(const candidate &item, const request_shape &shape, instant now) const;
 
     double capacity(const state *known) const;
 
--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -43,6 +43,8 @@
 
     void set_limit(std::uint32_t limit) { m_options.limit = limit; }
     std::uint32_t limit() const { return m_options.limit; }
+    /// Whether `offer` would not refuse the request now.
+    bool would_take(const item &request, instant now) const;
     /// A verdict of `start` counts the request as in flight.
     verdict offer(const item &request, instant now);
     /// The next request to start, if there is room; it counts as in flight. Those that have no
@@ -67,6 +69,7 @@
     duration retry_after() const;
 
 private:
+    bool has_room() const { return m_in_flight < m_options.limit && m_waiting.empty(); }
     instant useful_until(const item &request) const;
     bool in_time(const item &request, instant now) const;
     bool before(const item &a, const item &b, instant now) const;
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -28,6 +28,8 @@
     virtual void on_response_body(std::string_view piece) = 0;
     virtual void on_response_end() = 0;
     virtual void on_call_failed(call_failure why, const std::string &reason) = 0;
+    /// The other side asks for the body of a request that said it would wait for that.
+    virtual void on_continue() {}
     /// What was queued towards the other side has been written.
     virtual void on_call_drained() {}
 };
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -41,6 +41,10 @@
     const http_head &request() const { return m_request; }
     /// Address of the caller.
     const asio::ip::address &peer() const { return m_peer; }
+    /// Whether the caller sends the body only after it was told to, by `send_continue`.
+    bool awaits_continue() const { return m_awaits_continue; }
+    /// Tells the caller to send the body. Precondition: `awaits_continue()`.
+    void send_continue();
     /// Begins the answer. `head.framing` says how its end is told.
     void send_head(http_head head);
     void send_body(std::string_view piece);
@@ -85,6 +89,7 @@
     bool m_answer_done = false;
     bool m_close_after = false;
     bool m_in_take = false;
+    bool m_awaits_continue = false;
     body_framing m_answer_framing = body_framing::none;
     std::string m_waiting; ///< bytes of requests that wait for their turn
     instant m_since{};     ///< idle, or waiting for the rest of a head, since then
@@ -99,6 +104,9 @@
         duration header_timeout = std::chrono::seconds(3);
         duration idle_timeout = std::chrono::seconds(15);
         std::size_t most_connections = 3000;
+        /// A caller that waits for it is told to send the body at once; otherwise the handler
+        /// chooses the moment.
+        bool continue_at_once = true;
     };
     using handler_factory = std::function<std::shared_ptr<http_request_handler>(
         const std::shared_ptr<http_server_connection> &)>;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -57,8 +57,14 @@
     std::mt19937_64 &random() { return m_random; }
     void enter(timed_request *request) { m_requests.insert(request); }
     void leave(timed_request *request) { m_requests.erase(request); }
-    /// Gives the target whatever may start now.
+    /// Large bodies on their way to this node from others. Their senders wait to be asked, so that
+    /// a slow link carries few at a time: else small requests would queue behind megabytes, and
+    /// bodies that are refused in the end would have been carried for nothing.
+    work_queue &body_turns() { return m_body_turns; }
+    /// Gives the target, and the link, whatever may start now.
     void start_waiting(instant now);
+    /// What this node tells others of its target's load.
+    target_load load() const;
     void expect_start(std::uint64_t id, std::function<void(bool start)> decide);
     void forget_start(std::uint64_t id) { m_starts.erase(id); }
     std::uint64_t next_id() { return ++m_last_id; }
@@ -70,6 +76,7 @@
 
 private:
     void tick();
+    void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
     void wake_all(instant now);
     void apply_limits();
@@ -83,6 +90,7 @@
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
     node_agent m_agent;
+    work_queue m_body_turns;
     struct service_retries {
         retry_budget all;
         retry_budget reruns;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -19,6 +19,8 @@
     void note_answer(const std::string &route, int status, error_kind error, duration took);
     /// A request left the queue beside the target.
     void note_queue(duration waited);
+    /// A large body was asked for by the node that is to take it in.
+    void note_body_wait(duration waited);
     /// The target has answered.
     void note_target(duration took);
     void note_retry() { ++m_retries; }
@@ -35,6 +37,7 @@
 
     std::map<std::string, histogram> m_by_route;
     histogram m_queue = make_latency_histogram();
+    histogram m_body_wait = make_latency_histogram();
     histogram m_target = make_latency_histogram();
     std::array<std::uint64_t, error_kind_count> m_by_error{};
     std::map<int, std::uint64_t> m_by_status_class;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -49,6 +49,13 @@
     /// planned move is over by then, and the caller is told soon enough to come back if it is not.
     double parked_part = 0.6;
     std::size_t retained_body = 512U << 10U; ///< a request up to this can be sent to another target
+    /// A body above this is sent to another node only when that node asks for it: twenty of these
+    /// fit into the queue of a link of 8 Mbit/s without holding up others for half a second.
+    std::size_t announced_body = 16U << 10U;
+    /// Such bodies that a node takes in at a time.
+    std::uint32_t body_turns = 8;
+    /// A body that takes longer than this to come no longer keeps others from their turn.
+    duration body_turn_limit = std::chrono::seconds(1);
     std::size_t buffered_answer = 64U << 10U; ///< an answer up to this is passed on only when whole
     std::size_t held_back = 256U << 10U; ///< bytes queued on one side before the other is paused
 };
--- a/src/coordination/target_selector.cpp
+++ b/src/coordination/target_selector.cpp
@@ -41,13 +41,16 @@
 }
 
 target_number target_selector::choose(const std::vector<const target_route *> &candidates,
+                                      const request_shape &shape,
                                       const std::set<target_number> &tried, instant now) {
     std::vector<candidate> open;
     std::vector<candidate> last_resort;
     for (const target_route *target : candidates) {
         if (tried.count(target->number) == 0) {
-            const bool near = target->failure_domain == m_options.failure_domain;
-            (ejected(target->number, now) ? last_resort : open).push_back({target->number, near});
+            const candidate item{.number = target->number,
+                                 .near = target->failure_domain == m_options.failure_domain,
+                                 .own = target->address == m_options.self};
+            (ejected(target->number, now) ? last_resort : open).push_back(item);
         }
     }
     std::vector<candidate> &from = open.empty() ? last_resort : open;
@@ -64,13 +67,23 @@
     weights[first] = 0;
     std::discrete_distribution<std::size_t> draw_other(weights.begin(), weights.end());
     const std::size_t second = draw_other(m_random);
-    const bool other = cost(from[second], now) < cost(from[first], now);
-    return from[other ? second : first].number;
+    const auto cheaper = [&](const candidate &a, const candidate &b) {
+        return cost(a, shape, now) < cost(b, shape, now);
+    };
+    const candidate &drawn = cheaper(from[second], from[first]) ? from[second] : from[first];
+    const auto own =
+        std::find_if(from.begin(), from.end(), [](const candidate &item) { return item.own; });
+    return own != from.end() && cheaper(*own, drawn) ? own->number : drawn.number;
 }
 
-double target_selector::cost(const candidate &item, instant now) const {
-    const auto time = static_cast<double>(estimate(item.number, now).count());
-    return item.near ? time : time * m_options.distance_factor;
+double target_selector::cost(const candidate &item, const request_shape &shape, instant now) const {
+    duration time = estimate(item.number, now);
+    const auto found = m_targets.find(item.number);
+    if (shape.large_body && !item.own && found != m_targets.end()) {
+        time += found->second.load.body_wait;
+    }
+    const auto count = static_cast<double>(time.count());
+    return item.near ? count : count * m_options.distance_factor;
 }
 
 void target_selector::sent(target_number number) {
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -52,19 +52,23 @@
     return ahead / std::max<duration::rep>(m_options.limit, 1);
 }
 
-work_queue::verdict work_queue::offer(const item &request, instant now) {
-    if (m_in_flight < m_options.limit && m_waiting.empty()) {
-        if (now >= request.deadline) {
-            return verdict::refuse;
-        }
-        ++m_in_flight;
-        return verdict::start;
+bool work_queue::would_take(const item &request, instant now) const {
+    if (has_room()) {
+        return now < request.deadline;
     }
     // One that would start too late to meet its objective only pushes those behind it past theirs.
     const instant done = now + expected_wait(request) + service_time(request.kind);
-    if (m_waiting.size() >= m_options.most_waiting || done > useful_until(request)) {
+    return m_waiting.size() < m_options.most_waiting && done <= useful_until(request);
+}
+
+work_queue::verdict work_queue::offer(const item &request, instant now) {
+    if (!would_take(request, now)) {
         return verdict::refuse;
     }
+    if (has_room()) {
+        ++m_in_flight;
+        return verdict::start;
+    }
     m_waiting.push_back(request);
     return verdict::wait;
 }
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -92,6 +92,7 @@
     put(out, value.load.waiting);
     put(out, value.load.limit);
     put(out, value.load.service_time.count());
+    put(out, value.load.body_wait.count());
     put(out, static_cast<int>(value.refused));
     put(out, value.retry_after.count());
     put(out, value.may_have_run ? 1 : 0);
@@ -105,6 +106,7 @@
     value.load.waiting = in.number<std::uint32_t>();
     value.load.limit = in.number<std::uint32_t>();
     value.load.service_time = duration(in.number<duration::rep>());
+    value.load.body_wait = duration(in.number<duration::rep>());
     const int refused = in.number<int>();
     value.retry_after = duration(in.number<duration::rep>());
     value.may_have_run = in.number<int>() != 0;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
+constexpr int continue_status = 100;
 constexpr int first_final_status = 200;
 
 } // namespace
@@ -198,6 +199,10 @@
         const bool interim = head.status < first_final_status;
         if (interim || (!m_expected_id.empty() && id != nullptr && *id != m_expected_id)) {
             m_skipping = true;
+            const auto handler = m_handler.lock();
+            if (head.status == continue_status && handler) {
+                handler->on_continue();
+            }
             if (!interim) {
                 log_event(log_level::info, "answer_of_another_request",
                           {{"peer", m_address}, {"expected", m_expected_id}, {"came", *id}});
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -71,10 +71,10 @@
     m_request_done = false;
     m_answer_begun = false;
     m_answer_done = false;
-    if (const std::string *expect = m_request.find("Expect")) {
-        if (same_header_name(*expect, "100-continue")) {
-            m_stream->write(go_on);
-        }
+    const std::string *expect = m_request.find("Expect");
+    m_awaits_continue = expect != nullptr && same_header_name(*expect, "100-continue");
+    if (m_awaits_continue && m_server->m_options.continue_at_once) {
+        send_continue();
     }
     const auto self = shared_from_this();
     m_handler = m_server->m_make_handler(self);
@@ -122,6 +122,11 @@
                 -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+void http_server_connection::send_continue() {
+    m_awaits_continue = false;
+    m_stream->write(go_on);
+}
+
 void http_server_connection::send_head(http_head head) {
     m_answer_begun = true;
     m_answer_framing = head.framing;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -171,7 +171,8 @@
             m_host.agent().lease().map().find_range(m_service, ordered_key_hash(*m_key));
         return range == nullptr ? no_target : range->owner;
     }
-    return m_host.selector().choose(m_host.agent().serving(m_service), m_tried, now);
+    const target_selector::request_shape shape{.large_body = large_body()};
+    return m_host.selector().choose(m_host.agent().serving(m_service), shape, m_tried, now);
 }
 
 void entry_relay::dispatch(instant now) {
@@ -207,6 +208,11 @@
                           .time_left = m_deadline - now};
     head.headers.push_back({std::string(hop_header), encode(hop)});
     m_body.frame(head);
+    const bool elsewhere = target.address != m_host.options().node.self;
+    const bool announced = elsewhere && large_body();
+    if (announced) {
+        set_header(head.headers, "Expect", "100-continue");
+    }
     m_target = target.number;
     m_target_name = target.name;
     m_sent = now;
@@ -214,7 +220,11 @@
     m_answer_body.clear();
     m_host.selector().sent(m_target);
     m_call = m_host.pool().start(m_host.forward_address(target.address), head, weak_from_this());
-    m_body.attach(m_call);
+    m_body.attach(m_call, announced);
+}
+
+bool entry_relay::large_body() const {
+    return m_body.kept() > m_host.options().announced_body;
 }
 
 instant entry_relay::park_limit() const {
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -27,6 +27,7 @@
     void on_response_body(std::string_view piece) override;
     void on_response_end() override;
     void on_call_failed(call_failure why, const std::string &reason) override;
+    void on_continue() override { m_body.go_ahead(); }
     void on_call_drained() override { m_body.on_drained(); }
     void on_time(instant now) override;
 
@@ -37,6 +38,7 @@
     std::string pick_service() const;
     void dispatch(instant now);
     target_number choose(instant now);
+    bool large_body() const;
     void send_to(const target_route &target, instant now);
     void after_not_run(error_kind kind, duration retry_after, instant now);
     void after_unknown(error_kind kind, instant now);
--- a/src/transport/traffic/request_body.cpp
+++ b/src/transport/traffic/request_body.cpp
@@ -8,7 +8,7 @@
       m_framing(from.request().framing), m_length(from.request().content_length) {}
 
 bool request_body::take(std::string_view piece) {
-    if (m_call) {
+    if (flows()) {
         send(piece);
     }
     if (!m_replayable) {
@@ -18,7 +18,7 @@
     if (m_kept.size() <= m_retained) {
         return false;
     }
-    if (m_call) {
+    if (flows()) {
         m_replayable = false;
         m_kept.clear();
     } else if (!m_paused) {
@@ -30,14 +30,18 @@
 
 void request_body::note_end() {
     m_whole = true;
-    if (m_call) {
-        if (m_chunked) {
-            m_call->send_body(last_chunk);
-        }
-        m_call->request_done();
+    if (flows()) {
+        end_call();
     }
 }
 
+void request_body::end_call() {
+    if (m_chunked) {
+        m_call->send_body(last_chunk);
+    }
+    m_call->request_done();
+}
+
 void request_body::frame(http_head &head) const {
     head.framing = m_framing;
     head.content_length = m_length;
@@ -47,14 +51,28 @@
     }
 }
 
-void request_body::attach(std::shared_ptr<http_call> call) {
+void request_body::attach(std::shared_ptr<http_call> call, bool hold) {
     m_call = std::move(call);
     m_chunked = m_framing == body_framing::chunked && !m_whole;
+    m_hold = hold;
+    if (!m_hold) {
+        send_kept();
+    }
+}
+
+void request_body::go_ahead() {
+    if (m_call && m_hold) {
+        m_hold = false;
+        send_kept();
+    }
+}
+
+void request_body::send_kept() {
     if (!m_kept.empty()) {
         send(m_kept);
     }
     if (m_whole) {
-        m_call->request_done();
+        end_call();
         return;
     }
     if (m_kept.size() > m_retained) {
--- a/src/transport/traffic/request_body.hpp
+++ b/src/transport/traffic/request_body.hpp
@@ -25,14 +25,24 @@
     bool replayable() const { return m_replayable; }
     /// Sets how `head` tells the end of the body.
     void frame(http_head &head) const;
-    /// Sends what is here over a call that has just begun, and from then on whatever comes.
-    void attach(std::shared_ptr<http_call> call);
-    void detach() { m_call.reset(); }
+    /// Bytes kept so far.
+    std::size_t kept() const { return m_kept.size(); }
+    /// Sends what is here over a call that has just begun, and from then on whatever comes. With
+    /// `hold` only once the other side has asked for it, see `go_ahead`.
+    void attach(std::shared_ptr<http_call> call, bool hold = false);
+    void go_ahead();
+    void detach() {
+        m_call.reset();
+        m_hold = false;
+    }
     /// The call has written what was queued.
     void on_drained();
 
 private:
     void send(std::string_view piece);
+    void send_kept();
+    void end_call();
+    bool flows() const { return m_call && !m_hold; }
 
     http_server_connection *m_from;
     std::size_t m_retained;
@@ -44,6 +54,7 @@
     bool m_whole = false;
     bool m_replayable = true;
     bool m_paused = false;
+    bool m_hold = false;    ///< the call waits to be asked for the body
     bool m_chunked = false; ///< towards the call
 };
 
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -57,9 +57,76 @@
         const bool unknown = m_host.agent().number() == no_target;
         refuse(unknown ? error_kind::not_ready : error_kind::not_owner, m_received,
                usual_retry_after);
+        return;
+    }
+    if (m_sender->awaits_continue()) {
+        offer_body(m_received);
     }
 }
 
+work_queue::item target_relay::item() const {
+    return {.id = m_id,
+            .kind = m_hop.route,
+            .priority = m_hop.priority,
+            .arrived = m_received,
+            .objective = m_objective,
+            .deadline = m_deadline};
+}
+
+/// Decides on a request by its head: what would be refused once its body is here is refused now,
+/// and the link is left to others.
+void target_relay::offer_body(instant now) {
+    const auto kind = m_host.agent().refusal(m_hop.key, now);
+    const work_queue &queue = m_host.agent().queue();
+    if (kind && *kind != error_kind::no_owner) {
+        refuse(*kind, now, usual_retry_after);
+        return;
+    }
+    if (!queue.would_take(item(), now)) {
+        refuse(error_kind::overloaded, now, queue.retry_after());
+        return;
+    }
+    // The body has to be here while there is still time to run the request.
+    work_queue::item body = item();
+    const duration run = queue.service_time(m_hop.route);
+    body.objective -= run;
+    body.deadline -= run;
+    const work_queue::verdict verdict = m_host.body_turns().offer(body, now);
+    if (verdict == work_queue::verdict::start) {
+        take_body(now);
+    } else if (verdict == work_queue::verdict::wait) {
+        m_phase = phase::waiting_for_turn;
+        m_host.expect_start(m_id, [this](bool may_start) {
+            const auto self = shared_from_this();
+            const instant when = steady_instant();
+            m_phase = phase::receiving; // out of the queue already
+            if (may_start) {
+                take_body(when);
+            } else {
+                refuse(error_kind::overloaded, when, m_host.body_turns().retry_after());
+            }
+        });
+    } else {
+        refuse(error_kind::overloaded, now, m_host.body_turns().retry_after());
+    }
+}
+
+/// Precondition: counted as in flight by the queue of bodies.
+void target_relay::take_body(instant now) {
+    m_turn_at = now;
+    m_host.metrics().note_body_wait(now - m_received);
+    m_sender->send_continue();
+}
+
+/// `took` is given if the body came whole.
+void target_relay::end_turn(std::optional<duration> took) {
+    if (m_turn_at == instant{}) {
+        return;
+    }
+    m_turn_at = {};
+    m_host.body_turns().finish(m_hop.route, took);
+}
+
 void target_relay::on_request_body(std::string_view piece) {
     if (m_phase != phase::done && m_body.take(piece) && m_phase == phase::receiving) {
         offer(steady_instant());
@@ -71,9 +138,12 @@
         return;
     }
     m_body.note_end();
+    const instant now = steady_instant();
+    end_turn(now - m_turn_at);
     if (m_phase == phase::receiving) {
-        offer(steady_instant());
+        offer(now);
     }
+    m_host.start_waiting(now);
 }
 
 void target_relay::offer(instant now) {
@@ -88,13 +158,7 @@
         return;
     }
     work_queue &queue = m_host.agent().queue();
-    const work_queue::verdict verdict = queue.offer({.id = m_id,
-                                                     .kind = m_hop.route,
-                                                     .priority = m_hop.priority,
-                                                     .arrived = m_received,
-                                                     .objective = m_objective,
-                                                     .deadline = m_deadline},
-                                                    now);
+    const work_queue::verdict verdict = queue.offer(item(), now);
     if (verdict == work_queue::verdict::start) {
         start(now);
     } else if (verdict == work_queue::verdict::wait) {
@@ -151,8 +215,7 @@
     out.status = head.status;
     out.headers = forwarded_headers(head);
     remove_header(out.headers, hop_header);
-    out.headers.push_back(
-        {std::string(hop_header), encode(hop_reply{.load = m_host.agent().load()})});
+    out.headers.push_back({std::string(hop_header), encode(hop_reply{.load = m_host.load()})});
     const bool sized = head.framing == body_framing::length || head.framing == body_framing::none;
     out.framing = sized ? body_framing::length : body_framing::chunked;
     out.content_length = head.content_length;
@@ -237,6 +300,18 @@
         return;
     }
     const auto self = shared_from_this();
+    if (m_turn_at != instant{} && now >= m_turn_at + m_host.options().body_turn_limit) {
+        // Its sender is stuck, paused or cut off; the request itself is judged by its deadline.
+        end_turn(std::nullopt);
+    }
+    if (m_phase == phase::waiting_for_turn) {
+        const auto kind = m_host.agent().refusal(m_hop.key, now);
+        if (kind && *kind != error_kind::no_owner) {
+            leave_queue(std::nullopt);
+            refuse(*kind, now, usual_retry_after);
+        }
+        return;
+    }
     if (m_phase == phase::waiting_for_key) {
         if (now >= m_objective) {
             refuse(error_kind::no_owner, now, usual_retry_after);
@@ -278,20 +353,25 @@
     } else if (m_phase == phase::queued) {
         queue.withdraw(m_id);
         m_host.forget_start(m_id);
+    } else if (m_phase == phase::waiting_for_turn) {
+        m_host.body_turns().withdraw(m_id);
+        m_host.forget_start(m_id);
     }
+    end_turn(std::nullopt);
     m_phase = phase::receiving;
 }
 
 void target_relay::refuse(error_kind kind, instant, duration retry_after) {
-    answer(kind, {.load = m_host.agent().load(), .refused = kind, .retry_after = retry_after});
+    answer(kind, {.load = m_host.load(), .refused = kind, .retry_after = retry_after});
 }
 
 void target_relay::fail(error_kind kind, instant) {
-    answer(kind, {.load = m_host.agent().load(), .may_have_run = true});
+    answer(kind, {.load = m_host.load(), .may_have_run = true});
 }
 
 void target_relay::answer(error_kind kind, const hop_reply &hop) {
     m_phase = phase::done;
+    end_turn(std::nullopt);
     std::vector<header_field> headers{{std::string(hop_header), encode(hop)}};
     if (!m_request_id.empty()) {
         headers.push_back({m_host.options().headers.request_id, m_request_id});
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -30,9 +30,20 @@
     void on_time(instant now) override;
 
 private:
-    enum class phase : std::uint8_t { receiving, waiting_for_key, queued, running, done };
+    enum class phase : std::uint8_t {
+        waiting_for_turn, ///< its large body may not come yet
+        receiving,
+        waiting_for_key,
+        queued,
+        running,
+        done
+    };
 
     void begin();
+    void offer_body(instant now);
+    void take_body(instant now);
+    void end_turn(std::optional<duration> took);
+    work_queue::item item() const;
     void offer(instant now);
     void start(instant now);
     void refuse(error_kind kind, instant now, duration retry_after);
@@ -52,6 +63,7 @@
     instant m_deadline{};
     instant m_objective{};
     instant m_started{};
+    instant m_turn_at{}; ///< since when its body has been coming; zero without a turn
     std::string m_target_name;
     std::shared_ptr<http_call> m_call;
     int m_status = 0;
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -51,12 +51,14 @@
               [this](const std::string &address, std::function<void(std::string)> done) {
                   probe_name(address, std::move(done));
               }),
+      m_body_turns({.limit = m_options.body_turns}),
       m_callers(io, {.address = m_options.caller_address},
                 [this](const auto &connection) { return entry_relay::make(*this, connection); }),
       m_nodes(io,
               {.address = m_options.node_address,
                .limits = forwarded_limits,
-               .idle_timeout = forwarded_idle},
+               .idle_timeout = forwarded_idle,
+               .continue_at_once = false},
               [this](const auto &connection) { return target_relay::make(*this, connection); }),
       m_timer(io) {
     const std::string &address = m_options.node_address;
@@ -142,9 +144,20 @@
 }
 
 void traffic_host::start_waiting(instant now) {
+    start_from(m_agent.queue(), now);
+    start_from(m_body_turns, now);
+}
+
+target_load traffic_host::load() const {
+    target_load result = m_agent.load();
+    result.body_wait = m_body_turns.retry_after();
+    return result;
+}
+
+void traffic_host::start_from(work_queue &queue, instant now) {
     while (true) {
         std::vector<std::uint64_t> hopeless;
-        const auto next = m_agent.queue().next(now, hopeless);
+        const auto next = queue.next(now, hopeless);
         for (const std::uint64_t id : hopeless) {
             if (auto found = m_starts.extract(id)) {
                 found.mapped()(false);
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -34,6 +34,10 @@
     m_queue(milliseconds(waited));
 }
 
+void traffic_metrics::note_body_wait(duration waited) {
+    m_body_wait(milliseconds(waited));
+}
+
 void traffic_metrics::note_target(duration took) {
     m_target(milliseconds(took));
 }
@@ -67,6 +71,7 @@
         write_histogram("peppertack_answer_ms", "route=\"" + route + "\",", values);
     }
     write_histogram("peppertack_queue_ms", "", m_queue);
+    write_histogram("peppertack_body_wait_ms", "", m_body_wait);
     write_histogram("peppertack_target_ms", "", m_target);
     return out.str();
 }
--- a/tests/coordination/target_selector_test.cpp
+++ b/tests/coordination/target_selector_test.cpp
@@ -13,13 +13,14 @@
 struct three_targets {
     std::vector<target_route> routes{{.number = 1}, {.number = 2}, {.number = 3}};
     std::vector<const target_route *> list{&routes[0], &routes[1], &routes[2]};
-    target_selector selector{{}, 5};
+    target_selector selector{{.self = "own"}, 5};
+    target_selector::request_shape shape;
 
     std::map<target_number, int> choose(int times, instant now,
                                         std::set<target_number> tried = {}) {
         std::map<target_number, int> counts;
         for (int i = 0; i < times; ++i) {
-            ++counts[selector.choose(list, tried, now)];
+            ++counts[selector.choose(list, shape, tried, now)];
         }
         return counts;
     }
@@ -75,3 +76,30 @@
     CHECK(counts.count(2) == 1);
     CHECK(world.choose(1, start, {1, 2, 3}).count(no_target) == 1);
 }
+
+TEST_CASE("a large body goes where its turn comes first, a small request does not care") {
+    // Symptom: uploads, and the small calls behind them, took seconds to reach two targets while
+    // the links of others were free. Cause: only what waited for the targets was looked at.
+    three_targets world;
+    world.selector.note(1, {.limit = 18, .service_time = 100ms, .body_wait = 900ms}, start);
+    world.selector.note(2, {.limit = 18, .service_time = 100ms, .body_wait = 50ms}, start);
+    world.selector.note(3, {.limit = 18, .service_time = 100ms, .body_wait = 900ms}, start);
+    CHECK(world.choose(900, start).at(2) < 450);
+    world.shape.large_body = true;
+    CHECK(world.choose(900, start).at(2) > 550); // whenever it is drawn
+}
+
+TEST_CASE("the target beside the node is always looked at, and costs no way over a link") {
+    three_targets world;
+    world.routes[2].address = "own";
+    for (const target_number number : {1U, 2U, 3U}) {
+        world.selector.note(
+            number, {.in_flight = 9, .limit = 18, .service_time = 100ms, .body_wait = 500ms},
+            start);
+    }
+    world.shape.large_body = true;
+    CHECK(world.choose(300, start).at(3) == 300);
+    world.selector.note(3, {.in_flight = 18, .waiting = 90, .limit = 18, .service_time = 100ms},
+                        start);
+    CHECK(world.choose(300, start).count(3) == 0);
+}
--- a/tests/coordination/work_queue_test.cpp
+++ b/tests/coordination/work_queue_test.cpp
@@ -156,3 +156,14 @@
     CHECK(load.refused <= load.offered / 100);
     CHECK(load.in_time >= load.offered * 98 / 100);
 }
+
+TEST_CASE("whether a request would be taken is told without taking it") {
+    work_queue queue({.limit = 1});
+    CHECK(queue.would_take(item(1), start));
+    CHECK_FALSE(queue.would_take(item(1), start + 2s));
+    CHECK(queue.in_flight() == 0);
+    CHECK(queue.offer(item(1), start) == work_queue::verdict::start);
+    CHECK(queue.would_take(item(2), start));
+    CHECK_FALSE(queue.would_take(item(2), start + 480ms));
+    CHECK(queue.waiting() == 0);
+}
--- a/tests/platform/whole_path_test.cpp
+++ b/tests/platform/whole_path_test.cpp
@@ -1,5 +1,6 @@
 #include "platform_cluster.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
 
@@ -95,3 +96,24 @@
     CHECK(cluster.serves());
     check_all(cluster);
 }
+
+TEST_CASE("large bodies come in turn, whole, and to the target that is to run them") {
+    // Symptom: calls and bookings failed at targets whose link was full of uploads. Cause: all
+    // bodies were sent at once. Here two may come at a time, and forty are sent.
+    platform_cluster cluster(small());
+    REQUIRE(cluster.configure(1, 0));
+    REQUIRE(cluster.serves());
+    const std::string body(60'000, 'x');
+    std::vector<std::shared_ptr<caller_attempt>> sent;
+    for (std::size_t i = 0; i < 40; ++i) {
+        sent.push_back(cluster.send(i % cluster.nodes(), false, true, 0, body));
+    }
+    REQUIRE(cluster.run_until([&] {
+        return std::all_of(sent.begin(), sent.end(),
+                           [](const auto &attempt) { return attempt->status != 0; });
+    }));
+    for (const auto &attempt : sent) {
+        CHECK(attempt->status == 200);
+    }
+    check_all(cluster);
+}
--- a/tests/protocol/hop_header_test.cpp
+++ b/tests/protocol/hop_header_test.cpp
@@ -17,7 +17,7 @@
     hop_request plain = request;
     plain.key.reset();
     CHECK(decode_hop_request(encode(plain)) == plain);
-    const hop_reply reply{.load = {3, 4, 18, 160ms},
+    const hop_reply reply{.load = {3, 4, 18, 160ms, 70ms},
                           .refused = error_kind::overloaded,
                           .retry_after = 250ms,
                           .may_have_run = true};
@@ -36,7 +36,7 @@
          {"", ";", "x;r;0;0;-;1;1;", "1;r;0;0;q;1;1;", "1;r;0;0;-;1;", "1;r;0;0;-;1;1;1;"}) {
         CHECK_FALSE(decode_hop_request(text));
     }
-    for (const char *text : {"", "1;2;3;4;5;6;", "1;2;3;4;999;6;0;", "1;2;3;4;-1;6;0;"}) {
+    for (const char *text : {"", "1;2;3;4;0;5;6;", "1;2;3;4;0;999;6;0;", "1;2;3;4;0;-1;6;0;"}) {
         CHECK_FALSE(decode_hop_reply(text));
     }
 }
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -85,7 +85,7 @@
     m_server = std::make_unique<http_server>(
         m_cluster.m_io, http_server::options{.address = address},
         whole_request::factory(
-            [this](const auto &caller, const std::string &) { take_request(caller); }));
+            [this](const auto &caller, const std::string &body) { take_request(caller, body); }));
     std::string reason;
     if (!m_server->start(reason)) {
         m_cluster.violate("a stand-in target can't listen: " + reason);
@@ -172,7 +172,8 @@
     }
 }
 
-void stand_in_platform_target::take_request(const std::shared_ptr<http_server_connection> &caller) {
+void stand_in_platform_target::take_request(const std::shared_ptr<http_server_connection> &caller,
+                                            const std::string &body) {
     const http_head &head = caller->request();
     const std::string *id = head.find("X-Request-Id");
     const std::string *expected = head.find("X-Expected-Instance");
@@ -189,7 +190,7 @@
         caller->respond(421, headers, {});
         return;
     }
-    m_cluster.note_run(*id);
+    m_cluster.note_run(*id, body);
     headers.push_back({"X-Response-Signature", m_name});
     auto timer = std::make_shared<asio::steady_timer>(m_cluster.m_io, m_cluster.m_options.work);
     timer->async_wait([timer, caller, headers, text = "ran " + *id](asio::error_code error) {
@@ -260,7 +261,8 @@
            "\ndata-folder = " + data + "\nfounding = " + (first ? "true" : "false") +
            "\nlosses = " + std::to_string(m_options.losses) +
            "\nheartbeat-interval-s = " + std::to_string(m_options.heartbeat_s) +
-           "\nmost-hold-s = 10\ngrace-s = 6\n";
+           "\nmost-hold-s = 10\ngrace-s = 6\nlink-mbps = " + std::to_string(m_options.link_mbps) +
+           "\n";
 }
 
 pid_t platform_cluster::spawn(const std::string &role, const std::string &name,
@@ -394,10 +396,11 @@
 }
 
 std::shared_ptr<caller_attempt> platform_cluster::send(std::size_t node, bool keyed, bool once,
-                                                       std::uint32_t key) {
+                                                       std::uint32_t key, const std::string &body) {
     auto attempt = std::make_shared<caller_attempt>();
     attempt->id = "r" + std::to_string(++m_next_id);
     attempt->once = once;
+    m_bodies[attempt->id] = once ? body : "";
     m_attempts.push_back(attempt);
     http_head head;
     head.method = once ? "POST" : "GET";
@@ -409,10 +412,10 @@
         head.headers.push_back({"X-Shard-Key", std::to_string(key)});
     }
     const std::string address = node_ip(node) + ":" + std::to_string(m_ports.at("callers"));
-    call(m_io, m_pool, address, head, once ? "body" : "",
-         [attempt](int status, const std::string &body, const std::string &) {
+    call(m_io, m_pool, address, head, once ? body : "",
+         [attempt](int status, const std::string &answer, const std::string &) {
              attempt->status = status;
-             attempt->body = body;
+             attempt->body = answer;
          });
     return attempt;
 }
@@ -434,8 +437,12 @@
     });
 }
 
-void platform_cluster::note_run(const std::string &id) {
+void platform_cluster::note_run(const std::string &id, const std::string &body) {
     ++m_runs[id];
+    const auto sent = m_bodies.find(id);
+    if (sent == m_bodies.end() || sent->second != body) {
+        violate("request " + id + " ran with a body that was not sent");
+    }
 }
 
 /// One owner of a key at any moment, and a later owner only with a higher token.
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -45,7 +45,8 @@
     friend class heartbeat_call;
     void beat();
     void take_answer(const std::string &body, instant sent);
-    void take_request(const std::shared_ptr<http_server_connection> &caller);
+    void take_request(const std::shared_ptr<http_server_connection> &caller,
+                      const std::string &body);
     bool holds_key(std::uint32_t key, instant now) const;
 
     platform_cluster &m_cluster;
@@ -82,6 +83,7 @@
                                           "plain"}; ///< a node each
         double heartbeat_s = 0.2;
         duration work = std::chrono::milliseconds(5);
+        double link_mbps = 8; ///< as told to the processes
         std::uint64_t seed = 1;
     };
 
@@ -110,8 +112,9 @@
     /// Status and body of an operator's call, following redirections over the voters.
     std::pair<int, std::string> operate(const std::string &method, const std::string &body);
     /// Sends one request to a node; the attempt is filled in as the loop runs.
-    std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once,
-                                         std::uint32_t key);
+    /// `body`: bytes that a request that may run once carries.
+    std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
+                                         const std::string &body = "body");
     /// Sends requests until one of each kind was answered 200.
     bool serves();
 
@@ -140,7 +143,7 @@
     void signal(pid_t process, int number) const;
     static void end(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
-    void note_run(const std::string &id);
+    void note_run(const std::string &id, const std::string &body);
     void violate(const std::string &what) { m_violations.push_back(what); }
 
     options m_options;
@@ -153,6 +156,7 @@
     std::vector<std::unique_ptr<stand_in_platform_target>> m_targets;
     std::vector<std::shared_ptr<caller_attempt>> m_attempts;
     std::map<std::string, int> m_runs;
+    std::map<std::string, std::string> m_bodies; ///< by request, as sent
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
         m_tokens; ///< by key: highest, who
     std::string m_last_answers;
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -350,3 +350,67 @@
     client.send("0123456789GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(run_until(io, [&] { return count_of(client.received, "HTTP/1.1 200") == 1; }));
 }
+
+TEST_CASE("a server that chooses the moment is sent the body only when it asks for it") {
+    // Symptom: every small request to an instance took seconds. Sequence: many large bodies were
+    // sent to it at once over its slow link, most of them only to be refused. Cause: bodies were
+    // sent along with their heads.
+    asio::io_context io;
+    const std::string address = own_address();
+    struct reluctant final : http_request_handler {
+        std::shared_ptr<http_server_connection> caller;
+        std::string body;
+        bool whole = false;
+        void on_request_body(std::string_view piece) override { body.append(piece); }
+        void on_request_end() override { whole = true; }
+    };
+    auto handler = std::make_shared<reluctant>();
+    http_server server(io, {.address = address, .continue_at_once = false},
+                       [&](const auto &caller) {
+                           handler->caller = caller;
+                           return handler;
+                       });
+    std::string reason;
+    REQUIRE(server.start(reason));
+    raw_client client(io, address);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    REQUIRE(run_until(io, [&] { return handler->caller != nullptr; }));
+    CHECK(handler->caller->awaits_continue());
+    CHECK(client.received.empty());
+    handler->caller->send_continue();
+    REQUIRE(run_until(io, [&] { return count_of(client.received, "HTTP/1.1 100") == 1; }));
+    client.send("abc");
+    REQUIRE(run_until(io, [&] { return handler->whole; }));
+    CHECK(handler->body == "abc");
+    handler->caller->respond(200, {}, "x");
+    CHECK(run_until(io, [&] { return count_of(client.received, "HTTP/1.1 200") == 1; }));
+    handler->caller.reset();
+}
+
+TEST_CASE("a caller hears that its body is wanted, and of a refusal before that") {
+    asio::io_context io;
+    raw_server server(io, {"HTTP/1.1 100 Continue\r\n\r\n" + answer_text("1", "one"),
+                           answer_text("2", "refused")});
+    struct asked final : http_response_handler {
+        int continues = 0;
+        std::string body;
+        void on_response_head(http_head) override {}
+        void on_response_body(std::string_view piece) override { body.append(piece); }
+        void on_response_end() override { ended = true; }
+        void on_call_failed(call_failure, const std::string &) override { ended = true; }
+        void on_continue() override { ++continues; }
+        bool ended = false;
+    };
+    http_client_pool pool(io, {.id_header = "Id"});
+    for (const std::string id : {"1", "2"}) {
+        auto answer = std::make_shared<asked>();
+        http_head head = get(id);
+        head.headers.push_back({"Expect", "100-continue"});
+        const auto open = pool.start(server.address, head, answer);
+        REQUIRE(run_until(io, [&] { return answer->ended; }));
+        CHECK(answer->continues == (id == "1" ? 1 : 0));
+        CHECK(answer->body == (id == "1" ? "one" : "refused"));
+    }
+    // The body was never sent: whatever came next on such a connection would be taken for it.
+    CHECK(pool.idle_to(server.address) == 0);
+}
