Heavy ranges are cut at once where what is asked for calls for it, and moves go on meanwhile

Cause: a neighbourhood of keys that became busy was cut in two once an interval, and while a range was cut nothing moved; only what a full target ran was counted, so that it never looked overloaded.

Change: a node counts what is asked for, and tells for each heavy range where to cut it into parts of a tenth of its target's capacity (load_cuts, replaces the one middle). Ranges that are not cut may move in the same decision; with more than three targets for each of six moves, more go at a time.

--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -111,7 +111,7 @@
     struct measured_rate {
         double rate = 0; ///< requests a second
         instant at{};
-        std::uint64_t middle = 0; ///< see `range_load`
+        std::vector<std::uint64_t> cuts; ///< see `range_load`
     };
     /// Capacity of a target as its node measured it, in requests a second.
     struct measured_capacity {
@@ -154,7 +154,9 @@
     void close_memory_windows(moment at);
     placement_view view_of(const std::string &service) const;
     void weigh_by_capacity(placement_view &view) const;
-    void share_load(const std::string &service, std::uint64_t first, std::uint64_t cut);
+    void split(const std::string &service, const std::vector<std::uint64_t> &cuts, moment at);
+    void share_load(const std::string &service, std::uint64_t first,
+                    const std::vector<std::uint64_t> &cuts);
     target_number standby_for(const target_record &record,
                               const std::map<target_number, std::size_t> &duties) const;
     void propose(moment at, std::string actor, std::string cause, command_body body);
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -88,8 +88,8 @@
 struct range_load {
     std::uint64_t first = 0;
     std::uint32_t requests = 0;
-    /// Where half of these requests lie on each side: the place to cut the range. 0: not known.
-    std::uint64_t middle = 0;
+    /// Of a range that is heavy for its target: where to cut it into lighter parts, in order.
+    std::vector<std::uint64_t> cuts;
 
     friend bool operator==(const range_load &, const range_load &) = default;
 };
--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -25,9 +25,9 @@
     const std::vector<range_record> *ranges = nullptr;
     std::vector<placement_target> targets;
     std::unordered_map<std::uint64_t, double> loads;
-    /// Where the load of a range halves, by its first hash; ranges that are missing are cut in the
-    /// middle of their width.
-    std::unordered_map<std::uint64_t, std::uint64_t> middles;
+    /// Where a heavy range is to be cut, by its first hash. Ranges that are missing are cut in the
+    /// middle of their width; an empty list says that no cut is known to help.
+    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> cuts;
     std::vector<std::uint64_t> hot_keys; ///< hashes that carry much of a range's load
     /// Ranges are cut only at multiples of this: the distance between two keys that are ordered
     /// numbers; 1 where keys are hashed.
@@ -37,7 +37,10 @@
 };
 
 struct placement_options {
-    std::size_t moves_at_a_time = 4;   ///< planned moves under way for balance
+    std::size_t moves_at_a_time = 4; ///< planned moves under way for balance
+    /// With more than so many targets for each of these, more moves are made at a time. 0 moves
+    /// stay 0.
+    std::size_t targets_per_move = 3;
     std::size_t stops_at_a_time = 32;  ///< planned moves under way for a planned stop
     double tolerance = 0.10;           ///< load above the share that is left alone
     double gain_per_price = 0.01;      ///< share of a target's load that pays for a move at price 1
@@ -75,6 +78,8 @@
     placement_decision decide(const placement_view &view) override;
 
 private:
+    std::size_t moves_at_a_time(const placement_view &view) const;
+
     placement_options m_options;
 };
 
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -518,7 +518,7 @@
     service_load &load = m_loads[record.service];
     for (const range_load &item : request.loads) {
         measured_rate &measured = load.ranges[item.first];
-        measured = {measured.rate * 0.5 + item.requests * 0.5, at.now, item.middle};
+        measured = {measured.rate * 0.5 + item.requests * 0.5, at.now, item.cuts};
     }
     for (const hot_key &item : request.hot_keys) {
         load.hot[item.hash] = {static_cast<double>(item.requests), at.now};
@@ -776,7 +776,7 @@
         double total = 0;
         for (const auto &[first, measured] : load->second.ranges) {
             view.loads[first] = measured.rate;
-            view.middles[first] = measured.middle;
+            view.cuts[first] = measured.cuts;
             total += measured.rate;
         }
         for (const auto &[hash, measured] : load->second.hot) {
@@ -818,9 +818,22 @@
     }
 }
 
-/// A range was cut where its load halves. Until its parts are measured, each is taken to have half:
-/// without that the upper one would look idle, and the lower one as heavy as before.
-void control_core::share_load(const std::string &service, std::uint64_t first, std::uint64_t cut) {
+void control_core::split(const std::string &service, const std::vector<std::uint64_t> &cuts,
+                         moment at) {
+    std::map<std::uint64_t, std::vector<std::uint64_t>> by_range;
+    for (const std::uint64_t cut : cuts) {
+        propose(at, placement_actor, "range too heavy or too wide", split_range{service, cut});
+        by_range[m_state.find_range(service, cut)->first].push_back(cut);
+    }
+    for (const auto &[first, inside] : by_range) {
+        share_load(service, first, inside);
+    }
+}
+
+/// A range was cut into parts of like load. Until these are measured, each is taken to have its
+/// share: without that the upper ones would look idle, and the lowest one as heavy as before.
+void control_core::share_load(const std::string &service, std::uint64_t first,
+                              const std::vector<std::uint64_t> &cuts) {
     const auto load = m_loads.find(service);
     if (load == m_loads.end()) {
         return;
@@ -829,10 +842,12 @@
     if (found == load->second.ranges.end()) {
         return;
     }
-    found->second.rate /= 2;
-    found->second.middle = 0;
-    const measured_rate half = found->second;
-    load->second.ranges[cut] = half;
+    found->second.rate /= static_cast<double>(cuts.size() + 1);
+    found->second.cuts.clear();
+    const measured_rate part = found->second;
+    for (const std::uint64_t cut : cuts) {
+        load->second.ranges[cut] = part;
+    }
 }
 
 void control_core::place_service(const std::string &service, moment at, bool balance_due) {
@@ -861,10 +876,7 @@
     if (!decision.moves.empty()) {
         propose(at, placement_actor, decision.move_cause, plan_moves{service, decision.moves});
     }
-    for (const std::uint64_t cut : decision.splits) {
-        propose(at, placement_actor, "range too heavy or too wide", split_range{service, cut});
-        share_load(service, m_state.find_range(service, cut)->first, cut);
-    }
+    split(service, decision.splits, at);
     for (const std::uint64_t first : decision.merges) {
         propose(at, placement_actor, "neighbours are cold", merge_range{service, first});
     }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -203,6 +203,13 @@
 
 namespace {
 
+std::size_t position_of(const std::vector<range_record> &ranges, std::uint64_t hash) {
+    const auto after = std::upper_bound(
+        ranges.begin(), ranges.end(), hash,
+        [](std::uint64_t value, const range_record &range) { return value < range.first; });
+    return static_cast<std::size_t>(std::distance(ranges.begin(), after)) - 1;
+}
+
 std::size_t fullest_but(const workbench &bench, const std::vector<char> &passed) {
     std::size_t fullest = workbench::none;
     for (std::size_t i = 0; i < passed.size(); ++i) {
@@ -235,6 +242,9 @@
     const double threshold = options.gain_per_price * view.churn_price;
     const double limit = 1 + options.tolerance;
     std::vector<char> moved(view.ranges->size(), 0);
+    for (const std::uint64_t cut : decision.splits) {
+        moved[position_of(*view.ranges, cut)] = 1; // its parts are judged next time
+    }
     std::vector<char> passed(view.targets.size(), 0);
     while (budget > 0) {
         const std::size_t from = fullest_but(bench, passed);
@@ -263,26 +273,34 @@
     }
 }
 
-std::size_t position_of(const std::vector<range_record> &ranges, std::uint64_t hash) {
-    const auto after = std::upper_bound(
-        ranges.begin(), ranges.end(), hash,
-        [](std::uint64_t value, const range_record &range) { return value < range.first; });
-    return static_cast<std::size_t>(std::distance(ranges.begin(), after)) - 1;
-}
-
 /// Middle of the range at position `i`, moved down to where a key begins; nothing if the range
 /// holds a single key.
 std::optional<std::uint64_t> middle_of(const placement_view &view, std::size_t i) {
     const std::uint64_t first = (*view.ranges)[i].first;
-    const std::uint64_t last = last_hash(*view.ranges, i);
-    const auto measured = view.middles.find(first);
-    const bool known =
-        measured != view.middles.end() && measured->second > first && measured->second <= last;
-    const std::uint64_t middle = known ? measured->second : first + (last - first) / 2 + 1;
+    const std::uint64_t middle = first + (last_hash(*view.ranges, i) - first) / 2 + 1;
     const std::uint64_t cut = middle - middle % view.key_distance;
     return cut > first ? std::optional(cut) : std::nullopt;
 }
 
+/// Where to cut the heavy range at position `i`: where its load was measured to call for it.
+std::vector<std::uint64_t> cuts_of(const placement_view &view, std::size_t i) {
+    const std::uint64_t first = (*view.ranges)[i].first;
+    const std::uint64_t last = last_hash(*view.ranges, i);
+    const auto measured = view.cuts.find(first);
+    if (measured == view.cuts.end()) {
+        const std::optional<std::uint64_t> middle = middle_of(view, i);
+        return middle ? std::vector{*middle} : std::vector<std::uint64_t>{};
+    }
+    std::vector<std::uint64_t> result;
+    for (const std::uint64_t cut : measured->second) {
+        const std::uint64_t aligned = cut - cut % view.key_distance;
+        if (aligned > first && aligned <= last) {
+            result.push_back(aligned);
+        }
+    }
+    return result;
+}
+
 /// Cuts hot keys out as ranges of their own, and halves ranges too heavy to be moved.
 void split_heavy(const placement_view &view, const workbench &bench, placement_decision &decision) {
     const std::vector<range_record> &ranges = *view.ranges;
@@ -304,11 +322,15 @@
             last - ranges[i].first < narrowest_split) {
             continue;
         }
-        const std::optional<std::uint64_t> cut = middle_of(view, i);
-        if (cut && bench.share(i) > bench.goal(owner) / 4 && bench.ratio(owner) > 1) {
-            decision.splits.push_back(*cut);
+        if (bench.share(i) > bench.goal(owner) / 4 && bench.ratio(owner) > 1) {
+            const std::vector<std::uint64_t> cuts = cuts_of(view, i);
+            decision.splits.insert(decision.splits.end(), cuts.begin(), cuts.end());
         }
     }
+    // A hot key may be cut out by both rules.
+    std::sort(decision.splits.begin(), decision.splits.end());
+    decision.splits.erase(std::unique(decision.splits.begin(), decision.splits.end()),
+                          decision.splits.end());
 }
 
 void split_widest(const placement_view &view, std::size_t wanted, placement_decision &decision) {
@@ -351,6 +373,15 @@
 
 } // namespace
 
+/// Many targets even out in parallel; with few, each move under way is a large part of the keys.
+std::size_t greedy_placement::moves_at_a_time(const placement_view &view) const {
+    if (m_options.moves_at_a_time == 0) {
+        return 0;
+    }
+    const std::size_t by_size = view.targets.size() / m_options.targets_per_move;
+    return std::max(m_options.moves_at_a_time, by_size);
+}
+
 placement_decision greedy_placement::decide(const placement_view &view) {
     placement_decision decision;
     workbench bench(view, m_options.prior_rate);
@@ -368,8 +399,9 @@
         decision.move_cause = "planned stop";
         return decision;
     }
+    // Also while moves are under way: a neighbourhood that becomes busy does not wait for them.
+    split_heavy(view, bench, decision);
     if (under_way == 0) {
-        split_heavy(view, bench, decision);
         const std::size_t wanted = m_options.ranges_per_target * view.targets.size();
         if (decision.splits.empty() && view.ranges->size() < wanted) {
             split_widest(view, wanted - view.ranges->size(), decision);
@@ -377,12 +409,10 @@
         if (decision.splits.empty() && view.ranges->size() > wanted * 3) {
             merge_cold(view, bench, view.ranges->size() - wanted * 3, decision);
         }
-        if (!decision.splits.empty()) {
-            return decision;
-        }
     }
-    const std::size_t room =
-        m_options.moves_at_a_time - std::min(m_options.moves_at_a_time, under_way);
+    // Joining changes what a neighbour of a range to be moved is.
+    const std::size_t most = decision.merges.empty() ? moves_at_a_time(view) : 0;
+    const std::size_t room = most - std::min(most, under_way);
     balance(view, m_options, bench, room, decision);
     return decision;
 }
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -208,7 +208,10 @@
 void write(const range_load &value, wire::RangeLoad::Builder out) {
     out.setFirst(value.first);
     out.setRequests(value.requests);
-    out.setMiddle(value.middle);
+    auto cuts = out.initCuts(size_of(value.cuts.size()));
+    for (unsigned int i = 0; i < cuts.size(); ++i) {
+        cuts.set(i, value.cuts[i]);
+    }
 }
 
 void write(const hot_key &value, wire::RangeLoad::Builder out) {
@@ -458,7 +461,9 @@
     value.standby_epoch = in.getStandbyEpoch();
     value.capacity = in.getCapacity();
     value.loads = read_list<range_load>(in.getLoads(), [](auto item) {
-        return range_load{item.getFirst(), item.getRequests(), item.getMiddle()};
+        return range_load{
+            item.getFirst(), item.getRequests(),
+            read_list<std::uint64_t>(item.getCuts(), [](std::uint64_t cut) { return cut; })};
     });
     value.hot_keys = read_list<hot_key>(in.getHotKeys(), [](auto item) {
         return hot_key{item.getFirst(), item.getRequests()};
--- a/src/protocol/messages.capnp
+++ b/src/protocol/messages.capnp
@@ -20,7 +20,7 @@
 struct RangeReport {
   service @0 :Text; first @1 :UInt64; token @2 :UInt64; to @3 :UInt32; handover @4 :Text;
 }
-struct RangeLoad { first @0 :UInt64; requests @1 :UInt32; middle @2 :UInt64; }
+struct RangeLoad { first @0 :UInt64; requests @1 :UInt32; cuts @2 :List(UInt64); }
 struct ServiceRanges {
   service @0 :Text; whole @1 :Bool; ranges @2 :List(Range); removed @3 :List(UInt64);
 }
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -1,5 +1,6 @@
 #include "peppertack/transport/traffic/node_agent.hpp"
 
+#include "peppertack/coordination/load_cuts.hpp"
 #include "peppertack/state/key_hash.hpp"
 #include "peppertack/transport/json_log.hpp"
 
@@ -23,6 +24,10 @@
 /// Counts over a longer time than this are no present load.
 constexpr double longest_load_interval = 5;
 constexpr std::size_t most_hot_keys = 8;
+/// A part of a range that is cut is at most one part in so many of what a target can do: small
+/// enough to fit into the room that targets have, large enough to keep ranges few.
+constexpr double parts_of_capacity = 10;
+constexpr std::size_t most_cuts = 31; ///< of one range in one report
 constexpr std::size_t most_ended_names = 64;
 /// Requests within an interval from which its target's capacity can be told.
 constexpr std::uint64_t least_sample = 10;
@@ -319,18 +324,18 @@
     const auto begin = m_key_requests.lower_bound(ordered_key_at(range.record.first));
     const auto end = m_key_requests.upper_bound(ordered_key_at(range.last));
     std::uint64_t total = 0;
+    std::vector<key_load> keys;
     for (auto place = begin; place != end; ++place) {
         total += place->second;
+        keys.push_back({place->first, place->second});
     }
     range_load load{.first = range.record.first};
     load.requests = static_cast<std::uint32_t>(static_cast<double>(total) / seconds);
-    std::uint64_t below = 0;
-    for (auto place = begin; place != end && load.middle == 0; ++place) {
-        // The first key that has half of the load before it, or ends there with more than half.
-        if (below * 2 >= total && below > 0) {
-            load.middle = ordered_key_hash(place->first);
-        }
-        below += place->second;
+    const double usual =
+        m_queue.limit() / std::chrono::duration<double>(m_queue.mean_service_time()).count();
+    const auto part = static_cast<std::uint64_t>(usual * seconds / parts_of_capacity) + 1;
+    for (const std::uint32_t key : load_cuts(keys, part, most_cuts)) {
+        load.cuts.push_back(ordered_key_hash(key));
     }
     return load;
 }
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -157,6 +157,7 @@
         }
         return;
     }
+    count_key();
     work_queue &queue = m_host.agent().queue();
     const work_queue::verdict verdict = queue.offer(item(), now);
     if (verdict == work_queue::verdict::start) {
@@ -178,6 +179,14 @@
     }
 }
 
+/// Refused requests count too: by what it runs a target that is full never looks overloaded.
+void target_relay::count_key() {
+    if (m_hop.key && !m_counted) {
+        m_counted = true;
+        m_host.agent().count_request(*m_hop.key);
+    }
+}
+
 /// Precondition: counted as in flight by the queue.
 void target_relay::start(instant now) {
     m_phase = phase::running;
@@ -201,9 +210,6 @@
                std::to_string(std::max<std::int64_t>(1, ms_of(m_deadline - now))));
     set_header(head.headers, names.expected_target, target.name);
     m_body.frame(head);
-    if (m_hop.key) {
-        m_host.agent().count_request(*m_hop.key);
-    }
     m_call = m_host.pool().start(target.address, head, weak_from_this());
     m_body.attach(m_call);
 }
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -45,6 +45,7 @@
     void end_turn(std::optional<duration> took);
     work_queue::item item() const;
     void offer(instant now);
+    void count_key();
     void start(instant now);
     void refuse(error_kind kind, instant now, duration retry_after);
     void fail(error_kind kind, instant now);
@@ -68,6 +69,7 @@
     std::shared_ptr<http_call> m_call;
     int m_status = 0;
     bool m_not_executed = false;
+    bool m_counted = false; ///< for the load of its key
 };
 
 } // namespace peppertack
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -38,7 +38,7 @@
     renewal.routes_version = 12;
     renewal.capacity = 140;
     renewal.restored = {{"s", 4, 5, 0}};
-    renewal.loads = {{1, 2, 9}};
+    renewal.loads = {{1, 2, {9, 12}}, {3, 4, {}}};
     renewal.hot_keys = {{3, 4}};
     renewal.standby_epoch = 77;
     const map_update update{
