Soak: links between nodes and to targets misbehave, and disturbances overlap

Cause: the soak struck with signals only. Change: a loopback proxy before each node and each target delays, cuts one way, silences (all or what is open) and resets; planned stops of nodes; one strike in four comes while the one before lasts.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "platform_cluster.hpp"
 
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -15,8 +16,8 @@
 /// watches callers and targets. Yields whether nothing was violated.
 class soak_run {
 public:
-    soak_run(const std::string &programs, std::uint64_t seed)
-        : m_random(seed),
+    soak_run(const std::string &programs, std::uint64_t seed, bool signals_only)
+        : m_random(seed), m_signals_only(signals_only),
           m_cluster({.programs = programs, .voters = 3, .losses = 1, .seed = seed}) {}
 
     bool play(int steps) {
@@ -56,51 +57,117 @@
         }
     }
 
-    /// At most one voter and one node are out at a time, as the tolerance says; targets come and
-    /// go.
+    /// One way in which a run is disturbed.
+    struct disturbance {
+        const char *name;
+        void (soak_run::*begin)();
+    };
+
+    /// At most one voter and one node are out at a time, as the tolerance says; targets and links
+    /// come and go. Each begins once what the one before did is mended, but for some that overlap.
     void strike() {
-        mend();
-        const std::size_t node = draw(m_cluster.nodes());
-        const std::size_t voter = draw(3);
-        const std::uint64_t kind = draw(8);
-        std::cout << "strike " << kind << " node " << node << " voter " << voter << "\n";
-        switch (kind) {
-        case 0:
-            m_cluster.end_node(node);
-            m_down_node = node;
-            break;
-        case 1:
-            m_cluster.signal_node(node, SIGSTOP);
-            m_stopped_node = node;
-            break;
-        case 2:
-            m_cluster.end_voter(voter);
-            m_down_voter = voter;
-            break;
-        case 3:
-            m_cluster.signal_voter(voter, SIGSTOP);
-            m_stopped_voter = voter;
-            break;
-        case 4:
-            m_cluster.target(node).crash();
-            m_down_target = node;
-            break;
-        case 5:
-            m_cluster.end_voter(voter);
-            m_cluster.wipe_voter(voter);
-            m_down_voter = voter;
-            break;
-        case 6:
-            if (m_cluster.configure(m_version + 2, m_version)) {
-                m_version += 2;
-            }
-            break;
-        default: m_cluster.signal_node(node, SIGHUP); break;
+        static constexpr std::array kinds{
+            disturbance{"node killed", &soak_run::kill_node},
+            disturbance{"node paused", &soak_run::pause_node},
+            disturbance{"voter killed", &soak_run::kill_voter},
+            disturbance{"voter paused", &soak_run::pause_voter},
+            disturbance{"target crashed", &soak_run::crash_target},
+            disturbance{"voter killed and its disk wiped", &soak_run::wipe_voter},
+            disturbance{"configuration changed", &soak_run::change_configuration},
+            disturbance{"settings reloaded", &soak_run::reload_node},
+            // ---- from here on links, too ----
+            disturbance{"links delayed", &soak_run::delay_links},
+            disturbance{"links cut one way", &soak_run::cut_links_one_way},
+            disturbance{"links silent", &soak_run::silence_links},
+            disturbance{"open connections silent", &soak_run::silence_open_connections},
+            disturbance{"connections reset", &soak_run::reset_links},
+            disturbance{"node stopped in order", &soak_run::stop_node},
+        };
+        if (m_signals_only || draw(4) != 0) {
+            mend();
         }
+        m_node = draw(m_cluster.nodes());
+        m_voter = draw(3);
+        const disturbance &kind = kinds.at(draw(m_signals_only ? signals : kinds.size()));
+        std::cout << kind.name << ", node " << m_node << " voter " << m_voter << "\n";
+        (this->*kind.begin)();
+    }
+
+    bool node_is_out() const { return m_down_node || m_stopped_node; }
+    bool voter_is_out() const { return m_down_voter || m_stopped_voter; }
+
+    void kill_node() {
+        if (!node_is_out()) {
+            m_cluster.end_node(m_node);
+            m_down_node = m_node;
+        }
+    }
+    void stop_node() {
+        if (!node_is_out()) {
+            m_cluster.signal_node(m_node, SIGTERM);
+            m_down_node = m_node;
+        }
+    }
+    void pause_node() {
+        if (!node_is_out()) {
+            m_cluster.signal_node(m_node, SIGSTOP);
+            m_stopped_node = m_node;
+        }
+    }
+    void kill_voter() {
+        if (!voter_is_out()) {
+            m_cluster.end_voter(m_voter);
+            m_down_voter = m_voter;
+        }
+    }
+    void pause_voter() {
+        if (!voter_is_out()) {
+            m_cluster.signal_voter(m_voter, SIGSTOP);
+            m_stopped_voter = m_voter;
+        }
+    }
+    void wipe_voter() {
+        if (!voter_is_out()) {
+            m_cluster.end_voter(m_voter);
+            m_cluster.wipe_voter(m_voter);
+            m_down_voter = m_voter;
+        }
+    }
+    void crash_target() {
+        if (!m_down_target) {
+            m_cluster.target(m_node).crash();
+            m_down_target = m_node;
+        }
+    }
+    void change_configuration() {
+        if (m_cluster.configure(m_version + 2, m_version)) {
+            m_version += 2;
+        }
+    }
+    void reload_node() { m_cluster.signal_node(m_node, SIGHUP); }
+    void delay_links() { disturb_links(fault_proxy::fault::delay); }
+    void cut_links_one_way() {
+        disturb_links(draw(2) == 0 ? fault_proxy::fault::to_server : fault_proxy::fault::to_client);
+    }
+    void silence_links() { disturb_links(fault_proxy::fault::silent); }
+    void silence_open_connections() { disturb_links(fault_proxy::fault::silent_opened); }
+    void reset_links() {
+        m_cluster.node_links(m_node).reset_all();
+        m_cluster.target_links(m_node).reset_all();
+    }
+    void disturb_links(fault_proxy::fault kind) {
+        fault_proxy &links =
+            draw(2) == 0 ? m_cluster.node_links(m_node) : m_cluster.target_links(m_node);
+        links.set_fault(kind);
     }
 
     void mend() {
+        for (std::size_t i = 0; i < m_cluster.nodes(); ++i) {
+            m_cluster.node_links(i).set_fault(fault_proxy::fault::none);
+            m_cluster.target_links(i).set_fault(fault_proxy::fault::none);
+        }
         if (m_down_node) {
+            m_cluster.end_node(*m_down_node); // one that is still stopping has had its time
             m_cluster.start_node(*m_down_node);
         }
         if (m_stopped_node) {
@@ -115,7 +182,7 @@
         if (m_down_target) {
             m_cluster.target(*m_down_target).start();
         }
-        const bool voter_was_out = m_down_voter || m_stopped_voter;
+        const bool voter_was_out = voter_is_out();
         m_down_node.reset();
         m_stopped_node.reset();
         m_down_voter.reset();
@@ -140,10 +207,15 @@
                               : "the acknowledged configuration is not read back: " + text + "\n");
     }
 
+    static constexpr std::size_t signals = 8; ///< disturbances before those of links
+
     std::mt19937_64 m_random;
+    bool m_signals_only;
     platform_cluster m_cluster;
     std::uint64_t m_version = 1;
     bool m_sound = true;
+    std::size_t m_node = 0;  ///< drawn for the present strike
+    std::size_t m_voter = 0; ///< as well
     std::optional<std::size_t> m_down_node;
     std::optional<std::size_t> m_stopped_node;
     std::optional<std::size_t> m_down_voter;
@@ -153,19 +225,21 @@
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS]: plays seeds and names those that failed.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals]: plays seeds and names those that failed. With
+/// `signals` the links are left alone, and seeds mean what they meant before these were disturbed.
 int main(int count, char **words) {
     if (count < 4) {
-        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS]\n";
+        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
     const std::uint64_t runs = std::stoull(words[3]);
     const int steps = count > 4 ? std::stoi(words[4]) : 8;
+    const bool signals_only = count > 5 && words[5] == std::string("signals");
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        const bool good = soak_run(words[1], seed).play(steps);
+        const bool good = soak_run(words[1], seed, signals_only).play(steps);
         failed += good ? 0 : 1;
         std::cout << "seed " << seed << (good ? " passed" : " FAILED") << std::endl;
     }
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -81,7 +81,7 @@
     m_freed = nlohmann::json::array();
     m_life = std::make_shared<bool>(true);
     const std::string address =
-        m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
+        m_cluster.behind_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
     m_server = std::make_unique<http_server>(
         m_cluster.m_io, http_server::options{.address = address},
         whole_request::factory(
@@ -218,6 +218,12 @@
         start_voter(i, true);
     }
     for (std::size_t i = 0; i < nodes(); ++i) {
+        const auto link = [&](const char *use) {
+            const std::string port = ":" + std::to_string(m_ports.at(use));
+            return std::make_unique<fault_proxy>(m_io, node_ip(i) + port, behind_ip(i) + port);
+        };
+        m_node_links.push_back(link("nodes"));
+        m_target_links.push_back(link("target"));
         start_node(i);
         m_targets.push_back(std::make_unique<stand_in_platform_target>(*this, i));
         m_targets.back()->start();
@@ -245,9 +251,13 @@
     return "127." + std::to_string(1 + ::getpid() % 200) + ".2." + std::to_string(place + 1);
 }
 
-std::string platform_cluster::settings_text(const std::string &ip, const std::string &zone,
-                                            const std::string &service, const std::string &data,
-                                            bool first) const {
+std::string platform_cluster::behind_ip(std::size_t place) const {
+    return "127." + std::to_string(1 + ::getpid() % 200) + ".3." + std::to_string(place + 1);
+}
+
+std::string platform_cluster::settings_text(const std::string &ip, const std::string &behind,
+                                            const std::string &zone, const std::string &service,
+                                            const std::string &data, bool first) const {
     const auto at = [&](const char *use) { return ip + ":" + std::to_string(m_ports.at(use)); };
     std::string seeds;
     for (std::size_t i = 0; i < m_options.voters; ++i) {
@@ -256,9 +266,10 @@
     return "peer-address = " + at("peer") + "\nmetrics-address = " + at("metrics") +
            "\nfailure-domain = " + zone + "\nservice = " + service +
            "\ntarget-address = " + at("target") + "\ncaller-address = " + at("callers") +
-           "\nnode-address = " + at("nodes") + "\nready-address = " + at("ready") +
-           "\ncontrol-address = " + at("control") + "\nseeds = " + seeds +
-           "\ndata-folder = " + data + "\nfounding = " + (first ? "true" : "false") +
+           "\nnode-address = " + behind + ":" + std::to_string(m_ports.at("nodes")) +
+           "\nready-address = " + at("ready") + "\ncontrol-address = " + at("control") +
+           "\nseeds = " + seeds + "\ndata-folder = " + data +
+           "\nfounding = " + (first ? "true" : "false") +
            "\nlosses = " + std::to_string(m_options.losses) +
            "\nheartbeat-interval-s = " + std::to_string(m_options.heartbeat_s) +
            "\nmost-hold-s = 10\ngrace-s = 6\nlink-mbps = " + std::to_string(m_options.link_mbps) +
@@ -287,14 +298,14 @@
 void platform_cluster::start_voter(std::size_t place, bool first) {
     const std::string data = m_folder + "/voter-" + std::to_string(place);
     m_voters[place] = spawn("voter", "voter-" + std::to_string(place),
-                            settings_text(voter_ip(place), "z", "", data, first));
+                            settings_text(voter_ip(place), voter_ip(place), "z", "", data, first));
 }
 
 void platform_cluster::start_node(std::size_t place) {
     const std::string zone = "z" + std::to_string(place % 3);
-    m_nodes[place] =
-        spawn("beside-target", "node-" + std::to_string(place),
-              settings_text(node_ip(place), zone, m_options.services[place], "", false));
+    m_nodes[place] = spawn("beside-target", "node-" + std::to_string(place),
+                           settings_text(node_ip(place), behind_ip(place), zone,
+                                         m_options.services[place], "", false));
 }
 
 void platform_cluster::wipe_voter(std::size_t place) {
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fault_proxy.hpp"
 #include "peppertack/state/time.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
@@ -118,6 +119,9 @@
     /// Sends requests until one of each kind was answered 200.
     bool serves();
 
+    /// What other nodes send to a node, and what that node sends to its target, pass here.
+    fault_proxy &node_links(std::size_t place) { return *m_node_links[place]; }
+    fault_proxy &target_links(std::size_t place) { return *m_target_links[place]; }
     stand_in_platform_target &target(std::size_t place) { return *m_targets[place]; }
     std::size_t nodes() const { return m_options.services.size(); }
     /// Logs and disks stay when this goes; yields where.
@@ -136,9 +140,11 @@
 
     std::string voter_ip(std::size_t place) const;
     std::string node_ip(std::size_t place) const;
-    std::string settings_text(const std::string &ip, const std::string &zone,
-                              const std::string &service, const std::string &data,
-                              bool first) const;
+    /// Where a node and its target really listen, behind the proxies.
+    std::string behind_ip(std::size_t place) const;
+    std::string settings_text(const std::string &ip, const std::string &behind,
+                              const std::string &zone, const std::string &service,
+                              const std::string &data, bool first) const;
     pid_t spawn(const std::string &role, const std::string &name, const std::string &settings);
     void signal(pid_t process, int number) const;
     static void end(pid_t &process);
@@ -151,6 +157,8 @@
     std::string m_folder;
     std::map<std::string, int> m_ports;
     http_client_pool m_pool;
+    std::vector<std::unique_ptr<fault_proxy>> m_node_links;
+    std::vector<std::unique_ptr<fault_proxy>> m_target_links;
     std::vector<pid_t> m_voters;
     std::vector<pid_t> m_nodes;
     std::vector<std::unique_ptr<stand_in_platform_target>> m_targets;
