A voter passes renewals on to a leader that does not answer the node

Ruled out: longer leases (they lengthen every real loss); a second leader for those nodes.

Change: after an answer that did not come in time a node asks the other voters to pass its renewals on, for 3 s, then tries the leader directly again. The leader answers the voter, which passes the answer back; a lease still runs from when the node sent its request. What is meant for the control part is told in one place for daemon and tests.

--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -137,6 +137,7 @@
     void send_to_contacts(const join_request &request);
     void take_join(const join_request &request, moment at);
     void answer_proofs();
+    void pass_renewal_on(const node_address &from, const renew_request &request);
     void apply_committed();
     void apply_entry(const log_entry &entry);
     void update_leadership(moment at);
@@ -206,6 +207,10 @@
     std::uint64_t m_updates_version = 0;
 };
 
+/// Whether a message is meant for the control part of a process; else for its node part. Thread
+/// safe.
+bool is_for_control(const message &body);
+
 /// The part of a target's record that nodes need.
 target_route route_of(const target_record &record);
 
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -95,6 +95,8 @@
     instant m_answer_due{};
     instant m_sent_last{};
     bool m_waiting = false;
+    node_address m_silent_voter; ///< did not answer in time
+    instant m_relay_until{};     ///< until then renewals ask to be passed on to the leader
     std::uint64_t m_renewed = 0;
 };
 
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -120,6 +120,9 @@
         0; ///< requests a second that the target can do, as measured; 0: unknown
     std::vector<range_load> loads;
     std::vector<hot_key> hot_keys;
+    /// The leader does not answer this node: another voter is to pass the request on to it.
+    bool wants_relay = false;
+    node_address origin; ///< the node, where a voter passes its request on; else empty
 
     friend bool operator==(const renew_request &, const renew_request &) = default;
 };
@@ -174,6 +177,7 @@
     std::string routes; ///< packed delta from the node's routing sheet, only if that is older
     map_update map;
     std::vector<node_address> voters;
+    node_address origin; ///< the node, where a voter is to pass the answer on; else empty
 
     friend bool operator==(const renew_reply &, const renew_reply &) = default;
 };
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -34,6 +34,18 @@
 
 } // namespace
 
+bool is_for_control(const message &body) {
+    if (const auto *reply = std::get_if<renew_reply>(&body)) {
+        return !reply->origin.empty(); // to be passed on
+    }
+    return std::holds_alternative<vote_request>(body) || std::holds_alternative<vote_reply>(body) ||
+           std::holds_alternative<append_request>(body) ||
+           std::holds_alternative<append_reply>(body) ||
+           std::holds_alternative<snapshot_request>(body) ||
+           std::holds_alternative<renew_request>(body) ||
+           std::holds_alternative<join_request>(body);
+}
+
 target_route route_of(const target_record &record) {
     return {.number = record.number,
             .name = record.name,
@@ -157,14 +169,18 @@
 void control_core::receive(const node_address &from, const message &body, moment at) {
     if (const auto *renewal = std::get_if<renew_request>(&body)) {
         if (!m_established) {
-            m_outgoing.push_back({from, renew_reply{.sequence = renewal->sequence,
-                                                    .leader_hint = m_replica->leader()}});
+            pass_renewal_on(from, *renewal);
             return;
         }
         // Answered only once a quorum has confirmed this leader after the renewal came: a leader
         // that was replaced without noticing must not prolong a lease the new one waits out.
         const std::uint64_t round = g_defects.unconfirmed_leader ? 0 : m_replica->request_round();
         m_renewals.push_back({round, from, *renewal});
+    } else if (const auto *reply = std::get_if<renew_reply>(&body)) {
+        if (!reply->origin.empty()) {
+            renew_reply passed = *reply;
+            m_outgoing.push_back({std::exchange(passed.origin, {}), std::move(passed)});
+        }
     } else if (const auto *join = std::get_if<join_request>(&body)) {
         take_join(*join, at);
     } else {
@@ -173,6 +189,22 @@
     settle(at);
 }
 
+/// A node that is cut off from the leader alone would lose its lease, and its target's keys would
+/// go to others without need. One voter in between is enough: a request that was passed on once
+/// goes no further.
+void control_core::pass_renewal_on(const node_address &from, const renew_request &request) {
+    const node_address &leader = m_replica->leader();
+    const bool known = !leader.empty() && leader != m_options.replication.self;
+    if (request.wants_relay && known && request.origin.empty()) {
+        renew_request passed = request;
+        passed.origin = from;
+        m_outgoing.push_back({leader, std::move(passed)});
+    } else if (request.origin.empty()) {
+        m_outgoing.push_back(
+            {from, renew_reply{.sequence = request.sequence, .leader_hint = leader}});
+    }
+}
+
 std::uint64_t control_core::submit(command value, moment at) {
     const std::uint64_t ticket = m_next_ticket++;
     value.wall_ms = at.wall_ms;
@@ -395,6 +427,7 @@
 
 void control_core::answer_renewal(const waiting_renewal &waiting, moment at) {
     const renew_request &request = waiting.request;
+    const node_address &from = request.origin.empty() ? waiting.from : request.origin;
     renew_reply reply{.sequence = request.sequence,
                       .is_leader = true,
                       .table_version = m_state.table_version(),
@@ -407,8 +440,8 @@
     if (request.table_version != m_state.table_version()) {
         reply.table_csv = m_state.current_table().to_csv();
     }
-    node_report &node = m_nodes[waiting.from];
-    node.address = waiting.from;
+    node_report &node = m_nodes[from];
+    node.address = from;
     node.number = request.target.number;
     node.table_version = request.table_version;
     node.map_version = reply.map.to;
@@ -436,9 +469,10 @@
         } else if (request.target.number != no_target) {
             reply.registration_lost = true;
         } else {
-            register_node(request, waiting.from, at);
+            register_node(request, from, at);
         }
     }
+    reply.origin = request.origin;
     m_outgoing.push_back({waiting.from, std::move(reply)});
 }
 
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t most_voters = 16;
 constexpr std::size_t most_sheet_bytes = 64U << 20U; ///< beyond what operators may send
 constexpr duration ask_next_voter_after = std::chrono::milliseconds(20);
+/// For so long a leader that did not answer is asked through others; then directly once more.
+constexpr duration relay_time = std::chrono::seconds(3);
 constexpr duration least_interval = std::chrono::milliseconds(5);
 
 } // namespace
@@ -79,6 +81,8 @@
         m_drain_seen = m_drain_seen || own->phase == target_phase::draining;
     }
     if (m_waiting && at.now >= m_answer_due) {
+        m_silent_voter = m_voters[m_voter];
+        m_relay_until = at.now + relay_time;
         next_voter({}, at.now);
         m_waiting = false;
         hurry();
@@ -95,7 +99,8 @@
                           .routes_version = m_routes.version,
                           .has_target = m_announcement.has_value() && !m_retired,
                           .draining = draining(),
-                          .giving_up = m_giving_up};
+                          .giving_up = m_giving_up,
+                          .wants_relay = at.now < m_relay_until};
     request.target.number = m_number;
     request.target.incarnation = m_options.named_registrations && m_announcement
                                      ? key_hash(m_announcement->name)
@@ -151,7 +156,12 @@
     m_sent.erase(sent);
     if (address_of(from) == m_voters[m_voter]) {
         m_waiting = false;
-        if (!reply.is_leader) {
+        const bool silent =
+            at.now < m_relay_until && address_of(reply.leader_hint) == m_silent_voter;
+        if (!reply.is_leader && silent) {
+            // The leader did not answer a moment ago. This voter will pass the next request on.
+            m_renew_at = at.now + ask_next_voter_after;
+        } else if (!reply.is_leader) {
             next_voter(reply.leader_hint, at.now);
         }
     }
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -441,6 +441,10 @@
                [](const range_load &item, auto builder) { write(item, builder); });
     write_list(out.initHotKeys(size_of(value.hot_keys.size())), value.hot_keys,
                [](const hot_key &item, auto builder) { write(item, builder); });
+    out.setWantsRelay(value.wants_relay);
+    if (!value.origin.empty()) {
+        out.setOrigin(text_of(value.origin));
+    }
 }
 
 message get(wire::RenewRequest::Reader in) {
@@ -468,6 +472,8 @@
     value.hot_keys = read_list<hot_key>(in.getHotKeys(), [](auto item) {
         return hot_key{item.getFirst(), item.getRequests()};
     });
+    value.wants_relay = in.getWantsRelay();
+    value.origin = string_of(in.getOrigin());
     return value;
 }
 
@@ -488,6 +494,9 @@
     for (unsigned int i = 0; i < voters.size(); ++i) {
         voters.set(i, text_of(value.voters[i]));
     }
+    if (!value.origin.empty()) {
+        out.setOrigin(text_of(value.origin));
+    }
 }
 
 message get(wire::RenewReply::Reader in) {
@@ -505,6 +514,7 @@
     value.map = read(in.getMap());
     value.voters = read_list<node_address>(
         in.getVoters(), [](capnp::Text::Reader item) { return string_of(item); });
+    value.origin = string_of(in.getOrigin());
     return value;
 }
 
--- a/tests/coordination/failures_test.cpp
+++ b/tests/coordination/failures_test.cpp
@@ -370,3 +370,21 @@
     }
     check_clean(in);
 }
+
+TEST_CASE("a node is cut off from the leader alone") {
+    // Symptom: a third of the lookups was refused for six seconds, and keys ran cold afterwards.
+    // Sequence: some nodes lost the way to the leading voter only; they reached the others, and
+    // these reached the leader. Cause: a renewal went to the leader or nowhere, so the leases ended
+    // and the keys were given away.
+    auto in = ready_world();
+    const auto [key, owner] = key_beyond_leader(*in);
+    const std::size_t leader = *in->leader();
+    in->cut(owner, leader);
+    in->cut(leader, owner);
+    for (int i = 0; i < 50; ++i) {
+        in->run(100ms);
+        CHECK(in->owner_of(key) == owner);
+    }
+    CHECK(in->leader() == leader);
+    check_clean(*in);
+}
--- a/tests/coordination/world.cpp
+++ b/tests/coordination/world.cpp
@@ -276,12 +276,7 @@
 
 void world::deliver(std::size_t to, const node_address &from, const message &body) {
     host &item = *m_hosts[to];
-    const bool for_control = std::holds_alternative<vote_request>(body) ||
-                             std::holds_alternative<vote_reply>(body) ||
-                             std::holds_alternative<append_request>(body) ||
-                             std::holds_alternative<append_reply>(body) ||
-                             std::holds_alternative<snapshot_request>(body) ||
-                             std::holds_alternative<renew_request>(body);
+    const bool for_control = is_for_control(body);
     if (for_control && item.control) {
         item.control->receive(from, body, clock_of(item));
     } else if (!for_control && item.node) {
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -37,6 +37,8 @@
     renewal.released = {{"s", 1, 2, 3, "handed"}};
     renewal.routes_version = 12;
     renewal.capacity = 140;
+    renewal.wants_relay = true;
+    renewal.origin = "n:3#4";
     renewal.restored = {{"s", 4, 5, 0}};
     renewal.loads = {{1, 2, {9, 12}}, {3, 4, {}}};
     renewal.hot_keys = {{3, 4}};
--- a/tools/peppertackd.cpp
+++ b/tools/peppertackd.cpp
@@ -43,16 +43,6 @@
     return exit_failed;
 }
 
-/// Messages of the voter protocol and renewals are for the control part, the rest for the node.
-bool is_for_control(const message &body) {
-    return std::holds_alternative<vote_request>(body) || std::holds_alternative<vote_reply>(body) ||
-           std::holds_alternative<append_request>(body) ||
-           std::holds_alternative<append_reply>(body) ||
-           std::holds_alternative<snapshot_request>(body) ||
-           std::holds_alternative<renew_request>(body) ||
-           std::holds_alternative<join_request>(body);
-}
-
 /// Waits for a signal, then hands the target's keys over. A second signal ends it at once.
 void run_until_stopped(node_host &node) {
     while (g_stop_signals == 0) {
