What more urgent requests take of a target counts as wait for the others

Cause: the expected wait looked only at what was ahead already; under load the less urgent were taken, overtaken by what came later, and refused in the end.

Change: the queue remembers for 2 s the work that each priority took, and counts on the rest only.

--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -41,6 +41,7 @@
 
     explicit work_queue(options settings) : m_options(settings) {}
 
+    /// Precondition: `limit` is above 0.
     void set_limit(std::uint32_t limit) { m_options.limit = limit; }
     std::uint32_t limit() const { return m_options.limit; }
     /// Whether `offer` would not refuse the request now.
@@ -64,7 +65,7 @@
     duration service_time(const std::string &kind) const;
     duration mean_service_time() const { return m_mean; }
     /// How long a request that came now would wait.
-    duration expected_wait(const item &request) const;
+    duration expected_wait(const item &request, instant now) const;
     /// When there will be room again, as far as can be told.
     duration retry_after() const;
 
@@ -74,7 +75,17 @@
     bool in_time(const item &request, instant now) const;
     bool before(const item &a, const item &b, instant now) const;
 
+    /// Work that was taken, fading with time.
+    struct recent_work {
+        double sum = 0; ///< microseconds
+        instant at{};
+        double at_time(instant now) const;
+    };
+    void note_taken(const item &request, instant now);
+    double taken_above(int priority, instant now) const;
+
     options m_options;
+    std::map<int, recent_work> m_taken; ///< by priority
     std::uint32_t m_in_flight = 0;
     std::uint64_t m_finished = 0;
     std::vector<item> m_waiting; ///< in order of arrival
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <tuple>
 
 namespace peppertack {
@@ -12,6 +13,10 @@
 /// slow within a second at some tens of requests a second, slow enough to pass over a single
 /// outlier.
 constexpr int smoothing = 16;
+/// Some work of the least urgent is always hoped for: what is more urgent may end any moment.
+constexpr double most_taken_above = 0.95;
+/// Load of one priority is taken from about so long: a burst lasts for seconds.
+constexpr std::chrono::seconds memory(2);
 constexpr duration least_retry_after = std::chrono::milliseconds(50);
 
 } // namespace
@@ -39,7 +44,29 @@
     return rank(a) < rank(b);
 }
 
-duration work_queue::expected_wait(const item &request) const {
+/// Notes that a request was taken, for those that rank below it.
+void work_queue::note_taken(const item &request, instant now) {
+    recent_work &work = m_taken[request.priority];
+    work.sum = work.at_time(now) + static_cast<double>(service_time(request.kind).count());
+    work.at = now;
+}
+
+double work_queue::recent_work::at_time(instant now) const {
+    const double passed = std::chrono::duration<double>(now - at) / memory;
+    return sum * std::exp(-std::max(passed, 0.0));
+}
+
+/// Part of the target that requests more urgent than `priority` took of late, and will take on.
+double work_queue::taken_above(int priority, instant now) const {
+    double work = 0;
+    for (auto place = m_taken.begin(); place != m_taken.end() && place->first < priority; ++place) {
+        work += place->second.at_time(now);
+    }
+    const auto whole = static_cast<double>(duration(memory).count()) * m_options.limit;
+    return std::min(work / whole, most_taken_above);
+}
+
+duration work_queue::expected_wait(const item &request, instant now) const {
     if (m_in_flight < m_options.limit) {
         return {};
     }
@@ -49,7 +76,10 @@
                            std::tuple(request.priority, request.objective);
         ahead += first ? service_time(other.kind) : duration{};
     }
-    return ahead / std::max<duration::rep>(m_options.limit, 1);
+    // What comes later and is more urgent goes first too: a request that counts on the whole target
+    // is overtaken again and again, and refused when half of its time is gone.
+    const double share = (1 - taken_above(request.priority, now)) * m_options.limit;
+    return duration(static_cast<duration::rep>(static_cast<double>(ahead.count()) / share));
 }
 
 bool work_queue::would_take(const item &request, instant now) const {
@@ -57,7 +87,7 @@
         return now < request.deadline;
     }
     // One that would start too late to meet its objective only pushes those behind it past theirs.
-    const instant done = now + expected_wait(request) + service_time(request.kind);
+    const instant done = now + expected_wait(request, now) + service_time(request.kind);
     return m_waiting.size() < m_options.most_waiting && done <= useful_until(request);
 }
 
@@ -65,6 +95,7 @@
     if (!would_take(request, now)) {
         return verdict::refuse;
     }
+    note_taken(request, now);
     if (has_room()) {
         ++m_in_flight;
         return verdict::start;
--- a/tests/coordination/work_queue_test.cpp
+++ b/tests/coordination/work_queue_test.cpp
@@ -25,6 +25,7 @@
 struct replay {
     work_queue queue{{.limit = 4}};
     duration service = 100ms;
+    double spread = 0; ///< of the logarithm of the service time
     std::size_t offered = 0;
     std::size_t in_time = 0;
     std::size_t late = 0;
@@ -36,6 +37,7 @@
         struct running {
             instant ends;
             std::uint64_t id;
+            duration took{};
             bool operator>(const running &other) const { return ends > other.ends; }
         };
         std::priority_queue<running, std::vector<running>, std::greater<>> busy;
@@ -45,7 +47,13 @@
         std::exponential_distribution<double> gap(rate);
         instant now = start;
         instant next_arrival = start;
-        const auto begin = [&](std::uint64_t id) { busy.push({now + service, id}); };
+        std::lognormal_distribution<double> factor(-spread * spread / 2, spread);
+        const auto begin = [&](std::uint64_t id) {
+            const double times = spread == 0 ? 1 : factor(random);
+            const duration took(
+                static_cast<duration::rep>(static_cast<double>(service.count()) * times));
+            busy.push({now + took, id, took});
+        };
         const auto fill = [&] {
             std::vector<std::uint64_t> hopeless;
             while (const auto id = queue.next(now, hopeless)) {
@@ -62,7 +70,7 @@
                 const running done = busy.top();
                 busy.pop();
                 now = done.ends;
-                queue.finish("r", service);
+                queue.finish("r", done.took);
                 const bool good = now <= items[done.id].objective;
                 ++(good ? in_time : late);
                 ++served_by_priority[items[done.id].priority];
@@ -167,3 +175,16 @@
     CHECK_FALSE(queue.would_take(item(2), start + 480ms));
     CHECK(queue.waiting() == 0);
 }
+
+TEST_CASE("at twice the capacity the less urgent are refused at once, not after a long wait") {
+    // Symptom: half of all refusals came after more than half of the objective. Sequence: a target
+    // was asked for twice what it can do, one half urgent; the other half was taken, overtaken by
+    // urgent requests that came later, and refused in the end. Cause: only what was ahead already
+    // counted as wait.
+    replay load;
+    load.spread = 0.5;
+    load.run(80, 120s, 500ms); // capacity is 40 a second
+    CHECK(load.in_time >= 0.93 * 40 * 120);
+    CHECK(load.late <= load.in_time / 20);
+    CHECK(load.refused_late <= load.refused / 10);
+}
