Retries that nodes save up share the promised slack, however many nodes there are

Cause: each node saved up three retries a service, 246 for 82 nodes where 202 are promised for all; only the share of many requests kept the sum below.

Ruled out: a budget that nodes hand each other (messages for what a constant does).

Change: settings take the ratio and the slack from the platform; a node uses 0.8 of its part, one retry at least.

--- a/include/peppertack/coordination/retry_budget.hpp
+++ b/include/peppertack/coordination/retry_budget.hpp
@@ -1,9 +1,17 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 namespace peppertack {
 
+/// Part of a fleet's saved-up retries that each of `nodes` may have, at least one and at most
+/// `most`: together they stay below `slack`, however many nodes there are.
+inline double saved_retries(double slack, std::size_t nodes, double most) {
+    const double part = slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    return std::clamp(part, 1.0, most);
+}
+
 /// Bounds retries to a share of the requests, so that a failing fleet is not loaded further by its
 /// own retries. Not thread safe.
 class retry_budget {
@@ -26,6 +34,11 @@
         return true;
     }
     double tokens() const { return m_tokens; }
+    /// From now on no more than `most` are saved up.
+    void set_most(double most) {
+        m_options.most = most;
+        m_tokens = std::min(m_tokens, most);
+    }
 
 private:
     options m_options;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -96,6 +96,7 @@
         retry_budget reruns;
     };
     service_retries &retries_of(const std::string &service);
+    double saved_retries_now() const;
     std::unordered_map<std::string, service_retries> m_retries;
     std::set<timed_request *> m_requests;
     std::unordered_map<std::uint64_t, std::function<void(bool)>> m_starts;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -34,8 +34,10 @@
     hold_keeper::options holds;
     target_selector::options selector;
     /// Requests sent to a second target, as a share of this node's requests to a service and a few
-    /// more. All nodes' shares together must stay below what the targets are promised.
+    /// more. All nodes' shares together must stay below what the targets are promised:
+    /// `retry_slack` besides the share, for all nodes.
     retry_budget::options retries{.share = 0.16, .most = 3};
+    double retry_slack = 48;
     /// Of these, the part for requests that may have run: each of their runs calls other targets
     /// again.
     retry_budget::options reruns{.share = 0.05, .most = 2};
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -89,10 +89,17 @@
 }
 
 traffic_host::service_retries &traffic_host::retries_of(const std::string &service) {
-    const service_retries fresh{retry_budget(m_options.retries), retry_budget(m_options.reruns)};
+    retry_budget::options all = m_options.retries;
+    all.most = saved_retries_now();
+    const service_retries fresh{retry_budget(all), retry_budget(m_options.reruns)};
     return m_retries.try_emplace(service, fresh).first->second;
 }
 
+double traffic_host::saved_retries_now() const {
+    return saved_retries(m_options.retry_slack, m_agent.lease().map().targets().size(),
+                         m_options.retries.most);
+}
+
 void traffic_host::note_request(const std::string &service) {
     service_retries &budget = retries_of(service);
     budget.all.note_request();
@@ -117,6 +124,9 @@
     m_changed = false;
     apply_limits();
     m_selector.keep_only(m_agent.lease().map().targets());
+    for (auto &[service, budget] : m_retries) {
+        budget.all.set_most(saved_retries_now());
+    }
     const std::vector<timed_request *> all(m_requests.begin(), m_requests.end());
     for (timed_request *request : all) {
         if (m_requests.count(request) != 0) {
--- a/tests/coordination/parts_test.cpp
+++ b/tests/coordination/parts_test.cpp
@@ -241,3 +241,21 @@
     REQUIRE(released.size() == 1);
     CHECK(released[0].id == 5);
 }
+
+TEST_CASE("what nodes save up of retries adds up to less than the whole, however many they are") {
+    for (const std::size_t nodes : {1U, 12U, 80U, 300U}) {
+        const double slack = 2.5 * 300;
+        const double each = saved_retries(slack, nodes, 3);
+        CHECK(each * static_cast<double>(nodes) <= slack);
+        CHECK(each >= 1);
+        CHECK(each <= 3);
+    }
+    retry_budget budget({.share = 0.5, .most = 3});
+    budget.set_most(1);
+    CHECK(budget.take());
+    CHECK_FALSE(budget.take());
+    budget.note_request();
+    budget.note_request();
+    budget.note_request();
+    CHECK(budget.tokens() == 1);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -156,7 +156,7 @@
     "ready-address = 10.0.0.1:83\ncontrol-address = 10.0.0.1:84\n"
     "seeds = 10.0.0.2:84,10.0.0.3:84\ndata-folder =\nfounding = true\n"
     "losses = 2\nheartbeat-interval-s = 1.5\nmost-hold-s = 10\n"
-    "grace-s = 6\nlink-mbps = 7.9\n";
+    "grace-s = 6\nlink-mbps = 7.9\nretry-ratio = 0.1\nretry-slack = 100\n";
 
 }
 
@@ -172,13 +172,15 @@
     CHECK(options.node.lease.node_length() > 2 * settings->heartbeat_interval);
     // 0.1 s of such a link is less than two bodies; fewer than two would leave it idle in between.
     CHECK(options.body_turns == 2);
+    CHECK(options.retries.share == doctest::Approx(0.08));
+    CHECK(options.retry_slack == doctest::Approx(80));
     CHECK_FALSE(read_platform_settings(node_settings, process_role::voter, problems));
     CHECK(problems.size() == 1);
     CHECK(problems[0].setting == "data-folder");
     problems.clear();
     CHECK_FALSE(read_platform_settings(std::string(node_settings) + "surprise = 1\n",
                                        process_role::beside_target, problems));
-    CHECK(problems[0].setting == "line 18");
+    CHECK(problems[0].setting == "line 20");
     problems.clear();
     std::string bad = node_settings;
     bad.replace(bad.find("10.0.0.1:81"), 11, "10.0.0.1:xx");
