--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peppertack/coordination/lease_book.hpp"
+#include "peppertack/coordination/load_book.hpp"
 #include "peppertack/coordination/messages.hpp"
 #include "peppertack/coordination/placement.hpp"
 #include "peppertack/coordination/replica.hpp"
@@ -116,21 +117,6 @@
         node_address from;
         renew_request request;
     };
-    struct measured_rate {
-        double rate = 0; ///< requests a second
-        instant at{};
-        std::vector<std::uint64_t> cuts; ///< see `range_load`
-    };
-    /// Capacity of a target as its node measured it, in requests a second.
-    struct measured_capacity {
-        double value = 0;
-        std::uint32_t reports = 0;
-    };
-    struct service_load {
-        std::unordered_map<std::uint64_t, measured_rate> ranges; ///< by first hash
-        std::unordered_map<std::uint64_t, measured_rate> hot;    ///< by hash of the key
-    };
-
     void settle(moment at);
     void follow_roster(moment at);
     void offer_to_join(moment at);
@@ -145,7 +131,6 @@
     void answer_renewal(const waiting_renewal &waiting, moment at);
     void take_reports(const renew_request &request, const target_record &record, moment at);
     void take_loads(const renew_request &request, const target_record &record, moment at);
-    void forget_old_loads(instant now);
     void register_node(const renew_request &request, const node_address &from, moment at);
     const target_record *registration_of(const renew_request &request) const;
     const map_update &update_since(std::uint64_t version);
@@ -161,10 +146,7 @@
     void finish_stops(const std::string &service, moment at);
     void close_memory_windows(moment at);
     placement_view view_of(const std::string &service) const;
-    void weigh_by_capacity(placement_view &view) const;
     void split(const std::string &service, const std::vector<std::uint64_t> &cuts, moment at);
-    void share_load(const std::string &service, std::uint64_t first,
-                    const std::vector<std::uint64_t> &cuts);
     target_number standby_for(const target_record &record,
                               const std::map<target_number, std::size_t> &duties) const;
     void propose(moment at, std::string actor, std::string cause, command_body body);
@@ -178,7 +160,6 @@
     lease_book m_leases;
     greedy_placement m_placement;
     voter_roster m_roster;
-    std::unordered_map<target_number, measured_capacity> m_capacities;
     std::deque<std::pair<std::uint64_t, std::uint64_t>> m_proofs; ///< round, ticket
     sheet_history m_routes;
     bool m_established = false;
@@ -198,7 +179,7 @@
     std::deque<waiting_renewal> m_renewals; ///< in order of their rounds
     std::map<node_address, node_report> m_nodes;
     std::unordered_set<std::string> m_registering;
-    std::unordered_map<std::string, service_load> m_loads;
+    load_book m_loads;
     std::unordered_map<std::string, std::uint64_t> m_owner_changes;
     std::unordered_set<std::string> m_granted_once; ///< services whose first grants are over
     std::vector<outgoing> m_outgoing;
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -17,17 +17,6 @@
 constexpr const char *lease_actor = "leases";
 /// Three renewals; a sheet that takes longer on its way is sent once more, no harm.
 constexpr duration routes_resend_after = std::chrono::milliseconds(900);
-constexpr duration load_memory = std::chrono::seconds(10);
-constexpr double hot_share = 0.02;
-constexpr double least_hot_rate = 50;
-/// Weight of a new measurement of a target's capacity: one part in so many. Reports come once a
-/// second; keys should follow a lasting difference, not a slow second.
-constexpr double capacity_smoothing = 4;
-/// Reports until a measurement counts: the first seconds of a target are slow ones.
-constexpr std::uint32_t settled_reports = 3;
-constexpr double least_capacity_factor = 0.3;
-constexpr double most_capacity_factor = 2.5;
-
 std::string registration_key(const target_record &record) {
     return record.name + '\n' + std::to_string(record.incarnation);
 }
@@ -303,7 +292,7 @@
         if (const auto *body = std::get_if<expire_targets>(&value->body)) {
             for (const target_number number : body->numbers) {
                 m_leases.forget(number);
-                m_capacities.erase(number);
+                m_loads.forget(number);
             }
         }
         if (const auto *body = std::get_if<retire_target>(&value->body)) {
@@ -361,7 +350,6 @@
     m_registering.clear();
     m_nodes.clear();
     m_loads.clear();
-    m_capacities.clear();
     m_last_pushed = m_state.version();
     m_last_proposed = m_state.version();
     m_last_placed = 0;
@@ -555,30 +543,8 @@
 
 void control_core::take_loads(const renew_request &request, const target_record &record,
                               moment at) {
-    if (request.loads.empty() && request.hot_keys.empty()) {
-        return;
-    }
-    if (request.capacity > 0) {
-        measured_capacity &known = m_capacities[record.number];
-        known.value += (request.capacity - known.value) /
-                       std::min<double>(++known.reports, capacity_smoothing);
-    }
-    service_load &load = m_loads[record.service];
-    for (const range_load &item : request.loads) {
-        measured_rate &measured = load.ranges[item.first];
-        measured = {measured.rate * 0.5 + item.requests * 0.5, at.now, item.cuts};
-    }
-    for (const hot_key &item : request.hot_keys) {
-        load.hot[item.hash] = {static_cast<double>(item.requests), at.now};
-    }
-}
-
-/// What nobody reports any more belongs to a key that cooled down or a target that is gone.
-void control_core::forget_old_loads(instant now) {
-    const auto old = [now](const auto &item) { return item.second.at + load_memory < now; };
-    for (auto &[service, load] : m_loads) {
-        std::erase_if(load.ranges, old);
-        std::erase_if(load.hot, old);
+    if (!request.loads.empty() || !request.hot_keys.empty()) {
+        m_loads.note(record.service, record.number, request, at.now);
     }
 }
 
@@ -746,7 +712,7 @@
     if (balance_due) {
         m_balance_at = at.now + m_options.balance_interval;
         close_memory_windows(at);
-        forget_old_loads(at.now);
+        m_loads.forget_old(at.now);
     }
     const std::set<std::string> services = services_to_place(balance_due);
     m_last_placed = m_state.version();
@@ -817,56 +783,12 @@
         view.targets.push_back(std::move(target));
     }
     if (m_state.ordered_keys(service)) {
-        weigh_by_capacity(view);
-    }
-    const auto load = m_loads.find(service);
-    if (load != m_loads.end()) {
-        double total = 0;
-        for (const auto &[first, measured] : load->second.ranges) {
-            view.loads[first] = measured.rate;
-            view.cuts[first] = measured.cuts;
-            total += measured.rate;
-        }
-        for (const auto &[hash, measured] : load->second.hot) {
-            if (measured.rate > least_hot_rate && measured.rate > total * hot_share) {
-                view.hot_keys.push_back(hash);
-            }
-        }
-        std::sort(view.hot_keys.begin(), view.hot_keys.end());
+        m_loads.weigh_by_capacity(view);
     }
+    m_loads.describe(service, view);
     return view;
 }
 
-/// Targets of one service differ in speed, and no table row says by how much: equal shares would
-/// overload the slow ones while the fast ones have room. A target without a measurement counts as
-/// an average one. Bounds keep one odd measurement from moving most keys.
-void control_core::weigh_by_capacity(placement_view &view) const {
-    double total = 0;
-    std::size_t measured = 0;
-    const auto capacity_of = [&](const placement_target &target) {
-        const auto found = m_capacities.find(target.number);
-        const bool settled =
-            found != m_capacities.end() && found->second.reports >= settled_reports;
-        return settled && target.weight > 0 ? found->second.value : 0.0;
-    };
-    for (const placement_target &target : view.targets) {
-        const double capacity = capacity_of(target);
-        total += capacity;
-        measured += capacity > 0 ? 1 : 0;
-    }
-    if (measured == 0) {
-        return;
-    }
-    const double mean = total / static_cast<double>(measured);
-    for (placement_target &target : view.targets) {
-        if (const double capacity = capacity_of(target); capacity > 0) {
-            target.capacity = capacity;
-            target.weight *=
-                std::clamp(capacity / mean, least_capacity_factor, most_capacity_factor);
-        }
-    }
-}
-
 void control_core::split(const std::string &service, const std::vector<std::uint64_t> &cuts,
                          moment at) {
     std::map<std::uint64_t, std::vector<std::uint64_t>> by_range;
@@ -875,27 +797,7 @@
         by_range[m_state.find_range(service, cut)->first].push_back(cut);
     }
     for (const auto &[first, inside] : by_range) {
-        share_load(service, first, inside);
-    }
-}
-
-/// A range was cut into parts of like load. Until these are measured, each is taken to have its
-/// share: without that the upper ones would look idle, and the lowest one as heavy as before.
-void control_core::share_load(const std::string &service, std::uint64_t first,
-                              const std::vector<std::uint64_t> &cuts) {
-    const auto load = m_loads.find(service);
-    if (load == m_loads.end()) {
-        return;
-    }
-    const auto found = load->second.ranges.find(first);
-    if (found == load->second.ranges.end()) {
-        return;
-    }
-    found->second.rate /= static_cast<double>(cuts.size() + 1);
-    found->second.cuts.clear();
-    const measured_rate part = found->second;
-    for (const std::uint64_t cut : cuts) {
-        load->second.ranges[cut] = part;
+        m_loads.share(service, first, inside);
     }
 }
 
--- /dev/null
+++ b/src/coordination/load_book.cpp
@@ -0,0 +1,124 @@
+#include "peppertack/coordination/load_book.hpp"
+
+#include <algorithm>
+
+namespace peppertack {
+
+namespace {
+
+/// Twenty reports: a node that is cut off for a few seconds is not taken to be idle.
+constexpr duration load_memory = std::chrono::seconds(10);
+/// Weight of the latest rate of a range. Two reports a second then follow a burst within one.
+constexpr double latest_weight = 0.5;
+/// A key with this part of its service's requests, and so many a second, is given a range of its
+/// own: less does not fill a tenth of a target.
+constexpr double hot_share = 0.02;
+constexpr double least_hot_rate = 50;
+/// Weight of a new measurement of a target's capacity: one part in so many. Reports come once a
+/// second; keys should follow a lasting difference, not a slow second.
+constexpr double capacity_smoothing = 4;
+/// Reports until a measurement counts: the first seconds of a target are slow ones.
+constexpr std::uint32_t settled_reports = 3;
+/// Bounds of a target's weight against the mean, so that one odd measurement moves few keys;
+/// targets of one service are known to differ threefold.
+constexpr double least_capacity_factor = 0.3;
+constexpr double most_capacity_factor = 2.5;
+
+} // namespace
+
+void load_book::note(const std::string &service, target_number target, const renew_request &report,
+                     instant now) {
+    if (report.capacity > 0) {
+        measured_capacity &known = m_capacities[target];
+        known.value +=
+            (report.capacity - known.value) / std::min<double>(++known.reports, capacity_smoothing);
+    }
+    service_load &load = m_services[service];
+    for (const range_load &item : report.loads) {
+        measured_rate &measured = load.ranges[item.first];
+        const double rate = measured.rate * (1 - latest_weight) + item.requests * latest_weight;
+        measured = {rate, now, item.cuts};
+    }
+    for (const hot_key &item : report.hot_keys) {
+        load.hot[item.hash] = {static_cast<double>(item.requests), now};
+    }
+}
+
+void load_book::forget_old(instant now) {
+    const auto old = [now](const auto &item) { return item.second.at + load_memory < now; };
+    for (auto &[service, load] : m_services) {
+        std::erase_if(load.ranges, old);
+        std::erase_if(load.hot, old);
+    }
+}
+
+void load_book::clear() {
+    m_capacities.clear();
+    m_services.clear();
+}
+
+void load_book::describe(const std::string &service, placement_view &view) const {
+    const auto load = m_services.find(service);
+    if (load == m_services.end()) {
+        return;
+    }
+    double total = 0;
+    for (const auto &[first, measured] : load->second.ranges) {
+        view.loads[first] = measured.rate;
+        view.cuts[first] = measured.cuts;
+        total += measured.rate;
+    }
+    for (const auto &[hash, measured] : load->second.hot) {
+        if (measured.rate > least_hot_rate && measured.rate > total * hot_share) {
+            view.hot_keys.push_back(hash);
+        }
+    }
+    std::sort(view.hot_keys.begin(), view.hot_keys.end());
+}
+
+double load_book::capacity_of(const placement_target &target) const {
+    const auto found = m_capacities.find(target.number);
+    const bool settled = found != m_capacities.end() && found->second.reports >= settled_reports;
+    return settled && target.weight > 0 ? found->second.value : 0.0;
+}
+
+void load_book::weigh_by_capacity(placement_view &view) const {
+    double total = 0;
+    std::size_t measured = 0;
+    for (const placement_target &target : view.targets) {
+        const double capacity = capacity_of(target);
+        total += capacity;
+        measured += capacity > 0 ? 1 : 0;
+    }
+    if (measured == 0) {
+        return;
+    }
+    const double mean = total / static_cast<double>(measured);
+    for (placement_target &target : view.targets) {
+        if (const double capacity = capacity_of(target); capacity > 0) {
+            target.capacity = capacity;
+            target.weight *=
+                std::clamp(capacity / mean, least_capacity_factor, most_capacity_factor);
+        }
+    }
+}
+
+void load_book::share(const std::string &service, std::uint64_t first,
+                      const std::vector<std::uint64_t> &cuts) {
+    const auto load = m_services.find(service);
+    if (load == m_services.end()) {
+        return;
+    }
+    const auto found = load->second.ranges.find(first);
+    if (found == load->second.ranges.end()) {
+        return;
+    }
+    found->second.rate /= static_cast<double>(cuts.size() + 1);
+    found->second.cuts.clear();
+    const measured_rate part = found->second;
+    for (const std::uint64_t cut : cuts) {
+        load->second.ranges[cut] = part;
+    }
+}
+
+} // namespace peppertack
