A node that is started again asks its target for its name and serves what it holds

Ruled out: shorter heartbeats (they are the platform's); taking the keys for held (nothing may be granted on it).

Change: once the map is here the node asks the target's address for its name. If the map knows that name at this node as serving, it registers it and passes on requests for its keys; the target refuses what it does not hold. For two intervals without a heartbeat this ends, and the lease is not given up before a hold of the earlier life can have run out.

The test failed before (served only after a heartbeat).

--- a/include/peppertack/coordination/hold_keeper.hpp
+++ b/include/peppertack/coordination/hold_keeper.hpp
@@ -81,6 +81,8 @@
     key_state state_of(std::uint64_t hash, const lease_client &lease, instant now) const;
     /// When the last hold given ends for the target.
     instant held_until() const { return m_until; }
+    /// Nothing is known to be held, but the target may hold keys until `until`.
+    void assume_until(instant until) { m_until = until; }
     /// Adds ranges that the target has released to a renewal.
     void fill_report(renew_request &request, const lease_client &lease) const;
     /// Whether a range has been released that the leader should hear of at once.
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -91,6 +91,8 @@
     void answer_heartbeat(instant now);
     bool accept_heartbeat(const target_heartbeat &beat, moment at);
     void check_identity(const target_heartbeat &beat);
+    void look_for_target();
+    void assume_target(const std::string &name, moment at);
     void drop_target(const char *why, bool ended, moment at);
     void announce(moment at);
     void follow(const lease_client::change &changed);
@@ -114,6 +116,8 @@
     bool m_left = false;             ///< it says nothing more
     std::deque<std::string> m_ended; ///< names of targets that are known to be gone
     std::string m_probing;           ///< name that is being checked
+    bool m_looked = false;           ///< for a target that was here before this process
+    bool m_assumed = false;          ///< the target is known from the map, not by a heartbeat
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
     instant m_loads_at{};
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -29,6 +29,8 @@
     std::string caller_address; ///< IP:port for callers and the local target's own calls
     std::string node_address;   ///< IP:port for requests that other nodes forward
     std::string service;        ///< of the local target
+    /// IP:port of the local target, asked once at the start; empty: its heartbeat is waited for.
+    std::string target_address;
     traffic_headers headers;
     node_options node;
     hold_keeper::options holds;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -1,5 +1,6 @@
 #include "peppertack/transport/traffic/node_agent.hpp"
 
+#include "../wall_clock.hpp"
 #include "peppertack/coordination/load_cuts.hpp"
 #include "peppertack/state/key_hash.hpp"
 #include "peppertack/transport/json_log.hpp"
@@ -47,7 +48,55 @@
     return found != services.end() && found->second.keyed;
 }
 
+/// A node that is started again while its target lives on would not know it until its next
+/// heartbeat: one and a half seconds in which keys that the target still holds are not served.
+void node_agent::look_for_target() {
+    m_looked = true;
+    if (m_options.target_address.empty()) {
+        return;
+    }
+    m_probe(m_options.target_address, [this](const std::string &name) {
+        if (!name.empty()) {
+            assume_target(name, read_clocks());
+        }
+    });
+}
+
+/// What the map says of the target may be out of date: it may have lost its keys, and refuses their
+/// requests then, or be leaving. Its heartbeat corrects that, or its silence.
+void node_agent::assume_target(const std::string &name, moment at) {
+    const auto &targets = m_lease.map().targets();
+    const auto known = std::find_if(targets.begin(), targets.end(), [&](const auto &item) {
+        return item.second.name == name && item.second.address == m_options.node.self &&
+               item.second.phase == target_phase::serving;
+    });
+    if (m_target || m_stopping || known == targets.end()) {
+        return;
+    }
+    log_event(log_level::info, "target_assumed", {{"target", name}});
+    m_target = target_heartbeat{.name = name,
+                                .address = m_options.target_address,
+                                .service = known->second.service,
+                                .slots = known->second.slots};
+    m_assumed = true;
+    m_beat_at = at.now;
+    // An earlier life of this node may have granted a hold up to the moment before it ended. Giving
+    // the lease up sooner would let others be given keys that the target still holds.
+    m_holds.assume_until(at.now + m_options.node.lease.node_length());
+    m_queue.set_limit(std::max<std::uint32_t>(m_target->slots, 1));
+    announce(at);
+}
+
 void node_agent::tick(moment at) {
+    if (!m_target && !m_looked && ready()) {
+        look_for_target();
+    }
+    if (m_target && m_assumed && m_beat_at + m_options.heartbeat_interval * 2 < at.now) {
+        m_assumed = false; // it may have left meanwhile, or be cut off
+        if (!keyed()) {
+            drop_target("no heartbeat", false, at);
+        }
+    }
     if (m_target) {
         const bool silent = m_beat_at + m_options.heartbeat_interval * missed_heartbeats < at.now;
         // A target that is silent, or has said that it leaves, may still hold its keys: the lease
@@ -197,6 +246,7 @@
     if (!m_target) {
         adopt(beat, at);
     }
+    m_assumed = false;
     m_target = beat;
     m_beat_at = at.now;
     if (beat.draining && !was_draining) {
@@ -249,6 +299,7 @@
         }
     }
     m_target.reset();
+    m_assumed = false;
     m_holds.reset();
     m_left = false;
     m_draining_since = {};
@@ -294,7 +345,9 @@
     }
     switch (m_holds.state_of(ordered_key_hash(*key), m_lease, now)) {
     case hold_keeper::key_state::held: return std::nullopt;
-    case hold_keeper::key_state::expected: return error_kind::no_owner;
+    case hold_keeper::key_state::expected:
+        // An assumed target was given its keys by an earlier life of this node, and checks itself.
+        return m_assumed ? std::nullopt : std::optional(error_kind::no_owner);
     case hold_keeper::key_state::moving: return error_kind::moving;
     case hold_keeper::key_state::not_owned: break;
     }
--- a/tests/platform/whole_path_test.cpp
+++ b/tests/platform/whole_path_test.cpp
@@ -49,6 +49,33 @@
     check_all(cluster);
 }
 
+TEST_CASE("a node that is started again serves what its target holds before the next heartbeat") {
+    // Symptom: with each restart of a node the keys of its target were unserved for a heartbeat
+    // interval and more. Sequence: the node was killed and started; its target went on holding its
+    // keys and said so with its next heartbeat only. Cause: the node waited for that.
+    platform_cluster::options settings = small();
+    settings.heartbeat_s = 4;
+    platform_cluster cluster(settings);
+    REQUIRE(cluster.configure(1, 0));
+    REQUIRE(cluster.run_until([&] { return !cluster.target(0).holds().empty(); }, 40s));
+    const std::uint64_t beats = cluster.target(0).heartbeats();
+    REQUIRE(cluster.run_until([&] { return cluster.target(0).heartbeats() > beats; }));
+    cluster.run_for(200ms);
+    const stand_in_hold hold = cluster.target(0).holds().at(0);
+    cluster.end_node(0);
+    cluster.start_node(0);
+    const std::uint64_t beats_at_start = cluster.target(0).heartbeats();
+    bool served = false;
+    while (!served && cluster.target(0).heartbeats() == beats_at_start) {
+        const auto attempt = cluster.send(1, true, false, hold.from);
+        cluster.run_until([&] { return attempt->status != 0; });
+        served = attempt->status == 200 && cluster.target(0).heartbeats() == beats_at_start;
+        cluster.run_for(20ms);
+    }
+    CHECK(served);
+    check_all(cluster);
+}
+
 TEST_CASE("a node that stops finishes what it has taken, and promises what it refuses") {
     // Symptom: requests ended without an answer around planned stops. Sequence: callers went on
     // sending after the signal to stop; at the end of the grace time the process ended under them.
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -41,6 +41,7 @@
     bool up() const { return m_server != nullptr; }
     const std::string &name() const { return m_name; }
     const std::vector<stand_in_hold> &holds() const { return m_holds; }
+    std::uint64_t heartbeats() const { return m_sequence; }
 
 private:
     friend class heartbeat_call;
