Sight: a denied request says who decided and how old the table was

Cause: a request that was answered with 4xx left the same line as a refusal for load, and none where the budget of lines was used up; neither who decided nor how long ago the leader had confirmed the table was told. A sheet that could not be taken left no line at all.

Change: `request_denied` with host, path, decided_by, routes_version and routes_age_ms, on a budget of its own; `routes_unreadable`. The age counts from when the renewal was sent whose answer, by a leader that was proved to lead, named the version in force here.

--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -31,6 +31,7 @@
         bool registration = false; ///< a new number, or none any more
         bool table = false;
         bool routes = false;
+        std::string unreadable_routes; ///< why a sheet that came was not taken; empty: none was
     };
     change receive(const node_address &from, const renew_reply &reply, moment at);
     change receive(const map_update &update);
@@ -46,6 +47,9 @@
     std::uint64_t table_version() const { return m_table_version; }
     /// The routing sheet in force here; version 0 before the first.
     const routing_sheet &routes() const { return m_routes; }
+    /// When a leader that was proved to lead last said that this sheet is the one in force, by the
+    /// time at which it was asked; zero before the first time.
+    instant routes_confirmed_at() const { return m_routes_confirmed_at; }
     /// Ranges of the local target, in order, with the last hash of each.
     struct own_range {
         range_record record;
@@ -89,6 +93,7 @@
     table m_table;
     std::uint64_t m_table_version = 0;
     routing_sheet m_routes;
+    instant m_routes_confirmed_at{};
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, sent_renewal> m_sent;
     instant m_renew_at{};
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -53,6 +53,9 @@
     /// Takes a retry from the budget of a service. `rerun`: the request may have run already.
     bool take_retry(const std::string &service, bool rerun);
     request_log &log() { return m_log; }
+    /// Lines about requests that are told to be wrong. They have a budget of their own: refusals
+    /// for load, of which there may be thousands, would leave no room for them.
+    request_log &denials() { return m_denials; }
     traffic_metrics &metrics() { return m_metrics; }
     std::mt19937_64 &random() { return m_random; }
     void enter(timed_request *request) { m_requests.insert(request); }
@@ -87,6 +90,7 @@
     http_client_pool m_pool;
     target_selector m_selector;
     request_log m_log;
+    request_log m_denials{{.lines_a_second = 10, .burst = 100}};
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
     node_agent m_agent;
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -172,6 +172,9 @@
     changed.map = m_map.apply(reply.map);
     take_table(reply, changed);
     take_routes(reply, changed);
+    if (reply.routes_version != 0 && reply.routes_version == m_routes.version) {
+        m_routes_confirmed_at = std::max(m_routes_confirmed_at, renewal.at);
+    }
     if (renewal.number == m_number && reply.registration_lost && m_number != no_target) {
         end_registration();
         changed.registration = true;
@@ -233,10 +236,11 @@
         return;
     }
     const std::optional<std::string> text = unpack(reply.routes, most_sheet_bytes);
-    std::string reason;
+    std::string reason = text ? "made for another version" : "damaged or too large";
     const std::optional<sheet_delta> delta = text ? decode_delta(*text, reason) : std::nullopt;
     std::optional<routing_sheet> next = delta ? apply(m_routes, *delta) : std::nullopt;
     if (!next) {
+        changed.unreadable_routes = std::move(reason);
         return;
     }
     m_routes = std::move(*next);
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -450,7 +450,11 @@
         headers.push_back(
             {"Retry-After", seconds_text(duration(static_cast<duration::rep>(pause * factor)))});
     }
-    log_end(status, kind, now);
+    if (status < first_failure_status) {
+        log_denial(status, kind, now);
+    } else {
+        log_end(status, kind, now);
+    }
     m_host.metrics().note_answer(m_route.name, status, kind, now - m_received);
     const auto caller = m_caller;
     done();
@@ -467,6 +471,29 @@
     }
 }
 
+/// A request that is told to be wrong is mostly not sent again: who decided that, and on knowledge
+/// of what version and age, has to be told from one line.
+void entry_relay::log_denial(int status, error_kind kind, instant now) {
+    const std::string *host = m_caller->request().find("Host");
+    const lease_client &known = m_host.agent().lease();
+    const target_route *asked = known.map().find_target(m_target);
+    const bool confirmed = known.routes_confirmed_at() != instant{};
+    m_host.denials().note(
+        "request_denied",
+        {{"request", m_id},
+         {"status", status},
+         {"kind", answer_for(kind).name},
+         {"host", host == nullptr ? std::string() : *host},
+         {"path", std::string(m_caller->request().path())},
+         {"route", m_route.name},
+         {"service", m_service},
+         {"decided_by", m_hop_known && asked != nullptr ? asked->address : "this node"},
+         {"routes_version", known.routes().version},
+         {"routes_age_ms", confirmed ? ms_of(now - known.routes_confirmed_at()) : -1},
+         {"map_version", known.map().version()}},
+        now);
+}
+
 void entry_relay::log_end(int status, error_kind kind, instant now) {
     if (kind == error_kind::none && status < 400 && m_tried.empty()) {
         return;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -150,6 +150,10 @@
             log_level::info, "routes_in_force",
             {{"version", m_lease.routes().version}, {"routes", m_lease.routes().routes.size()}});
     }
+    if (!changed.unreadable_routes.empty()) {
+        log_event(log_level::error, "routes_unreadable",
+                  {{"version", m_lease.routes().version}, {"reason", changed.unreadable_routes}});
+    }
     if (changed.registration) {
         m_holds.reset(); // what was given under the old number is not this one's
         log_event(
