Tests that fail: limits of an open connection, services unknown to a map of any age

Cause of the failures: a connection keeps the limits that were known when it was opened, so a body that the table now allows is answered 413; and a node denies a service (404) by the map it has although no voter can be reached.

What was ruled out: that the engine reads changed limits at the next request (it does not: "the body is longer than 4 bytes" after the limit was raised to 8); that a node without voters stops to say unknown-service (20 s, 404 all the time).

--- a/tests/transport/cluster_test.cpp
+++ b/tests/transport/cluster_test.cpp
@@ -108,6 +108,23 @@
     CHECK(kind_of(fresh.Post("/v1/target", "{}", "application/json")) == "malformed-request");
 }
 
+// A node whose map knew no range of a service told callers that there is no such service, by the
+// map it had, also where no voter could be reached and the service may have been added to the
+// table.
+TEST_CASE("no service is denied by a table that may have been replaced") {
+    local_cluster cluster(programs, small_cluster({{"emision", 4}}));
+    REQUIRE(cluster.make_ready());
+    httplib::Client client = client_for(cluster.http_address(3));
+    CHECK(kind_of(client.Get("/s/nothing/k/a")) == "unknown-service");
+    for (std::size_t voter = 0; voter < 3; ++voter) {
+        cluster.signal_node(voter, SIGKILL);
+    }
+    CHECK(local_cluster::wait_until(20s, [&] {
+        const httplib::Result answer = client.Get("/s/nothing/k/a");
+        return answer && answer->status == 503 && answer->has_header("Retry-After");
+    }));
+}
+
 TEST_CASE("a target is killed: its keys are served by another, and nothing runs twice") {
     // Symptom: residents get no answer for a district. Sequence: the owner's process dies between
     // two requests. Cause it guards against: waiting out a lease although the node knows at once.
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -351,6 +351,28 @@
     CHECK(run_until(io, [&] { return count_of(client.received, "HTTP/1.1 200") == 1; }));
 }
 
+// A connection kept the limits that were known when it was opened. After the table had raised them,
+// a body that the table allows was answered 413 on a connection from before, which callers take for
+// good; the same body was served on a new connection.
+TEST_CASE("limits that change hold from the next request of an open connection on") {
+    asio::io_context io;
+    const std::string address = own_address();
+    http_server server(io, {.address = address, .limits = {.body_bytes = 4}},
+                       whole_request::factory([](const auto &caller, const std::string &) {
+                           caller->respond(200, {}, "ok");
+                       }));
+    std::string reason;
+    REQUIRE(server.start(reason));
+    raw_client client(io, address);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n1234");
+    REQUIRE(run_until(io, [&] { return count_of(client.received, "HTTP/1.1 200") == 1; }));
+    server.set_limits({.body_bytes = 8}, 3s, 15s);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678");
+    CHECK(run_until(
+        io, [&] { return client.ended || count_of(client.received, "HTTP/1.1 200") == 2; }));
+    CHECK_MESSAGE(count_of(client.received, "HTTP/1.1 200") == 2, client.received);
+}
+
 TEST_CASE("a server that chooses the moment is sent the body only when it asks for it") {
     // Symptom: every small request to an instance took seconds. Sequence: many large bodies were
     // sent to it at once over its slow link, most of them only to be refused. Cause: bodies were
