What depends on a table is denied for good only while a leader has just confirmed the table

Cause: each node told callers 404, 413 or 431 by the routing sheet, the map or the limits it had, with no regard to when a leader last confirmed them; a node that is cut off, or all nodes while no voter leads, denied what had been in force elsewhere for seconds. Class: a final answer to a caller from knowledge of unknown age.

Ruled out: a longer wait before a 404 (known routes need none; unknown ones would hold connections for nothing); asking a leader for each unknown path (one caller with wrong paths could load the voters).

Change: lease_client keeps when, by its own asking, a leader that was proved to lead named the sheet and the table it has; trusted for 1 s from then on. Denials by route or missing key, and limits, answer 503 with a time to come back otherwise. Limits that change hold on open connections. A service that the table lists is not denied because no range of it is known yet.

--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -50,6 +50,15 @@
     /// When a leader that was proved to lead last said that this sheet is the one in force, by the
     /// time at which it was asked; zero before the first time.
     instant routes_confirmed_at() const { return m_routes_confirmed_at; }
+    /// Whether a request may be told to be wrong by the routing sheet here. A caller does not send
+    /// such a request again, so a sheet that may have been replaced must not decide it.
+    bool routes_trusted(instant now) const {
+        return now < m_routes_confirmed_at + m_options.table_trusted_for;
+    }
+    /// The same for the table of services.
+    bool table_trusted(instant now) const {
+        return now < m_table_confirmed_at + m_options.table_trusted_for;
+    }
     /// Ranges of the local target, in order, with the last hash of each.
     struct own_range {
         range_record record;
@@ -94,6 +103,7 @@
     std::uint64_t m_table_version = 0;
     routing_sheet m_routes;
     instant m_routes_confirmed_at{};
+    instant m_table_confirmed_at{};
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, sent_renewal> m_sent;
     instant m_renew_at{};
--- a/include/peppertack/coordination/node_options.hpp
+++ b/include/peppertack/coordination/node_options.hpp
@@ -25,6 +25,11 @@
     /// The registration is told apart by the target's name alone, which then is new with each start
     /// of the target. So a node that is restarted goes on with the lease of a target that was not.
     bool named_registrations = false;
+    /// A request is told to be wrong by a table only for so long after a leader confirmed that the
+    /// table is the one in force. Half of the shortest time, 2 s, within which an accepted change
+    /// has to be in force everywhere: what is said to callers then holds by a table that may be in
+    /// force. Three renewals fit, so that it lapses only where the leader can't be reached.
+    duration table_trusted_for = std::chrono::seconds(1);
     duration load_interval = std::chrono::seconds(1);
     duration probe_after = std::chrono::milliseconds(200); ///< an answer this late is asked after
     duration probe_interval = std::chrono::milliseconds(100);
--- a/include/peppertack/transport/http/http_reader.hpp
+++ b/include/peppertack/transport/http/http_reader.hpp
@@ -32,11 +32,18 @@
     struct limits {
         std::size_t header_bytes = 16U << 10U;
         std::uint64_t body_bytes = 64U << 20U;
+
+        friend bool operator==(const limits &, const limits &) = default;
     };
 
     http_reader(kind what, limits bounds);
     ~http_reader();
 
+    /// Goes on to the next message, as `next`, under these limits.
+    void next_under(limits bounds) {
+        m_limits = bounds;
+        next();
+    }
     /// Takes bytes that came; keeps those that it can't use yet.
     state take(std::string_view bytes, http_message_sink &sink);
     /// Goes on to the next message, which may be in the bytes kept.
@@ -46,6 +53,7 @@
     /// The next response answers a HEAD request: it has no body whatever its head says.
     void expect_no_body();
 
+    const limits &bounds() const { return m_limits; }
     bool in_message() const; ///< some bytes of the message have come
     bool head_done() const;  ///< the head was reported
     bool has_unread() const { return !m_kept.empty(); }
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -72,6 +72,7 @@
     void on_message_end() override;
     void take(std::string_view bytes);
     void refuse(int status, const std::string &reason);
+    bool beyond_unknown_limits(int status) const;
     void next_request();
     void drop();
     /// Ends what has waited longer than the limits allow.
@@ -107,6 +108,9 @@
         /// A caller that waits for it is told to send the body at once; otherwise the handler
         /// chooses the moment.
         bool continue_at_once = true;
+        /// Whether the limits above are known to be those in force. Until then what is beyond them
+        /// is refused for now (503), not for good. Empty: they always are.
+        std::function<bool()> limits_known;
     };
     using handler_factory = std::function<std::shared_ptr<http_request_handler>(
         const std::shared_ptr<http_server_connection> &)>;
@@ -120,6 +124,7 @@
     void begin_drain() { m_draining = true; }
     /// Takes no more connections and ends those that are idle.
     void stop_accepting();
+    /// In force for requests that begin from now on.
     void set_limits(http_reader::limits limits, duration header_timeout, duration idle_timeout);
     std::size_t connections() const { return m_connections.size(); }
     /// Connections on which a request is being handled.
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -175,6 +175,9 @@
     if (reply.routes_version != 0 && reply.routes_version == m_routes.version) {
         m_routes_confirmed_at = std::max(m_routes_confirmed_at, renewal.at);
     }
+    if (reply.table_version != 0 && reply.table_version == m_table_version) {
+        m_table_confirmed_at = std::max(m_table_confirmed_at, renewal.at);
+    }
     if (renewal.number == m_number && reply.registration_lost && m_number != no_target) {
         end_registration();
         changed.registration = true;
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -64,7 +64,9 @@
         return;
     }
     const route_map::service_map *service = m_lease.map().find_service(value.request.service);
-    if (service == nullptr && m_lease.map().version() != 0) {
+    const bool listed =
+        service != nullptr || m_lease.current_table().has_service(value.request.service);
+    if (!listed && m_lease.table_trusted(at.now)) {
         finish(value, refusal(error_kind::unknown_service, value), at);
         return;
     }
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -14,6 +14,12 @@
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
 constexpr duration accept_pause = std::chrono::milliseconds(20);
 constexpr int request_timeout = 408;
+constexpr int body_too_large = 413;
+constexpr int header_too_large = 431;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+/// A node that starts knows the limits in force after about a renewal and an election.
+constexpr const char *limits_retry_after = "0.5";
 constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
 /// Requests that wait behind one that is being answered; more is held back on the connection.
 constexpr std::size_t most_waiting_bytes = 64U << 10U;
@@ -54,6 +60,10 @@
 void http_server_connection::take(std::string_view bytes) {
     if (!m_reader.in_message()) {
         m_since = steady_instant();
+        // A limit that was raised since the connection was opened would else deny what is allowed.
+        if (!(m_reader.bounds() == m_server->m_options.limits)) {
+            m_reader.next_under(m_server->m_options.limits);
+        }
     }
     m_in_take = true;
     const http_reader::state state = m_reader.take(bytes, *this);
@@ -101,6 +111,11 @@
 /// Bytes that are no request, or one beyond the limits: after them nobody knows where the next
 /// begins.
 void http_server_connection::refuse(int status, const std::string &reason) {
+    const bool for_now = beyond_unknown_limits(status);
+    if (for_now) {
+        // What was handed on may have run already: nothing is promised then.
+        status = m_handling ? bad_gateway : unavailable;
+    }
     log_event(log_level::info, "request_refused",
               {{"status", status}, {"reason", reason}, {"peer", m_peer.to_string()}});
     const auto handler = std::exchange(m_handler, nullptr);
@@ -117,11 +132,22 @@
     }
     m_handling = true;
     m_request_done = true;
-    respond(status, {{"Content-Type", "application/problem+json"}},
+    std::vector<header_field> headers{{"Content-Type", "application/problem+json"}};
+    if (status == unavailable) {
+        headers.push_back({"Retry-After", limits_retry_after});
+    }
+    respond(status, std::move(headers),
             nlohmann::json{{"status", status}, {"detail", reason}}.dump(
                 -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+/// By limits that may not be those in force a request that is allowed would be denied for good.
+bool http_server_connection::beyond_unknown_limits(int status) const {
+    const bool by_limits = status == body_too_large || status == header_too_large;
+    return by_limits && m_server != nullptr && m_server->m_options.limits_known &&
+           !m_server->m_options.limits_known();
+}
+
 void http_server_connection::send_continue() {
     m_awaits_continue = false;
     m_stream->write(go_on);
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -82,9 +82,12 @@
     const std::string *host = head.find("Host");
     const route *found =
         host == nullptr ? nullptr : m_host.agent().routes().find(*host, head.path());
+    if (host == nullptr) {
+        refuse(error_kind::malformed_request, outcome::not_run, {});
+        return false;
+    }
     if (found == nullptr) {
-        refuse(host == nullptr ? error_kind::malformed_request : error_kind::no_route,
-               outcome::not_run, {});
+        deny_by_table(error_kind::no_route);
         return false;
     }
     m_route = *found;
@@ -111,13 +114,20 @@
     const std::string *text = m_caller->request().find(m_host.options().headers.key);
     const auto number = text == nullptr ? std::nullopt : parse_decimal(*text);
     if (!number || *number > most_ordered_key) {
-        refuse(error_kind::malformed_request, outcome::not_run, {});
+        deny_by_table(error_kind::malformed_request); // another table may ask for no key
         return false;
     }
     m_key = static_cast<std::uint32_t>(*number);
     return true;
 }
 
+/// A caller takes a 4xx for good. A table that may have been replaced since, as on a node that is
+/// cut off from the voters, can't say so: nodes denied routes that had been in force for 9.7 s.
+void entry_relay::deny_by_table(error_kind kind) {
+    const bool trusted = m_host.agent().lease().routes_trusted(m_received);
+    refuse(trusted ? kind : error_kind::not_ready, outcome::not_run, usual_retry_after);
+}
+
 std::string entry_relay::pick_service() const {
     double total = 0;
     for (const weighted_service &part : m_route.split) {
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -35,6 +35,7 @@
     void begin();
     bool read_route();
     bool read_key();
+    void deny_by_table(error_kind kind);
     std::string pick_service() const;
     void dispatch(instant now);
     target_number choose(instant now);
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -59,8 +59,11 @@
                   probe_name(address, std::move(done));
               }),
       m_body_turns({.limit = m_options.body_turns}),
-      m_callers(io, {.address = m_options.caller_address},
-                [this](const auto &connection) { return entry_relay::make(*this, connection); }),
+      m_callers(
+          io,
+          {.address = m_options.caller_address,
+           .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); }},
+          [this](const auto &connection) { return entry_relay::make(*this, connection); }),
       m_nodes(io,
               {.address = m_options.node_address,
                .limits = forwarded_limits,
--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -1,4 +1,6 @@
 #include "peppertack/coordination/lease_client.hpp"
+#include "peppertack/state/packed_text.hpp"
+#include "peppertack/state/sheet_delta.hpp"
 
 #include <doctest/doctest.h>
 
@@ -24,3 +26,43 @@
                   {instant(1000s), 0});
     CHECK(lease.voters().size() == 3);
 }
+
+// A node that can't reach a leader denied requests by the table it had, for as long as it lived.
+// What it may say for good is bounded by the last time a leader confirmed the table, counted from
+// when the node asked: the answer may have been long on its way.
+TEST_CASE("a table is trusted for a bounded time after a leader confirmed it") {
+    node_options options;
+    options.self = "n:1";
+    options.voters = {"a:1"};
+    options.table_trusted_for = 1s;
+    lease_client lease(options);
+    const instant start(1000s);
+    std::vector<outgoing> sent;
+    const auto ask = [&](instant now) {
+        lease.tick(
+            {now, 0}, [](renew_request &, instant) {}, sent);
+        return std::get<renew_request>(sent.back().body).sequence;
+    };
+    const routing_sheet sheet{.version = 4};
+    renew_reply reply{.sequence = ask(start), .is_leader = true, .routes_version = 4};
+    reply.routes = pack(encode(sheet));
+    CHECK(!lease.routes_trusted(start));
+    lease.receive("a:1", reply, {start + 400ms, 0});
+    REQUIRE(lease.routes().version == 4);
+    CHECK(lease.routes_trusted(start + 999ms));
+    CHECK(!lease.routes_trusted(start + 1s));
+
+    // An answer that names a newer version and does not bring it confirms nothing.
+    renew_reply newer{.sequence = ask(start + 600ms), .is_leader = true, .routes_version = 63};
+    lease.receive("a:1", newer, {start + 601ms, 0});
+    CHECK(!lease.routes_trusted(start + 1s));
+
+    // Nor does one of a voter that does not lead.
+    renew_reply other{.sequence = ask(start + 1200ms), .routes_version = 4};
+    lease.receive("a:1", other, {start + 1201ms, 0});
+    CHECK(!lease.routes_trusted(start + 1201ms));
+
+    renew_reply same{.sequence = ask(start + 1500ms), .is_leader = true, .routes_version = 4};
+    lease.receive("a:1", same, {start + 1501ms, 0});
+    CHECK(lease.routes_trusted(start + 1501ms));
+}
