A forwarded request names its service, and only the node that took it may blame its caller

Cause: the node beside a target compared the number that a request was sent to with its node's number, which outlives the target while the leader can't be reached. A target of another service at the same address passed that check: it refused keyless requests as malformed, told to the caller as 400, or ran what its own service was never routed. A hop header that could not be read made a 400 too.

Ruled out: dropping the number when the node begins to give it up (a target that only fell silent and is back is still the one that was given it, and would be unserved until the leader answers); naming the version of the routes (refuses all that crosses a change); mapping the status in the entry node (an if that the next kind of error would escape).

Change: hop_request carries the service; names in it are percent-encoded, so that none can end the header and each is compared as it is (the test of names now asks for them to come back whole, it took a replaced separator before). number() speaks only for the target that it was given to; a request is held against the target that it came for until it runs. Refusals are not-owner or target-unreachable.

Nodes of the version before and after refuse each other's requests as not run while both are there.

--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -41,6 +41,9 @@
     bool lease_valid(instant now) const { return m_number != no_target && now < m_lease_until; }
     instant lease_until() const { return m_lease_until; }
     target_number number() const { return m_number; }
+    /// Whether `number()` was given to the target of that name and service. It outlives its target
+    /// until the leader has heard of the end, which takes long while the voters can't be reached.
+    bool registered(const std::string &name, const std::string &service) const;
     const route_map &map() const { return m_map; }
     const table &current_table() const { return m_table; }
     std::uint64_t table_version() const { return m_table_version; }
--- a/include/peppertack/protocol/hop_header.hpp
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -19,6 +19,7 @@
 /// What the node that took a request tells the node beside the chosen target.
 struct hop_request {
     target_number target = 0; ///< registration that the sender takes the target for
+    std::string service;      ///< that the sender's routes lead the request to
     std::string route;        ///< requests of one route take alike long
     int priority = 0;
     bool repeat = false; ///< the request may have been at a target before
@@ -30,7 +31,7 @@
 };
 
 /// What that node tells with its answer. `refused` is set if the request was not given to the
-/// target; then it has not run and never will.
+/// target; then it has not run and never will. Read back it is never a fault of the caller.
 struct hop_reply {
     target_load load;
     error_kind refused = error_kind::none;
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/coordination/hold_keeper.hpp"
 #include "peppertack/coordination/lease_client.hpp"
 #include "peppertack/coordination/work_queue.hpp"
+#include "peppertack/protocol/hop_header.hpp"
 #include "peppertack/transport/traffic/traffic_options.hpp"
 
 #include <deque>
@@ -60,14 +61,19 @@
     void target_refused(moment at);
 
     // ---- the local target ----
-    /// Registration of the local target; zero while it has none.
-    target_number number() const { return m_lease.number(); }
+    /// Registration of the local target; zero while it has none, also where the node still waits
+    /// for the end of the registration of the target before it.
+    target_number number() const;
+    /// Why a request that was sent to that registration isn't meant for the local target; nothing
+    /// if it is.
+    std::optional<error_kind> misdirected(target_number sent_to) const;
     bool has_target() const { return m_target.has_value(); }
     /// Precondition: `has_target()`.
     const target_heartbeat &target() const { return *m_target; }
-    /// Why the target can't be given a request for `key` now; nothing if it can. `moving` and
-    /// `no_owner` pass by themselves soon.
-    std::optional<error_kind> refusal(const std::optional<std::uint32_t> &key, instant now) const;
+    /// Why the target can't be given a request now; nothing if it can. `moving` and `no_owner` pass
+    /// by themselves soon. Never a fault of the caller: the sender decided by its own routes, and
+    /// where they differ from those here it has to look again.
+    std::optional<error_kind> refusal(const hop_request &request, instant now) const;
     work_queue &queue() { return m_queue; }
     target_load load() const;
     void count_request(std::uint32_t key);
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -58,6 +58,11 @@
     hurry();
 }
 
+bool lease_client::registered(const std::string &name, const std::string &service) const {
+    return m_number != no_target && m_announcement && m_announcement->name == name &&
+           m_announcement->service == service;
+}
+
 void lease_client::end_registration() {
     // A target whose planned stop is done may go on announcing itself until it is switched off;
     // taking it on again would undo the stop.
--- a/src/protocol/caller_mapping.cpp
+++ b/src/protocol/caller_mapping.cpp
@@ -1,5 +1,7 @@
 #include "peppertack/protocol/caller_mapping.hpp"
 
+#include "percent_code.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -23,36 +25,6 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-int hex_value(char c) {
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const char letter = lower(c);
-    return letter >= 'a' && letter <= 'f' ? letter - 'a' + 10 : -1;
-}
-
-std::optional<std::string> percent_decoded(std::string_view text) {
-    std::string result;
-    result.reserve(text.size());
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] != '%') {
-            result += text[i];
-            continue;
-        }
-        if (i + 2 >= text.size()) {
-            return std::nullopt;
-        }
-        const int high = hex_value(text[i + 1]);
-        const int low = hex_value(text[i + 2]);
-        if (high < 0 || low < 0) {
-            return std::nullopt;
-        }
-        result += static_cast<char>(high * 16 + low);
-        i += 2;
-    }
-    return result;
-}
-
 template <std::size_t Size>
 bool listed(const std::array<std::string_view, Size> &names, std::string_view name) {
     return std::any_of(names.begin(), names.end(),
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -1,8 +1,9 @@
 #include "peppertack/protocol/hop_header.hpp"
 
-#include <algorithm>
+#include "peppertack/protocol/error_answer.hpp"
+#include "percent_code.hpp"
+
 #include <charconv>
-#include <iterator>
 #include <vector>
 
 namespace peppertack {
@@ -16,6 +17,12 @@
     out.append(std::to_string(value)).push_back(separator);
 }
 
+/// Operators choose names freely. One that holds a separator, or the end of a line, must not change
+/// how the rest of the header or of the request is read.
+void put_name(std::string &out, std::string_view name) {
+    out.append(percent_encoded(name)).push_back(separator);
+}
+
 std::vector<std::string_view> parts_of(std::string_view text) {
     std::vector<std::string_view> parts;
     while (!text.empty()) {
@@ -38,6 +45,11 @@
         m_good = m_good && error == std::errc{} && end == part.data() + part.size();
         return value;
     }
+    std::string name() {
+        const std::optional<std::string> decoded = percent_decoded(text());
+        m_good = m_good && decoded;
+        return decoded.value_or(std::string());
+    }
     std::string_view text() {
         m_good = m_good && m_at < m_parts.size();
         return m_good ? m_parts[m_at++] : std::string_view{};
@@ -55,9 +67,8 @@
 std::string encode(const hop_request &value) {
     std::string out;
     put(out, value.target);
-    const std::string &route = value.route;
-    std::replace_copy(route.begin(), route.end(), std::back_inserter(out), separator, ':');
-    out.push_back(separator);
+    put_name(out, value.service);
+    put_name(out, value.route);
     put(out, value.priority);
     put(out, value.repeat ? 1 : 0);
     out.append(value.key ? std::to_string(*value.key) : std::string(no_key)).push_back(separator);
@@ -70,7 +81,8 @@
     number_reader in(parts_of(text));
     hop_request value;
     value.target = in.number<target_number>();
-    value.route = std::string(in.text());
+    value.service = in.name();
+    value.route = in.name();
     value.priority = in.number<int>();
     value.repeat = in.number<int>() != 0;
     const std::string_view key = in.text();
@@ -113,7 +125,7 @@
     if (!in.done() || refused < 0 || refused >= error_kind_count) {
         return std::nullopt;
     }
-    value.refused = static_cast<error_kind>(refused);
+    value.refused = refusal_by_other_node(static_cast<error_kind>(refused));
     return value;
 }
 
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -200,6 +200,7 @@
     remove_header(head.headers, hop_header);
     set_header(head.headers, names.caller_service, m_host.options().service);
     const hop_request hop{.target = target.number,
+                          .service = m_service,
                           .route = m_route.name,
                           .priority = m_route.priority,
                           .repeat = m_arrivals > 0,
@@ -323,7 +324,8 @@
         after_unknown(error_kind::target_lost, now);
     } else if (m_hop.refused != error_kind::none) {
         // A full target does its part; one that is gone does not.
-        const bool gone = m_hop.refused == error_kind::target_unreachable;
+        const bool gone = m_hop.refused == error_kind::target_unreachable ||
+                          m_hop.refused == error_kind::owner_unreachable;
         m_host.selector().ended(m_target, gone ? call_end::unreachable : call_end::served, now);
         after_not_run(m_hop.refused, m_hop.retry_after, now);
     } else if (m_hop.may_have_run) {
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -325,9 +325,24 @@
     drop_target("connection refused", true, at);
 }
 
-std::optional<error_kind> node_agent::refusal(const std::optional<std::uint32_t> &key,
-                                              instant now) const {
-    if (!m_target) {
+target_number node_agent::number() const {
+    const bool own = m_target && m_lease.registered(m_target->name, m_target->service);
+    return own ? m_lease.number() : no_target;
+}
+
+std::optional<error_kind> node_agent::misdirected(target_number sent_to) const {
+    if (m_lease.number() == no_target) {
+        return error_kind::not_ready;
+    }
+    if (number() == no_target) {
+        return error_kind::target_unreachable; // the registration's target has gone
+    }
+    return number() == sent_to ? std::nullopt : std::optional(error_kind::not_owner);
+}
+
+std::optional<error_kind> node_agent::refusal(const hop_request &request, instant now) const {
+    // A target of another service would run what no route leads to it.
+    if (!m_target || m_target->service != request.service) {
         return error_kind::target_unreachable;
     }
     if (m_refusing) {
@@ -337,13 +352,14 @@
     if (!keyed()) {
         return leaving ? std::optional(error_kind::draining) : std::nullopt;
     }
-    if (!key) {
-        return error_kind::malformed_request;
+    if (!request.key) {
+        // By the sender's routes the service has no keys, so it did not ask the caller for one.
+        return error_kind::not_owner;
     }
     if (leaving && m_draining_since + leaving_work < now) {
         return error_kind::draining;
     }
-    switch (m_holds.state_of(ordered_key_hash(*key), m_lease, now)) {
+    switch (m_holds.state_of(ordered_key_hash(*request.key), m_lease, now)) {
     case hold_keeper::key_state::held: return std::nullopt;
     case hold_keeper::key_state::expected:
         // An assumed target was given its keys by an earlier life of this node, and checks itself.
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -47,23 +47,33 @@
         m_request_id = *id;
     }
     if (!told) {
-        refuse(error_kind::malformed_request, m_received, {});
+        // The two nodes don't understand each other, which says nothing of the request.
+        m_host.log().note("hop_header_unreadable",
+                          {{"request", m_request_id}, {"present", hop != nullptr}}, m_received);
+        refuse(error_kind::owner_unreachable, m_received, usual_retry_after);
         return;
     }
     m_hop = *told;
     m_deadline = m_received + m_hop.time_left;
     m_objective = m_received + m_hop.objective_left;
-    if (m_host.agent().number() != m_hop.target) {
-        const bool unknown = m_host.agent().number() == no_target;
-        refuse(unknown ? error_kind::not_ready : error_kind::not_owner, m_received,
-               usual_retry_after);
+    if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
+        refuse(*kind, m_received, usual_retry_after);
         return;
     }
+    m_target_name = m_host.agent().target().name;
     if (m_sender->awaits_continue()) {
         offer_body(m_received);
     }
 }
 
+/// Why the request can't be given to the target now. The target that it was sent to may have been
+/// replaced while it waited; the one that took its place was never chosen for it.
+std::optional<error_kind> target_relay::refusal(instant now) const {
+    const node_agent &agent = m_host.agent();
+    const bool replaced = agent.has_target() && agent.target().name != m_target_name;
+    return replaced ? error_kind::target_unreachable : agent.refusal(m_hop, now);
+}
+
 work_queue::item target_relay::item() const {
     return {.id = m_id,
             .kind = m_hop.route,
@@ -76,7 +86,7 @@
 /// Decides on a request by its head: what would be refused once its body is here is refused now,
 /// and the link is left to others.
 void target_relay::offer_body(instant now) {
-    const auto kind = m_host.agent().refusal(m_hop.key, now);
+    const auto kind = refusal(now);
     const work_queue &queue = m_host.agent().queue();
     if (kind && *kind != error_kind::no_owner) {
         refuse(*kind, now, usual_retry_after);
@@ -147,7 +157,7 @@
 }
 
 void target_relay::offer(instant now) {
-    if (const auto kind = m_host.agent().refusal(m_hop.key, now)) {
+    if (const auto kind = refusal(now)) {
         // By the map the key is the target's; its next heartbeat brings it.
         const bool soon = *kind == error_kind::no_owner && now < m_objective;
         if (soon) {
@@ -191,7 +201,7 @@
 void target_relay::start(instant now) {
     m_phase = phase::running;
     // The key may have moved, or the target left, while the request waited.
-    if (const auto kind = m_host.agent().refusal(m_hop.key, now)) {
+    if (const auto kind = refusal(now)) {
         leave_queue(std::nullopt);
         refuse(*kind, now, usual_retry_after);
         return;
@@ -200,7 +210,6 @@
     m_started = now;
     const target_heartbeat &target = m_host.agent().target();
     const traffic_headers &names = m_host.options().headers;
-    m_target_name = target.name;
     http_head head;
     head.method = m_sender->request().method;
     head.target = m_sender->request().target;
@@ -208,7 +217,7 @@
     remove_header(head.headers, hop_header);
     set_header(head.headers, names.deadline_ms,
                std::to_string(std::max<std::int64_t>(1, ms_of(m_deadline - now))));
-    set_header(head.headers, names.expected_target, target.name);
+    set_header(head.headers, names.expected_target, m_target_name);
     m_body.frame(head);
     m_call = m_host.pool().start(target.address, head, weak_from_this());
     m_body.attach(m_call);
@@ -311,7 +320,7 @@
         end_turn(std::nullopt);
     }
     if (m_phase == phase::waiting_for_turn) {
-        const auto kind = m_host.agent().refusal(m_hop.key, now);
+        const auto kind = refusal(now);
         if (kind && *kind != error_kind::no_owner) {
             leave_queue(std::nullopt);
             refuse(*kind, now, usual_retry_after);
@@ -328,7 +337,7 @@
         return;
     }
     if (m_phase == phase::queued) {
-        const auto kind = m_host.agent().refusal(m_hop.key, now);
+        const auto kind = refusal(now);
         if (kind) {
             leave_queue(std::nullopt);
             refuse(*kind, now, usual_retry_after);
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -40,6 +40,7 @@
     };
 
     void begin();
+    std::optional<error_kind> refusal(instant now) const;
     void offer_body(instant now);
     void take_body(instant now);
     void end_turn(std::optional<duration> took);
@@ -64,8 +65,8 @@
     instant m_deadline{};
     instant m_objective{};
     instant m_started{};
-    instant m_turn_at{}; ///< since when its body has been coming; zero without a turn
-    std::string m_target_name;
+    instant m_turn_at{};       ///< since when its body has been coming; zero without a turn
+    std::string m_target_name; ///< the local target when the request came
     std::shared_ptr<http_call> m_call;
     int m_status = 0;
     bool m_not_executed = false;
--- a/tests/protocol/hop_header_test.cpp
+++ b/tests/protocol/hop_header_test.cpp
@@ -1,3 +1,4 @@
+#include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/protocol/hop_header.hpp"
 
 #include <doctest/doctest.h>
@@ -7,6 +8,7 @@
 
 TEST_CASE("what two nodes tell each other is read back as it was written") {
     const hop_request request{.target = 9,
+                              .service = "s-1",
                               .route = "r-1",
                               .priority = 2,
                               .repeat = true,
@@ -24,19 +26,31 @@
     CHECK(decode_hop_reply(encode(reply)) == reply);
 }
 
-TEST_CASE("a route's name can't change how the rest is read") {
-    hop_request request{.target = 1, .route = "a;b;9"};
-    const auto read = decode_hop_request(encode(request));
-    REQUIRE(read);
-    CHECK(read->route == "a:b:9");
+TEST_CASE("a name can't change how the rest is read") {
+    const hop_request request{.target = 1, .service = "s;2%", .route = "a;b;9\r\nHost: x"};
+    const std::string text = encode(request);
+    CHECK(text.find_first_of("\r\n ") == std::string::npos);
+    CHECK(decode_hop_request(text) == request);
 }
 
 TEST_CASE("anything else is no hop header") {
-    for (const char *text :
-         {"", ";", "x;r;0;0;-;1;1;", "1;r;0;0;q;1;1;", "1;r;0;0;-;1;", "1;r;0;0;-;1;1;1;"}) {
+    for (const char *text : {"", ";", "x;s;r;0;0;-;1;1;", "1;s;r;0;0;q;1;1;", "1;s;r;0;0;-;1;",
+                             "1;s;r;0;0;-;1;1;1;", "1;r;0;0;-;1;1;"}) {
         CHECK_FALSE(decode_hop_request(text));
     }
     for (const char *text : {"", "1;2;3;4;0;5;6;", "1;2;3;4;0;999;6;0;", "1;2;3;4;0;-1;6;0;"}) {
         CHECK_FALSE(decode_hop_reply(text));
     }
 }
+
+TEST_CASE("no refusal that another node told is read as the caller's fault") {
+    // A node judges a forwarded request by its own routes and its present target. Where these are
+    // not the sender's it may find fault with a request that is proper.
+    for (int kind = 1; kind < error_kind_count; ++kind) {
+        const hop_reply told{.refused = static_cast<error_kind>(kind)};
+        const auto read = decode_hop_reply(encode(told));
+        REQUIRE(read);
+        CHECK(answer_for(read->refused).by == blame::system);
+        CHECK(answer_for(read->refused).status >= 500);
+    }
+}
--- a/tests/transport/misdirected_request_test.cpp
+++ b/tests/transport/misdirected_request_test.cpp
@@ -266,3 +266,37 @@
         CHECK(node.ask(plain).status == 503);
     }
 }
+
+TEST_CASE("the node beside a target holds a request against its present target and routes") {
+    // Two nodes may have different routes in force for a moment. A request that was sent by others
+    // than those here is refused as one to look up again, and doesn't run.
+    node_under_test node;
+    const auto refused = [&](const hop_request &hop) {
+        const http_head head = node.forward({{std::string(hop_header), encode(hop)}});
+        CHECK(head.status >= 500);
+        const std::string *told = head.find(hop_header);
+        const auto reply = told == nullptr ? std::nullopt : decode_hop_reply(*told);
+        REQUIRE(reply);
+        return reply->refused;
+    };
+    hop_request hop{.target = old_number,
+                    .service = keyed,
+                    .route = "to-keyed",
+                    .objective_left = 1s,
+                    .time_left = 5s};
+    CHECK(refused(hop) == error_kind::not_ready);
+    node.beat("old", keyed);
+    node.answer(node.registering("old"), old_number, {});
+    SUBCASE("the sender takes the service for one without keys") {
+        CHECK(refused(hop) == error_kind::not_owner);
+    }
+    SUBCASE("the sender takes the target for one of another service") {
+        hop.service = plain;
+        CHECK(refused(hop) == error_kind::target_unreachable);
+    }
+    SUBCASE("the sender means another registration") {
+        hop.target = neighbour_number;
+        CHECK(refused(hop) == error_kind::not_owner);
+    }
+    CHECK(node.runs == 0);
+}
