Test: a late answer to an earlier announcement gives its number to the next target

Cause: lease_client takes the number of any answer to a renewal that was sent without one, though another target may have been announced since that renewal.

Ruled out: that the new target's own announcement ends it (the node then renews under the wrong number and registers the new target no more until the leader has told it that the number is lost).

--- a/tests/transport/misdirected_request_test.cpp
+++ b/tests/transport/misdirected_request_test.cpp
@@ -140,9 +140,14 @@
                  .service = old_service,
                  .address = own_peer,
                  .slots = 4}});
+        take_in("new", new_service);
+    }
+
+    /// Another target reports from the address until the node has taken it in.
+    void take_in(const std::string &name, const std::string &service) {
         const auto taken_in = [&] {
-            beat("new", new_service);
-            return agent().has_target() && agent().target().name == "new";
+            beat(name, service);
+            return agent().has_target() && agent().target().name == name;
         };
         REQUIRE(run_until(taken_in));
     }
@@ -300,3 +305,20 @@
     }
     CHECK(node.runs == 0);
 }
+
+TEST_CASE("a late answer gives a target no number that was meant for the one before it") {
+    // A target ended while the first answer of the leader was on its way. The node had announced
+    // the next one meanwhile, of another service, and took the number that came for its own:
+    // {"event":"registration","number":7,"target":"new"}. From then on requests for the old target
+    // were taken for the new one's.
+    node_under_test node;
+    node.beat("old", plain);
+    const renew_request early = node.registering("old");
+    node.take_in("new", keyed);
+    node.answer(early, old_number, {});
+    CHECK(node.agent().number() == no_target);
+    const renew_request next = node.registering("new");
+    CHECK(next.target.number == no_target);
+    node.answer(next, neighbour_number, {});
+    CHECK(node.agent().number() == neighbour_number);
+}
