A node takes a number only for the target that its renewal announced

Cause: an answer to a renewal without a number was taken for the target announced now. Where that was another than the renewal's, the new target went on under the old one's number.

Ruled out: giving the old number up in its stead (a longer way to the same: the leader ends the registration with its lease, or when the next target of that service at this node registers); comparing the whole announcement (slots and draining change while an answer is on its way).

Change: a sent renewal keeps the name and service that it announced, and its number is taken only while these are announced still.

--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -67,7 +67,10 @@
     struct sent_renewal {
         instant at{};
         target_number number = no_target;
+        std::string name; ///< of the target that was announced; empty without one
+        std::string service;
     };
+    bool announces(const std::string &name, const std::string &service) const;
 
     void send(moment at, const fill_report &fill, std::vector<outgoing> &messages);
     void next_voter(const node_address &hint, instant now);
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -59,8 +59,11 @@
 }
 
 bool lease_client::registered(const std::string &name, const std::string &service) const {
-    return m_number != no_target && m_announcement && m_announcement->name == name &&
-           m_announcement->service == service;
+    return m_number != no_target && announces(name, service);
+}
+
+bool lease_client::announces(const std::string &name, const std::string &service) const {
+    return m_announcement && m_announcement->name == name && m_announcement->service == service;
 }
 
 void lease_client::end_registration() {
@@ -121,7 +124,11 @@
         request.target.checks_tokens = m_announcement->checks_tokens;
     }
     fill(request, at.now);
-    m_sent[m_sequence] = {at.now, m_number};
+    m_sent[m_sequence] = {.at = at.now, .number = m_number};
+    if (m_announcement) {
+        m_sent[m_sequence].name = m_announcement->name;
+        m_sent[m_sequence].service = m_announcement->service;
+    }
     if (m_sent.size() > remembered_renewals) {
         m_sent.erase(m_sent.begin());
     }
@@ -182,7 +189,9 @@
         changed.registration = true;
         hurry();
     } else if (m_number == no_target && reply.number != no_target && !m_giving_up &&
-               renewal.number == no_target) {
+               renewal.number == no_target && announces(renewal.name, renewal.service)) {
+        // An answer that was overtaken by another target's announcement brings the number of the
+        // target before it: requests, and keys, of the old one would be the new one's.
         m_number = reply.number;
         changed.registration = true;
     }
