A half-written replacement is taken for the newest log: a test that is known to be red

"log-N.new" begins like a log and sorts last, so durable_log::load opens it as the newest one, cuts it to its whole frames (mostly none) and removes the real log as an older one. Vote and entries are forgotten.

A process killed between the write and the rename leaves it as well.

Ruled out: that the checksum saves it. A file shorter than a frame's header counts as torn, not as damaged.

--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
 #include <rapidcheck.h>
 #include <unistd.h>
 
@@ -148,3 +149,27 @@
     }
     std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("a replacement that was not finished is taken for no file") {
+    // A voter forgot its vote and its entries. Room ran out while the file behind a new snapshot
+    // was being written under the name "log-00000000000000000002.new"; the part that was written
+    // stayed, sorted behind the real file, was read as the newest log and cut to nothing, and the
+    // real one was removed as an older one.
+    const std::string folder = std::filesystem::temp_directory_path() /
+                               ("peppertack-test-half-" + std::to_string(::getpid()));
+    std::string reason;
+    const auto files = posix_storage::make(folder, reason);
+    REQUIRE(files);
+    {
+        durable_log log = opened(*files);
+        CHECK(log.save_vote({7, "a"}));
+        CHECK(log.append({entry(1, 1), entry(2, 1)}));
+    }
+    std::ofstream(folder + "/log-00000000000000000002.new") << "PTL";
+    {
+        const durable_log log = opened(*files);
+        CHECK(log.vote() == vote_record{7, "a"});
+        CHECK(log.last_index() == 2);
+    }
+    std::filesystem::remove_all(folder);
+}
