A half-written replacement is no file, and gives its room back

Cause: posix_storage::list named NAME.new, which replace writes until the rename. For a log that name sorts behind the real one, so an unfinished file was opened as the newest log, cut, and the real one removed: vote and entries forgotten.

Ruled out: passing over such names in durable_log only. The audit archive reads the same list by prefix and would take an unfinished segment alike; a name that is not yet a file belongs to the storage alone.

Change: list leaves unfinished names out; a replacement that failed is removed at once, since on a full disk its bytes would keep the next try from the room that it needs.

--- a/src/state/posix_storage.cpp
+++ b/src/state/posix_storage.cpp
@@ -16,6 +16,8 @@
 
 constexpr const char *lock_file = "lock";
 constexpr int file_mode = 0640;
+/// Ends the name under which a replacement is written until it is whole.
+constexpr std::string_view unfinished = ".new";
 
 bool write_all(int handle, std::string_view bytes) {
     while (!bytes.empty()) {
@@ -65,7 +67,9 @@
     std::error_code error;
     for (const auto &item : std::filesystem::directory_iterator(m_folder, error)) {
         const std::string name = item.path().filename().string();
-        if (item.is_regular_file(error) && name != lock_file) {
+        // What a crash left of a replacement is no file yet. Taken for one, it would be the newest
+        // log, and the vote and entries of the real one would be forgotten.
+        if (item.is_regular_file(error) && name != lock_file && !name.ends_with(unfinished)) {
             names.push_back(name);
         }
     }
@@ -128,7 +132,7 @@
 
 bool posix_storage::replace(const std::string &name, std::string_view bytes) {
     close_handle(name);
-    const std::string fresh = path_of(name) + ".new";
+    const std::string fresh = path_of(name).append(unfinished);
     const int handle = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (handle < 0) {
         return fail("create " + name);
@@ -136,7 +140,9 @@
     const bool written = write_all(handle, bytes) && ::fsync(handle) == 0;
     ::close(handle);
     if (!written || ::rename(fresh.c_str(), path_of(name).c_str()) != 0) {
-        return fail("replace " + name);
+        fail("replace " + name);
+        ::unlink(fresh.c_str()); // on a full disk its bytes would keep the next try from its room
+        return false;
     }
     return sync_folder();
 }
