--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -173,3 +173,40 @@
     }
     std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("entries that were replaced do not come back behind a snapshot") {
+    // A voter held a last entry that no leader counted any more, and could have voted for one that
+    // lacked an acknowledged decision, since its own log seemed to end in an earlier term. The
+    // snapshot had been stored, the file for what follows it had not: the older file was read on,
+    // passing over what the snapshot covers, and with it over what had replaced the entries behind.
+    const auto reopened_over = [](const auto &write, const log_snapshot &snapshot) {
+        fake_storage files;
+        durable_log log = opened(files);
+        write(log);
+        const std::string name = files.list().back();
+        const std::string older = files.bytes_of(name);
+        REQUIRE(log.save_snapshot(snapshot));
+        files.remove(files.list().front()); // the file begun behind the snapshot
+        files.replace(name, older);
+        return opened(files);
+    };
+    const durable_log replaced_below = reopened_over(
+        [](durable_log &log) {
+            REQUIRE(log.append({entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)}));
+            REQUIRE(log.append({entry(2, 2), entry(3, 2)}));
+        },
+        {3, 2, "members", "state"});
+    CHECK(replaced_below.last_index() == 3);
+    const durable_log another_history = reopened_over(
+        [](durable_log &log) {
+            REQUIRE(log.append({entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)}));
+        },
+        {3, 2, "members", "state"});
+    CHECK(another_history.last_index() == 3);
+    const durable_log same_history = reopened_over(
+        [](durable_log &log) {
+            REQUIRE(log.append({entry(1, 1), entry(2, 1), entry(3, 2), entry(4, 2)}));
+        },
+        {3, 2, "members", "state"});
+    CHECK(same_history.last_index() == 4);
+}
