Reading a log file drops what a covered entry replaced

The log then ended in an earlier term than was promised.

Ruled out: comparing terms at the end of the reading.

--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -96,6 +96,7 @@
     std::uint64_t m_base_index = 0;
     std::uint64_t m_base_term = 0;
     std::deque<log_entry> m_entries;
+    bool m_behind_snapshot = true; ///< while reading: what comes next follows the snapshot's entry
     std::string m_file;
     bool m_failed = false;
     std::string m_reason;
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -282,6 +282,14 @@
 
 bool durable_log::take_entry(log_entry entry, std::string &reason) {
     if (entry.index <= m_base_index) {
+        // It replaced all behind it, and what follows another entry than the snapshot's last one
+        // is of another history. Kept, either would let the log end in an earlier term than it
+        // does, and a candidate that lacks committed entries would be given this vote.
+        m_entries.clear();
+        m_behind_snapshot = entry.index < m_base_index || entry.term == m_base_term;
+        return true;
+    }
+    if (!m_behind_snapshot) {
         return true;
     }
     if (entry.index > last_index() + 1) {
