A disk that can't be read is taken for an empty one: a test that is known to be red

Seen: found by reading; the faults are a descriptor limit or an input error at the moment of opening. Opening a log anew in a running process, while its disk fails, would meet them far more often than a start does.

Ruled out: that the checksum or the lock saves it. Nothing is read that could be checked, and the folder is this process's.

Change: the test alone; the fake storage can be unreadable.

--- a/tests/coordination/fake_storage.hpp
+++ b/tests/coordination/fake_storage.hpp
@@ -10,10 +10,14 @@
 /// Files in memory that lose what was not synced when they crash, and fail when told to.
 class fake_storage final : public storage {
 public:
-    enum class fault : std::uint8_t { none, full, sync_fails };
+    enum class fault : std::uint8_t { none, full, sync_fails, unreadable };
 
     std::vector<std::string> list() override {
         std::vector<std::string> names;
+        if (m_fault == fault::unreadable) {
+            fail("input/output error");
+            return names;
+        }
         for (const auto &[name, file] : m_files) {
             names.push_back(name);
         }
@@ -21,6 +25,10 @@
     }
     std::optional<std::string> read(const std::string &name) override {
         const auto found = m_files.find(name);
+        if (m_fault == fault::unreadable) {
+            fail("input/output error");
+            return std::nullopt;
+        }
         if (found == m_files.end()) {
             m_reason = "no file " + name;
             return std::nullopt;
@@ -47,7 +55,7 @@
         return sync(name);
     }
     bool replace(const std::string &name, std::string_view bytes) override {
-        if (m_fault != fault::none) {
+        if (m_fault == fault::full || m_fault == fault::sync_fails) {
             return fail("disk error");
         }
         m_files[name] = {std::string(bytes), bytes.size()};
--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -210,3 +210,23 @@
         {3, 2, "members", "state"});
     CHECK(same_history.last_index() == 4);
 }
+
+TEST_CASE("a disk that can't be read is not taken for an empty one") {
+    // A voter began anew under its old name, without the vote and the entries that it had promised.
+    // A folder or file that could not be read for a moment counted as missing, and the log was
+    // begun over the real one.
+    fake_storage files;
+    {
+        durable_log log = opened(files);
+        CHECK(log.save_vote({7, "a"}));
+        CHECK(log.append({entry(1, 1), entry(2, 1)}));
+    }
+    files.set_fault(fake_storage::fault::unreadable);
+    std::string reason;
+    CHECK_FALSE(durable_log::open(files, reason));
+    CHECK(reason.find("input/output error") != std::string::npos);
+    files.set_fault(fake_storage::fault::none);
+    const durable_log log = opened(files);
+    CHECK(log.vote() == vote_record{7, "a"});
+    CHECK(log.last_index() == 2);
+}
