A folder or file that can't be read counts as unreadable, not as missing

Cause: storage::list had no way to fail and read gave nothing for both cases, so durable_log began a log over the real one, load_identity made a new identity over the old one, and posix_storage::read took an input error midway for the end of the file, behind which the log would be cut.

Ruled out: a third result of read. Its callers mostly want "missing" for files of their own making only; the listing, which the log reads anyway, says which files there are.

Change: list yields nothing when the folder can't be read; the log, the archive and the identity refuse to open then, and when a listed file can't be read. read goes by system calls and reports an error midway. handle_of no longer leaks a descriptor when the folder can't be synced.

Conclusion: at worst a start is refused with the reason; nothing promised is written over.

--- a/include/peppertack/state/posix_storage.hpp
+++ b/include/peppertack/state/posix_storage.hpp
@@ -17,7 +17,7 @@
     posix_storage(const posix_storage &) = delete;
     posix_storage &operator=(const posix_storage &) = delete;
 
-    std::vector<std::string> list() override;
+    std::optional<std::vector<std::string>> list() override;
     std::optional<std::string> read(const std::string &name) override;
     bool append(const std::string &name, std::string_view bytes) override;
     bool sync(const std::string &name) override;
--- a/include/peppertack/state/storage.hpp
+++ b/include/peppertack/state/storage.hpp
@@ -13,9 +13,10 @@
 public:
     virtual ~storage() = default;
 
-    /// Names of all files, sorted.
-    virtual std::vector<std::string> list() = 0;
-    /// Whole content; nothing if the file is missing or can't be read.
+    /// Names of all files, sorted; nothing if the folder can't be read.
+    virtual std::optional<std::vector<std::string>> list() = 0;
+    /// Whole content; nothing if the file is missing or can't be read. `list` tells which: a file
+    /// that is there and can't be read must not count as missing, or it would be begun anew.
     virtual std::optional<std::string> read(const std::string &name) = 0;
     /// Appends to the file, creating it if missing. False on a full disk or a failed write.
     virtual bool append(const std::string &name, std::string_view bytes) = 0;
--- a/src/state/audit_log.cpp
+++ b/src/state/audit_log.cpp
@@ -17,10 +17,12 @@
     return segment_prefix + digits;
 }
 
-std::vector<std::string> segments_of(storage &files) {
-    std::vector<std::string> names = files.list();
-    std::erase_if(names,
-                  [](const std::string &name) { return name.rfind(segment_prefix, 0) != 0; });
+std::optional<std::vector<std::string>> segments_of(storage &files) {
+    std::optional<std::vector<std::string>> names = files.list();
+    if (names) {
+        std::erase_if(*names,
+                      [](const std::string &name) { return name.rfind(segment_prefix, 0) != 0; });
+    }
     return names;
 }
 
@@ -41,11 +43,15 @@
 
 std::optional<audit_log> audit_log::open(storage &files, options settings, std::string &reason) {
     audit_log log(files, settings);
-    const std::vector<std::string> names = segments_of(files);
-    if (names.empty()) {
+    const std::optional<std::vector<std::string>> names = segments_of(files);
+    if (!names) {
+        reason = files.last_reason();
+        return std::nullopt;
+    }
+    if (names->empty()) {
         return log;
     }
-    log.m_segment = names.back();
+    log.m_segment = names->back();
     const std::optional<std::string> content = files.read(log.m_segment);
     if (!content) {
         reason = files.last_reason();
@@ -71,7 +77,9 @@
     if (m_segment.empty() || gap || m_segment_size >= m_options.segment_records) {
         m_segment = segment_name(record.sequence);
         m_segment_size = 0;
-        const std::vector<std::string> names = segments_of(*m_files);
+        // Unreadable for now: what is too old goes when the next segment begins.
+        const std::vector<std::string> names =
+            segments_of(*m_files).value_or(std::vector<std::string>{});
         for (std::size_t i = 0; i + m_options.kept_segments < names.size(); ++i) {
             m_files->remove(names[i]);
         }
@@ -86,7 +94,8 @@
 
 std::vector<audit_record> audit_log::read_all() const {
     std::vector<audit_record> records;
-    for (const std::string &name : segments_of(*m_files)) {
+    const auto names = segments_of(*m_files).value_or(std::vector<std::string>{});
+    for (const std::string &name : names) {
         std::vector<audit_record> part = read_segment(*m_files, name);
         std::move(part.begin(), part.end(), std::back_inserter(records));
     }
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -2,6 +2,7 @@
 
 #include "peppertack/state/storage.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <cstring>
 #include <xxhash.h>
@@ -163,13 +164,19 @@
 }
 
 bool durable_log::load(std::string &reason) {
-    if (!load_snapshot(reason)) {
+    const std::optional<std::vector<std::string>> names = m_files->list();
+    if (!names) {
+        reason = "can't read the data folder: " + m_files->last_reason();
+        return false;
+    }
+    const bool has_snapshot = std::binary_search(names->begin(), names->end(), snapshot_file);
+    if (has_snapshot && !load_snapshot(reason)) {
         return false;
     }
     // A crash between storing a snapshot and starting its file leaves the older file as the newest
     // one; its entries that the snapshot covers are passed over while reading.
     std::vector<std::string> logs;
-    for (const std::string &name : m_files->list()) {
+    for (const std::string &name : *names) {
         if (name.rfind(log_prefix, 0) == 0) {
             logs.push_back(name);
         }
@@ -195,7 +202,8 @@
 bool durable_log::load_snapshot(std::string &reason) {
     const std::optional<std::string> bytes = m_files->read(snapshot_file);
     if (!bytes) {
-        return true;
+        reason = std::string("can't read ") + snapshot_file + ": " + m_files->last_reason();
+        return false;
     }
     const frame whole = read_frame(*bytes);
     if (whole.state != frame_state::whole) {
--- a/src/state/posix_storage.cpp
+++ b/src/state/posix_storage.cpp
@@ -1,12 +1,11 @@
 #include "peppertack/state/posix_storage.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
 
@@ -16,6 +15,7 @@
 
 constexpr const char *lock_file = "lock";
 constexpr int file_mode = 0640;
+constexpr std::size_t read_block = 64U << 10U; ///< bytes; few calls for a log of some megabytes
 /// Ends the name under which a replacement is written until it is whole.
 constexpr std::string_view unfinished = ".new";
 
@@ -33,6 +33,26 @@
     return true;
 }
 
+bool read_all(int handle, std::string &content) {
+    std::array<char, read_block> block{};
+    while (true) {
+        const ssize_t got = ::read(handle, block.data(), block.size());
+        if (got < 0 && errno == EINTR) {
+            continue;
+        }
+        if (got <= 0) {
+            return got == 0;
+        }
+        content.append(block.data(), static_cast<std::size_t>(got));
+    }
+}
+
+void close_if_open(int handle) {
+    if (handle >= 0) {
+        ::close(handle);
+    }
+}
+
 } // namespace
 
 std::unique_ptr<posix_storage> posix_storage::make(const std::string &folder, std::string &reason) {
@@ -62,30 +82,39 @@
     }
 }
 
-std::vector<std::string> posix_storage::list() {
+std::optional<std::vector<std::string>> posix_storage::list() {
     std::vector<std::string> names;
     std::error_code error;
-    for (const auto &item : std::filesystem::directory_iterator(m_folder, error)) {
+    std::filesystem::directory_iterator items(m_folder, error);
+    for (; !error && items != std::filesystem::directory_iterator(); items.increment(error)) {
+        const std::filesystem::directory_entry &item = *items;
         const std::string name = item.path().filename().string();
         // What a crash left of a replacement is no file yet. Taken for one, it would be the newest
         // log, and the vote and entries of the real one would be forgotten.
-        if (item.is_regular_file(error) && name != lock_file && !name.ends_with(unfinished)) {
+        std::error_code gone; // removed meanwhile
+        if (item.is_regular_file(gone) && name != lock_file && !name.ends_with(unfinished)) {
             names.push_back(name);
         }
     }
+    if (error) {
+        m_reason = "list folder: " + error.message();
+        return std::nullopt;
+    }
     std::sort(names.begin(), names.end());
     return names;
 }
 
 std::optional<std::string> posix_storage::read(const std::string &name) {
-    std::ifstream in(path_of(name), std::ios::binary);
-    if (!in) {
-        fail("open " + name);
+    const int handle = ::open(path_of(name).c_str(), O_RDONLY | O_CLOEXEC);
+    std::string content;
+    // An error midway must not look like the end: the rest of the log would be cut off as torn.
+    if (handle < 0 || !read_all(handle, content)) {
+        fail("read " + name);
+        close_if_open(handle);
         return std::nullopt;
     }
-    std::ostringstream content;
-    content << in.rdbuf();
-    return std::move(content).str();
+    ::close(handle);
+    return content;
 }
 
 int posix_storage::handle_of(const std::string &name) {
@@ -97,6 +126,7 @@
         ::open(path_of(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
     if (handle < 0 || !sync_folder()) {
         fail("open " + name);
+        close_if_open(handle); // one is tried for each write while the disk fails
         return -1;
     }
     m_handles[name] = handle;
@@ -155,9 +185,7 @@
 bool posix_storage::sync_folder() {
     const int handle = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     const bool synced = handle >= 0 && ::fsync(handle) == 0;
-    if (handle >= 0) {
-        ::close(handle);
-    }
+    close_if_open(handle);
     return synced || fail("sync folder");
 }
 
--- a/src/transport/voter_identity.cpp
+++ b/src/transport/voter_identity.cpp
@@ -54,6 +54,13 @@
             return std::nullopt;
         }
     }
+    // An identity that is there and can't be read for now is kept: under a new one this voter
+    // would be a stranger beside the promises in its own log.
+    const std::optional<std::vector<std::string>> names = files->list();
+    if (!names || std::binary_search(names->begin(), names->end(), identity_file)) {
+        reason = "file identity can't be read: " + files->last_reason();
+        return std::nullopt;
+    }
     const voter_identity identity = make_identity(settings);
     const nlohmann::json json{{"name", identity.name}, {"founders", identity.founders}};
     if (!files->replace(identity_file, json.dump())) {
--- a/tests/coordination/fake_storage.hpp
+++ b/tests/coordination/fake_storage.hpp
@@ -12,12 +12,12 @@
 public:
     enum class fault : std::uint8_t { none, full, sync_fails, unreadable };
 
-    std::vector<std::string> list() override {
-        std::vector<std::string> names;
+    std::optional<std::vector<std::string>> list() override {
         if (m_fault == fault::unreadable) {
             fail("input/output error");
-            return names;
+            return std::nullopt;
         }
+        std::vector<std::string> names;
         for (const auto &[name, file] : m_files) {
             names.push_back(name);
         }
--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -71,7 +71,7 @@
         CHECK(log.append({entry(1, 1)}));
         CHECK(log.append({entry(2, 1)}));
     }
-    const std::string name = files.list().back();
+    const std::string name = files.list()->back();
     files.bytes_of(name)[60] ^= 1;
     std::string reason;
     CHECK_FALSE(durable_log::open(files, reason));
@@ -104,7 +104,7 @@
     CHECK(log.term_at(2) == 1);
     CHECK(log.snapshot()->state == "state");
     CHECK(log.vote() == vote_record{2, "b"});
-    CHECK(files.list().size() == 2);
+    CHECK(files.list()->size() == 2);
 }
 
 TEST_CASE("no bytes in the log file crash the voter") {
@@ -116,7 +116,7 @@
             log->append({entry(1, 1), entry(2, 1)});
             log->append({entry(3, 1)});
         }
-        std::string &bytes = files.bytes_of(files.list().back());
+        std::string &bytes = files.bytes_of(files.list()->back());
         const int changes = *rc::gen::inRange(1, 8);
         for (int i = 0; i < changes; ++i) {
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
@@ -183,10 +183,10 @@
         fake_storage files;
         durable_log log = opened(files);
         write(log);
-        const std::string name = files.list().back();
+        const std::string name = files.list()->back();
         const std::string older = files.bytes_of(name);
         REQUIRE(log.save_snapshot(snapshot));
-        files.remove(files.list().front()); // the file begun behind the snapshot
+        files.remove(files.list()->front()); // the file begun behind the snapshot
         files.replace(name, older);
         return opened(files);
     };
