A voter opens its log anew when its disk takes writes again

Cause: durable_log::fail refuses every later write for good, rightly, since after a failed write it does not know what the disk holds; but only a start of the process ever opened the log again. A disk that was full for 2.4 s cost a voter until somebody came, and the system bore one loss less than agreed.

Ruled out: trying the failed write again over the same log (after a failed sync, pages that are read as written may never reach the disk, and the file may end in a torn frame); ending the process (it would cost the calls under way and count as an end of its own); a retry in transport alone (the fuzzer and the tests in virtual time would not run it).

Change: durable_voter holds log and control part together, for the daemon, the platform and the fuzzer's world. At a loss it waits 0.1 s, doubled up to 1 s, opens the log from what the disk holds, writes all of it into new files, and begins a fresh part over it. Refused for good: a damaged file, and a disk that holds less than the failed log had promised (vote or entries). A log that contradicts the leader's is no loss of the disk, and stays failed. Waiting calls are answered once as not decided; one line `voter_role` at the loss, one when the disk is back. The fake disk now drops the pages of a failed sync as kernels do, and the world no longer restarts a voter whose disk failed.

--- /dev/null
+++ b/include/peppertack/coordination/durable_voter.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "peppertack/coordination/control_core.hpp"
+#include "peppertack/state/durable_log.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace peppertack {
+
+class storage;
+
+/// The control part of a voter together with its log. When the disk refuses a write the part falls
+/// silent, since it can promise nothing; once the disk takes writes and syncs again the log is
+/// opened anew and a fresh part begins over it, as after a start of the process. Without that each
+/// disk that was full for a moment would cost one of the agreed losses until somebody came.
+/// Deterministic; not thread safe: it belongs to the control thread.
+class durable_voter {
+public:
+    struct options {
+        control_options control;
+        durable_log::options log;
+        /// From the loss of the disk to the first try, and then doubled from try to try: each reads
+        /// the whole log.
+        duration first_pause = std::chrono::milliseconds(100);
+        /// Well below the time that a voter is given to catch up, which is some seconds.
+        duration longest_pause = std::chrono::seconds(1);
+        /// The pauses begin small again after so long without a loss. A disk that takes the log and
+        /// refuses what follows would be tried ten times a second.
+        duration calm_time = std::chrono::seconds(10);
+    };
+
+    /// What a look at the disk found.
+    enum class disk_news : std::uint8_t {
+        none,
+        lost,    ///< it refused a write
+        back,    ///< it takes writes again, and a fresh part has begun
+        damaged, ///< what it holds can't be used: this voter stays silent
+    };
+
+    /// Opens the log. Yields nothing, with the reason, if it can't be used. Precondition: `files`
+    /// outlives the object.
+    static std::unique_ptr<durable_voter> make(options settings, storage &files,
+                                               control_core::audit_sink audit, moment at,
+                                               std::string &reason);
+
+    /// Valid until `tend_disk` yields `back`.
+    control_core &core() { return *m_core; }
+    const control_core &core() const { return *m_core; }
+    const durable_log &log() const { return *m_log; }
+
+    /// Looks after the disk; called after each tick of the part, once its messages and answers were
+    /// taken. All that waited for the old part has been answered when it yields `back`.
+    disk_news tend_disk(moment at);
+    /// Why the disk was lost or could not be used at the last try.
+    const std::string &last_reason() const { return m_reason; }
+    /// From the last loss of the disk to `at`, and the tries since.
+    duration away(moment at) const { return m_lost_at ? at.now - *m_lost_at : duration{}; }
+    unsigned int tries() const { return m_tries; }
+
+private:
+    durable_voter(options settings, control_core::audit_sink audit)
+        : m_options(std::move(settings)), m_audit(std::move(audit)),
+          m_pause(m_options.first_pause) {}
+
+    void note_loss(moment at);
+    disk_news try_again(moment at);
+    bool begin(durable_log log, moment at);
+
+    options m_options;
+    control_core::audit_sink m_audit;
+    std::unique_ptr<durable_log> m_log;
+    std::unique_ptr<control_core> m_core;
+    std::optional<instant> m_lost_at; ///< of the last loss, also when the disk is back
+    bool m_away = false;
+    bool m_damaged = false;
+    instant m_back_at{};
+    instant m_try_at{};
+    duration m_pause;
+    unsigned int m_tries = 0;
+    std::string m_reason;
+};
+
+} // namespace peppertack
--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -43,9 +43,18 @@
     friend bool operator==(const log_snapshot &, const log_snapshot &) = default;
 };
 
+/// Why a log can't be opened.
+struct open_failure {
+    std::string reason;
+    /// The disk refused a call; tried again later, it may give the log. False: what it holds is
+    /// damaged, or less than was promised.
+    bool may_pass = false;
+};
+
 /// The voter's durable log: entries, vote and snapshot. Whatever a call reports as done has been
 /// synced; after one failed write or sync every later call fails, so that a voter with a bad disk
-/// stops taking part instead of promising what it can't keep. Not thread safe.
+/// stops taking part instead of promising what it can't keep. `reopen` begins anew from what the
+/// disk holds. Not thread safe.
 class durable_log {
 public:
     struct options {
@@ -58,6 +67,10 @@
     static std::optional<durable_log> open(storage &files, std::string &reason) {
         return open(files, options{}, reason);
     }
+    /// Opens the log again after `failed` could not write, and writes all of it anew, so that the
+    /// disk has shown that it takes writes and syncs. Yields nothing, with the reason, if the disk
+    /// still refuses, or if it holds less than `failed` had promised.
+    static std::optional<durable_log> reopen(const durable_log &failed, open_failure &failure);
 
     const vote_record &vote() const { return m_vote; }
     const std::optional<log_snapshot> &snapshot() const { return m_snapshot; }
@@ -80,13 +93,16 @@
 private:
     durable_log(storage &files, options settings) : m_files(&files), m_options(settings) {}
 
-    bool load(std::string &reason);
-    bool load_snapshot(std::string &reason);
-    bool load_file(const std::string &name, std::string &reason);
+    bool load(open_failure &failure);
+    bool load_snapshot(open_failure &failure);
+    bool load_file(const std::string &name, open_failure &failure);
     bool take_frame(std::string_view body, std::string &reason);
     bool take_entry(log_entry entry, std::string &reason);
     bool write_frame(const std::string &body);
     bool start_file();
+    bool store(const log_snapshot &snapshot);
+    bool holds_promises_of(const durable_log &earlier) const;
+    bool refused_by_disk(const std::string &what, open_failure &failure) const;
     bool fail(const std::string &what);
 
     storage *m_files;
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -157,20 +157,66 @@
 std::optional<durable_log> durable_log::open(storage &files, options settings,
                                              std::string &reason) {
     durable_log log(files, settings);
-    if (!log.load(reason)) {
+    open_failure failure;
+    if (!log.load(failure)) {
+        reason = failure.reason;
         return std::nullopt;
     }
     return log;
 }
 
-bool durable_log::load(std::string &reason) {
+std::optional<durable_log> durable_log::reopen(const durable_log &failed, open_failure &failure) {
+    durable_log log(*failed.m_files, failed.m_options);
+    if (!log.load(failure)) {
+        return std::nullopt;
+    }
+    if (!log.holds_promises_of(failed)) {
+        failure = {.reason =
+                       "the disk holds less than was promised; replace this voter by a new one"};
+        return std::nullopt;
+    }
+    // What was read may be in the kernel's memory only: pages that a failed sync dropped are read
+    // as written and never reach the disk, whatever later syncs say. New files have no such pages.
+    if ((log.m_snapshot && !log.store(*log.m_snapshot)) || !log.start_file()) {
+        failure = {.reason = log.m_reason, .may_pass = true};
+        return std::nullopt;
+    }
+    return log;
+}
+
+/// The write that failed may have reached the disk, so there may be more than was promised: a later
+/// vote, or entries of a later term in place of some. Less would mean that a vote can be given
+/// twice or that an acknowledged entry is gone.
+bool durable_log::holds_promises_of(const durable_log &earlier) const {
+    const vote_record &promised = earlier.m_vote;
+    const bool same_term = m_vote.term == promised.term;
+    const bool vote_held = m_vote.term > promised.term || m_vote == promised ||
+                           (same_term && promised.voted_for.empty());
+    if (!vote_held || m_base_index < earlier.m_base_index) {
+        return false;
+    }
+    for (std::uint64_t index = m_base_index; index <= earlier.last_index(); ++index) {
+        const std::optional<std::uint64_t> held = term_at(index);
+        const std::uint64_t wanted = earlier.term_at(index).value_or(0);
+        if (held != wanted) {
+            return held > wanted; // nothing is less than any term
+        }
+    }
+    return true;
+}
+
+bool durable_log::refused_by_disk(const std::string &what, open_failure &failure) const {
+    failure = {.reason = what + ": " + m_files->last_reason(), .may_pass = true};
+    return false;
+}
+
+bool durable_log::load(open_failure &failure) {
     const std::optional<std::vector<std::string>> names = m_files->list();
     if (!names) {
-        reason = "can't read the data folder: " + m_files->last_reason();
-        return false;
+        return refused_by_disk("can't read the data folder", failure);
     }
     const bool has_snapshot = std::binary_search(names->begin(), names->end(), snapshot_file);
-    if (has_snapshot && !load_snapshot(reason)) {
+    if (has_snapshot && !load_snapshot(failure)) {
         return false;
     }
     // A crash between storing a snapshot and starting its file leaves the older file as the newest
@@ -183,13 +229,13 @@
     }
     if (logs.empty()) {
         if (!start_file()) {
-            reason = m_reason;
+            failure = {.reason = m_reason, .may_pass = true};
             return false;
         }
         return true;
     }
     m_file = logs.back();
-    if (!load_file(m_file, reason)) {
+    if (!load_file(m_file, failure)) {
         return false;
     }
     logs.pop_back();
@@ -199,15 +245,14 @@
     return true;
 }
 
-bool durable_log::load_snapshot(std::string &reason) {
+bool durable_log::load_snapshot(open_failure &failure) {
     const std::optional<std::string> bytes = m_files->read(snapshot_file);
     if (!bytes) {
-        reason = std::string("can't read ") + snapshot_file + ": " + m_files->last_reason();
-        return false;
+        return refused_by_disk(std::string("can't read ") + snapshot_file, failure);
     }
     const frame whole = read_frame(*bytes);
     if (whole.state != frame_state::whole) {
-        reason = "the snapshot file is damaged; replace this voter by a new one";
+        failure = {.reason = "the snapshot file is damaged; replace this voter by a new one"};
         return false;
     }
     reader in(whole.body);
@@ -217,7 +262,7 @@
     snapshot.members = in.text();
     snapshot.state = in.text();
     if (!in.ok() || !in.at_end()) {
-        reason = "the snapshot file has an unknown form";
+        failure = {.reason = "the snapshot file has an unknown form"};
         return false;
     }
     m_base_index = snapshot.index;
@@ -226,37 +271,37 @@
     return true;
 }
 
-bool durable_log::load_file(const std::string &name, std::string &reason) {
+bool durable_log::load_file(const std::string &name, open_failure &failure) {
     const std::optional<std::string> bytes = m_files->read(name);
     if (!bytes) {
-        reason = "can't read " + name + ": " + m_files->last_reason();
-        return false;
+        return refused_by_disk("can't read " + name, failure);
     }
     std::size_t at = 0;
     while (at < bytes->size()) {
         const std::string_view rest = std::string_view(*bytes).substr(at);
         const frame next = read_frame(rest);
         if (next.state == frame_state::foreign) {
-            reason = name + " at byte " + std::to_string(at) + ": frame version not supported";
+            failure = {.reason = name + " at byte " + std::to_string(at) +
+                                 ": frame version not supported"};
             return false;
         }
         if (next.state != frame_state::whole) {
             if (whole_frame_follows(rest)) {
-                reason = name + " is damaged at byte " + std::to_string(at) +
-                         " before its end; replace this voter by a new one";
+                failure = {.reason = name + " is damaged at byte " + std::to_string(at) +
+                                     " before its end; replace this voter by a new one"};
                 return false;
             }
             break;
         }
+        std::string reason;
         if (!take_frame(next.body, reason)) {
-            reason.insert(0, name + " at byte " + std::to_string(at) + ": ");
+            failure = {.reason = reason.insert(0, name + " at byte " + std::to_string(at) + ": ")};
             return false;
         }
         at += next.size;
     }
     if (at < bytes->size() && !m_files->truncate(name, at)) {
-        reason = "can't cut the torn tail of " + name + ": " + m_files->last_reason();
-        return false;
+        return refused_by_disk("can't cut the torn tail of " + name, failure);
     }
     return true;
 }
@@ -354,13 +399,8 @@
     if (m_failed || snapshot.index <= m_base_index) {
         return !m_failed;
     }
-    std::string body;
-    put(body, snapshot.index);
-    put(body, snapshot.term);
-    put_text(body, snapshot.members);
-    put_text(body, snapshot.state);
-    if (!m_files->replace(snapshot_file, make_frame(body))) {
-        return fail("can't store the snapshot");
+    if (!store(snapshot)) {
+        return false;
     }
     const bool keeps_tail = term_at(snapshot.index) == snapshot.term;
     if (keeps_tail) {
@@ -375,6 +415,15 @@
     return start_file();
 }
 
+bool durable_log::store(const log_snapshot &snapshot) {
+    std::string body;
+    put(body, snapshot.index);
+    put(body, snapshot.term);
+    put_text(body, snapshot.members);
+    put_text(body, snapshot.state);
+    return m_files->replace(snapshot_file, make_frame(body)) || fail("can't store the snapshot");
+}
+
 /// Begins a file for what follows the snapshot. The vote goes first: without it a restart could
 /// vote twice in one term.
 bool durable_log::start_file() {
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -1,5 +1,6 @@
 #include "peppertack/transport/control_host.hpp"
 
+#include "peppertack/coordination/durable_voter.hpp"
 #include "peppertack/state/sheet_delta.hpp"
 
 #include "peppertack/state/posix_storage.hpp"
@@ -34,15 +35,15 @@
 
 class control_host::impl {
 public:
-    impl(std::unique_ptr<posix_storage> files, durable_log log, audit_log audit, sender send)
-        : m_files(std::move(files)), m_log(std::move(log)), m_audit(std::move(audit)),
-          m_send(std::move(send)), m_timer(m_io), m_work(asio::make_work_guard(m_io)) {}
+    impl(std::unique_ptr<posix_storage> files, audit_log audit, sender send)
+        : m_files(std::move(files)), m_audit(std::move(audit)), m_send(std::move(send)),
+          m_timer(m_io), m_work(asio::make_work_guard(m_io)) {}
 
     bool prepare(control_options options, std::string &reason) {
-        m_core = control_core::make(
-            std::move(options), m_log, [this](const audit_record &record) { return note(record); },
-            read_clocks(), reason);
-        return m_core != nullptr;
+        m_voter = durable_voter::make(
+            {.control = std::move(options)}, *m_files,
+            [this](const audit_record &record) { return note(record); }, read_clocks(), reason);
+        return m_voter != nullptr;
     }
 
     void start() {
@@ -60,7 +61,7 @@
     /// Runs `work` on the control thread, then sends what followed from it.
     template <class Work> void post(Work work) {
         asio::post(m_io, [this, work = std::move(work)]() mutable {
-            work(*m_core);
+            work(part());
             carry_out();
         });
     }
@@ -71,7 +72,7 @@
         auto promise = std::make_shared<std::promise<Result>>();
         std::future<Result> future = promise->get_future();
         asio::post(m_io, [this, promise, work = std::move(work)] {
-            promise->set_value(work(*m_core, *this));
+            promise->set_value(work(part(), *this));
             carry_out();
         });
         if (future.wait_for(answer_limit) != std::future_status::ready) {
@@ -105,7 +106,7 @@
                 m_waiting[ticket] = [this, change = std::move(change),
                                      done = std::move(done)](const submit_answer &proof) {
                     if (proof.error != error_kind::none) {
-                        done({.error = proof.error, .leader = m_core->replication().leader()});
+                        done({.error = proof.error, .leader = part().replication().leader()});
                     } else {
                         judge(change, done);
                     }
@@ -117,10 +118,9 @@
         post([this, done = std::move(done)](control_core &core) mutable {
             const std::uint64_t ticket = core.prove_leadership(read_clocks());
             m_waiting[ticket] = [this, done = std::move(done)](const submit_answer &proof) {
-                routes_answer answer{.error = proof.error,
-                                     .leader = m_core->replication().leader()};
+                routes_answer answer{.error = proof.error, .leader = part().replication().leader()};
                 if (proof.error == error_kind::none) {
-                    answer.sheet = m_core->state().routes();
+                    answer.sheet = part().state().routes();
                 }
                 done(std::move(answer));
             };
@@ -136,7 +136,7 @@
 private:
     /// Precondition: leadership was proved in this step.
     void judge(const routes_change &change, const std::function<void(routes_answer)> &done) {
-        const control_state &state = m_core->state();
+        const control_state &state = part().state();
         if (const auto earlier = state.earlier_answer(change.change_id)) {
             done({.error = earlier->error, .version = earlier->version});
             return;
@@ -162,9 +162,9 @@
         command value{.actor = change.actor, .cause = change.cause};
         value.body = peppertack::change_routes{change.change_id, change.base_version,
                                                encode(difference(state.routes(), *next))};
-        const std::uint64_t ticket = m_core->submit(std::move(value), read_clocks());
+        const std::uint64_t ticket = part().submit(std::move(value), read_clocks());
         m_waiting[ticket] = [this, done](const submit_answer &answer) {
-            routes_answer told{.error = answer.error, .leader = m_core->replication().leader()};
+            routes_answer told{.error = answer.error, .leader = part().replication().leader()};
             if (answer.change) {
                 // The same change may have been taken from another process meanwhile.
                 told.error = answer.change->error;
@@ -175,12 +175,16 @@
     }
 
     bool note(const audit_record &record) {
-        log_event(log_level::info, "decision",
-                  {{"kind", record.kind},
-                   {"actor", record.actor},
-                   {"cause", record.cause},
-                   {"subject", record.subject},
-                   {"sequence", record.sequence}});
+        // A fresh part applies again what the log holds behind its snapshot.
+        if (record.sequence > m_told) {
+            m_told = record.sequence;
+            log_event(log_level::info, "decision",
+                      {{"kind", record.kind},
+                       {"actor", record.actor},
+                       {"cause", record.cause},
+                       {"subject", record.subject},
+                       {"sequence", record.sequence}});
+        }
         if (!m_audit.append(record)) {
             log_event(log_level::error, "audit_write_failed", {{"reason", m_files->last_reason()}});
             return false;
@@ -194,53 +198,82 @@
             if (error) {
                 return;
             }
-            m_core->tick(read_clocks());
+            part().tick(read_clocks());
             carry_out();
+            tend_disk();
             note_role();
             schedule_tick();
         });
     }
 
     void carry_out() {
-        for (const outgoing &item : m_core->take_outgoing()) {
+        for (const outgoing &item : part().take_outgoing()) {
             m_send(item);
         }
         // An answer may lead to another submission, whose answer is then here too.
-        for (std::vector<submit_answer> answers = m_core->take_answers(); !answers.empty();
-             answers = m_core->take_answers()) {
+        for (std::vector<submit_answer> answers = part().take_answers(); !answers.empty();
+             answers = part().take_answers()) {
             for (submit_answer &answer : answers) {
                 if (auto found = m_waiting.extract(answer.ticket)) {
                     found.mapped()(std::move(answer));
                 }
             }
         }
-        for (const outgoing &item : m_core->take_outgoing()) {
+        for (const outgoing &item : part().take_outgoing()) {
             m_send(item);
         }
     }
 
+    void tend_disk() {
+        const moment at = read_clocks();
+        switch (m_voter->tend_disk(at)) {
+        case durable_voter::disk_news::none: break;
+        case durable_voter::disk_news::lost:
+        case durable_voter::disk_news::damaged: tell_role(m_voter->last_reason()); break;
+        case durable_voter::disk_news::back:
+            give_up_waiting();
+            tell_role("the disk takes writes again, after " +
+                      std::to_string(m_voter->away(at) / std::chrono::milliseconds(1)) +
+                      " ms and " + std::to_string(m_voter->tries()) + " tries");
+            break;
+        }
+    }
+
+    /// The tickets of a fresh part begin anew: whoever still waited under an old one would be given
+    /// the answer to another call.
+    void give_up_waiting() {
+        for (const auto &[ticket, done] : std::exchange(m_waiting, {})) {
+            done({.ticket = ticket, .error = error_kind::not_leader, .certain = false});
+        }
+    }
+
     void note_role() {
-        const replica::role role = m_core->replication().current_role();
-        if (role == m_role) {
-            return;
+        if (part().replication().current_role() != m_role) {
+            tell_role(part().replication().last_reason());
         }
-        m_role = role;
-        log_event(role == replica::role::failed ? log_level::error : log_level::info, "voter_role",
-                  {{"role", role_name(role)},
-                   {"term", m_core->replication().term()},
-                   {"reason", m_core->replication().last_reason()}});
     }
 
+    void tell_role(const std::string &reason) {
+        m_role = part().replication().current_role();
+        log_event(m_role == replica::role::failed ? log_level::error : log_level::info,
+                  "voter_role",
+                  {{"role", role_name(m_role)},
+                   {"term", part().replication().term()},
+                   {"reason", reason}});
+    }
+
+    control_core &part() { return m_voter->core(); }
+
     std::unique_ptr<posix_storage> m_files;
-    durable_log m_log;
     audit_log m_audit;
     sender m_send;
     asio::io_context m_io;
     asio::steady_timer m_timer;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    std::unique_ptr<control_core> m_core;
+    std::unique_ptr<durable_voter> m_voter;
     std::map<std::uint64_t, std::function<void(submit_answer)>> m_waiting;
     replica::role m_role = replica::role::follower;
+    std::uint64_t m_told = 0; ///< last decision that has a line in the log
     std::thread m_thread;
 };
 
@@ -257,17 +290,12 @@
     if (!files) {
         return nullptr;
     }
-    std::optional<durable_log> log = durable_log::open(*files, reason);
-    if (!log) {
-        return nullptr;
-    }
     std::optional<audit_log> audit =
         audit_log::open(*files, {.kept_segments = settings.audit_segments}, reason);
     if (!audit) {
         return nullptr;
     }
-    auto body = std::make_unique<impl>(std::move(files), std::move(*log), std::move(*audit),
-                                       std::move(send));
+    auto body = std::make_unique<impl>(std::move(files), std::move(*audit), std::move(send));
     control_options options = control_options_of(settings, random_number());
     options.replication.self = identity.name;
     if (!identity.founders.empty()) {
--- a/tests/coordination/fake_storage.hpp
+++ b/tests/coordination/fake_storage.hpp
@@ -2,6 +2,7 @@
 
 #include "peppertack/state/storage.hpp"
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -45,20 +46,25 @@
     }
     bool sync(const std::string &name) override {
         if (m_fault == fault::sync_fails) {
+            m_files[name].dropped = true;
             return fail("sync failed");
         }
-        m_files[name].synced = m_files[name].bytes.size();
+        // As a kernel does: pages that a failed sync dropped are read, and are never written.
+        if (!m_files[name].dropped) {
+            m_files[name].synced = m_files[name].bytes.size();
+        }
         return true;
     }
     bool truncate(const std::string &name, std::size_t size) override {
         m_files[name].bytes.resize(size);
+        m_files[name].synced = std::min(m_files[name].synced, size);
         return sync(name);
     }
     bool replace(const std::string &name, std::string_view bytes) override {
         if (m_fault == fault::full || m_fault == fault::sync_fails) {
             return fail("disk error");
         }
-        m_files[name] = {std::string(bytes), bytes.size()};
+        m_files[name] = {.bytes = std::string(bytes), .synced = bytes.size()};
         return true;
     }
     bool remove(const std::string &name) override {
@@ -71,6 +77,7 @@
     void crash(std::mt19937_64 &random) {
         for (auto &[name, file] : m_files) {
             const std::size_t loose = file.bytes.size() - file.synced;
+            file.dropped = false;
             if (loose == 0) {
                 continue;
             }
@@ -90,6 +97,7 @@
     struct file {
         std::string bytes;
         std::size_t synced = 0;
+        bool dropped = false; ///< what is not synced never will be
     };
     bool fail(const char *reason) {
         m_reason = reason;
--- a/tests/coordination/world.cpp
+++ b/tests/coordination/world.cpp
@@ -81,36 +81,30 @@
     }
     if (item.voter) {
         std::string reason;
-        std::optional<durable_log> log =
-            durable_log::open(*item.disk, {.sync_writes = !g_defects.skip_sync}, reason);
-        if (!log) {
-            // With a broken disk it rightly refuses to start; else it lost what it had promised.
-            if (item.disk->fault_set() == fake_storage::fault::none) {
-                violate("a voter can't open its log: " + reason);
-            }
-            item.alive = false;
-            return;
-        }
-        item.log = std::make_unique<durable_log>(std::move(*log));
-        control_options options;
+        durable_voter::options settings;
+        settings.log.sync_writes = !g_defects.skip_sync;
+        control_options &options = settings.control;
         options.replication.self = item.address;
         options.replication.initial.voters = {voters.begin(), voters.end()};
         options.replication.seed = m_random();
         options.entries_per_snapshot = 60;
         options.items_per_update = 24; // so that updates come in parts here too
-        item.control = control_core::make(
-            options, *item.log,
+        item.voting = durable_voter::make(
+            settings, *item.disk,
             [this](const audit_record &record) {
-                const auto [place, added] = m_audit.try_emplace(record.sequence, record.hash);
-                if (place->second != record.hash) {
-                    violate("two voters hold different decisions number " +
-                            std::to_string(record.sequence));
-                }
+                note_decision(record);
                 return true;
             },
             clock_of(item), reason);
-        if (!item.control) {
-            violate("a voter can't read its snapshot: " + reason);
+        if (!item.voting) {
+            // With a broken disk it rightly refuses to start; else it lost what it had promised.
+            const bool refused = item.disk->fault_set() != fake_storage::fault::none &&
+                                 reason.find(item.disk->last_reason()) != std::string::npos;
+            if (!refused) {
+                violate("a voter can't open its log: " + reason);
+            }
+            item.alive = false;
+            return;
         }
     }
     if (index < m_options.nodes) {
@@ -126,6 +120,26 @@
     schedule(duration(m_random() % 10'000), index, [this, index] { tick(index); });
 }
 
+void world::note_decision(const audit_record &record) {
+    const auto [place, added] = m_audit.try_emplace(record.sequence, record.hash);
+    if (place->second != record.hash) {
+        violate("two voters hold different decisions number " + std::to_string(record.sequence));
+    }
+}
+
+/// What a disk held that was only broken for a while must serve again.
+void world::tend_disk(std::size_t index) {
+    host &item = *m_hosts[index];
+    switch (item.voting->tend_disk(clock_of(item))) {
+    case durable_voter::disk_news::none:
+    case durable_voter::disk_news::lost: break;
+    case durable_voter::disk_news::back: item.changes.clear(); break;
+    case durable_voter::disk_news::damaged:
+        violate("a voter gives up its disk: " + item.voting->last_reason());
+        break;
+    }
+}
+
 void world::schedule(duration delay, std::size_t index, std::function<void()> act) {
     m_events.push_back({m_now + delay, m_order++, index, m_hosts[index]->life, std::move(act)});
     std::push_heap(m_events.begin(), m_events.end(), std::greater<>());
@@ -158,13 +172,16 @@
 
 void world::tick(std::size_t index) {
     host &item = *m_hosts[index];
-    if (item.control) {
-        item.control->tick(clock_of(item));
+    if (item.voting) {
+        item.voting->core().tick(clock_of(item));
     }
     if (item.node) {
         item.node->tick(clock_of(item));
     }
     carry_out(index);
+    if (item.voting) {
+        tend_disk(index);
+    }
     schedule(tick_interval, index, [this, index] { tick(index); });
 }
 
@@ -186,7 +203,7 @@
 
 /// A term has at most one leader, or two histories could both be acknowledged.
 void world::check_leader(std::size_t index) {
-    const replica &log = m_hosts[index]->control->replication();
+    const replica &log = m_hosts[index]->voting->core().replication();
     if (log.leads() && m_term_leaders.try_emplace(log.term(), index).first->second != index) {
         violate("two voters lead in one term");
     }
@@ -194,12 +211,12 @@
 
 void world::carry_out(std::size_t index) {
     host &item = *m_hosts[index];
-    if (item.control) {
+    if (item.voting) {
         check_leader(index);
-        for (const outgoing &out : item.control->take_outgoing()) {
+        for (const outgoing &out : item.voting->core().take_outgoing()) {
             send(index, out);
         }
-        for (const submit_answer &answer : item.control->take_answers()) {
+        for (const submit_answer &answer : item.voting->core().take_answers()) {
             const auto found = item.changes.find(answer.ticket);
             if (found == item.changes.end() || !answer.change) {
                 continue;
@@ -213,7 +230,8 @@
             if (result.error == error_kind::none) {
                 const auto [held, added] = m_accepted.try_emplace(result.version, change_id);
                 m_accepted_at.try_emplace(result.version, m_now);
-                m_accepted_term.try_emplace(result.version, item.control->replication().term());
+                m_accepted_term.try_emplace(result.version,
+                                            item.voting->core().replication().term());
                 if (held->second != change_id) {
                     violate("two changes were told that they won the same version");
                 }
@@ -277,8 +295,8 @@
 void world::deliver(std::size_t to, const node_address &from, const message &body) {
     host &item = *m_hosts[to];
     const bool for_control = is_for_control(body);
-    if (for_control && item.control) {
-        item.control->receive(from, body, clock_of(item));
+    if (for_control && item.voting) {
+        item.voting->core().receive(from, body, clock_of(item));
     } else if (!for_control && item.node) {
         item.node->receive(from, body, clock_of(item));
         if (std::holds_alternative<renew_reply>(body) || std::holds_alternative<map_update>(body)) {
@@ -479,13 +497,13 @@
 void world::change_table(std::size_t voter, std::uint64_t base_version,
                          const std::string &change_id, double weight) {
     host &item = *m_hosts[voter];
-    if (!item.alive || item.paused || !item.control) {
+    if (!item.alive || item.paused || !item.voting) {
         return;
     }
     weight = m_change_weights.try_emplace(change_id, weight).first->second;
     command value{0, "operator", "edited",
                   peppertack::change_table{change_id, base_version, table_csv(weight)}};
-    const std::uint64_t ticket = item.control->submit(std::move(value), clock_of(item));
+    const std::uint64_t ticket = item.voting->core().submit(std::move(value), clock_of(item));
     item.changes[ticket] = {change_id, base_version};
     carry_out(voter);
 }
@@ -498,7 +516,8 @@
         return;
     }
     host &item = *m_hosts[*leading];
-    item.control->submit({0, "operator", "planned stop", drain_target{number}}, clock_of(item));
+    item.voting->core().submit({0, "operator", "planned stop", drain_target{number}},
+                               clock_of(item));
     carry_out(*leading);
 }
 
@@ -514,7 +533,7 @@
 std::optional<std::size_t> world::leader() const {
     for (std::size_t i = 0; i < m_hosts.size(); ++i) {
         const host &item = *m_hosts[i];
-        if (item.alive && !item.paused && item.control && item.control->established()) {
+        if (item.alive && !item.paused && item.voting && item.voting->core().established()) {
             return i;
         }
     }
@@ -529,9 +548,8 @@
         return;
     }
     item.alive = false;
-    item.control.reset();
+    item.voting.reset();
     item.node.reset();
-    item.log.reset();
     item.disk->crash(m_random);
     item.target.life++; // its node is gone: what runs there ends without an answer
 }
@@ -620,7 +638,7 @@
     m_hosts[spare]->voter = true;
     start_processes(spare);
     host &item = *m_hosts[*leading];
-    item.control->replace_voter(m_hosts[spare]->address, lost.address, clock_of(item));
+    item.voting->core().replace_voter(m_hosts[spare]->address, lost.address, clock_of(item));
     carry_out(*leading);
 }
 
@@ -690,10 +708,10 @@
 
 void world::check_histories() {
     for (const std::unique_ptr<host> &item : m_hosts) {
-        if (!item->alive || !item->control) {
+        if (!item->alive || !item->voting) {
             continue;
         }
-        const control_state &state = item->control->state();
+        const control_state &state = item->voting->core().state();
         const auto known = m_accepted.find(state.table_version());
         if (known != m_accepted.end() && known->second != state.table_change_id()) {
             violate("a voter holds another table under an accepted version");
@@ -704,8 +722,8 @@
         }
         for (const auto &[version, term] : m_accepted_term) {
             // A leader of an earlier term that does not know yet that it was replaced may lack it.
-            const bool later = item->control->replication().term() >= term;
-            if (item->control->established() && later && state.table_version() < version) {
+            const bool later = item->voting->core().replication().term() >= term;
+            if (item->voting->core().established() && later && state.table_version() < version) {
                 violate("a leader lacks an accepted table");
             }
         }
@@ -736,9 +754,6 @@
     heal_network();
     for (std::size_t i = 0; i < m_hosts.size(); ++i) {
         host &item = *m_hosts[i];
-        if (item.voter && item.control && item.log && item.log->failed()) {
-            crash(i);
-        }
         item.disk->set_fault(fake_storage::fault::none);
         resume(i);
         if (!item.alive || item.stopping) {
--- a/tests/coordination/world.hpp
+++ b/tests/coordination/world.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fake_storage.hpp"
-#include "peppertack/coordination/control_core.hpp"
+#include "peppertack/coordination/durable_voter.hpp"
 #include "peppertack/coordination/node_core.hpp"
 
 #include <map>
@@ -69,8 +69,8 @@
     std::optional<std::size_t> leader() const;
     std::size_t hosts() const { return m_hosts.size(); }
     node_core &node(std::size_t host) { return *m_hosts[host]->node; }
-    control_core &control(std::size_t host) { return *m_hosts[host]->control; }
-    bool has_control(std::size_t host) const { return m_hosts[host]->control != nullptr; }
+    control_core &control(std::size_t host) { return m_hosts[host]->voting->core(); }
+    bool has_control(std::size_t host) const { return m_hosts[host]->voting != nullptr; }
     std::optional<std::size_t> owner_of(unsigned int key) const;
     const std::optional<caller_response> &answer(std::size_t submission) const;
     std::size_t runs_of(std::size_t submission) const;
@@ -93,8 +93,7 @@
     struct host {
         node_address address;
         std::unique_ptr<fake_storage> disk;
-        std::unique_ptr<durable_log> log;
-        std::unique_ptr<control_core> control;
+        std::unique_ptr<durable_voter> voting;
         std::unique_ptr<node_core> node;
         target_state target;
         bool voter = false;
@@ -142,6 +141,8 @@
     void schedule(duration delay, std::size_t host, std::function<void()> act);
     void tick(std::size_t index);
     void announce(std::size_t index);
+    void tend_disk(std::size_t index);
+    void note_decision(const audit_record &record);
     void carry_out(std::size_t index);
     void send(std::size_t from, const outgoing &item);
     void deliver(std::size_t to, const node_address &from, const message &body);
--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -230,3 +230,79 @@
     CHECK(log.vote() == vote_record{7, "a"});
     CHECK(log.last_index() == 2);
 }
+
+TEST_CASE("a log is opened again once the disk takes writes, and holds what was promised") {
+    fake_storage files;
+    durable_log log = opened(files);
+    REQUIRE(log.save_vote({7, "a"}));
+    REQUIRE(log.append({entry(1, 1), entry(2, 1), entry(3, 1)}));
+    REQUIRE(log.save_snapshot({2, 1, "members", "state"}));
+    files.set_fault(fake_storage::fault::full);
+    REQUIRE_FALSE(log.append({entry(4, 1)}));
+    open_failure failure;
+    CHECK_FALSE(durable_log::reopen(log, failure));
+    CHECK(failure.may_pass);
+    files.set_fault(fake_storage::fault::none);
+    std::optional<durable_log> again = durable_log::reopen(log, failure);
+    REQUIRE(again);
+    CHECK(again->vote() == vote_record{7, "a"});
+    CHECK(again->snapshot() == log.snapshot());
+    CHECK(again->last_index() == 3);
+    CHECK(again->append({entry(4, 2)}));
+    CHECK(opened(files).term_at(4) == 2);
+}
+
+TEST_CASE("what a failed sync left in doubt is on the disk when the log is opened again") {
+    // The kernel may drop the pages of a sync that failed: they are read as written, and no later
+    // sync brings them to the disk.
+    std::mt19937_64 random(11);
+    for (int round = 0; round < 50; ++round) {
+        fake_storage files;
+        durable_log log = opened(files);
+        REQUIRE(log.append({entry(1, 1)}));
+        files.set_fault(fake_storage::fault::sync_fails);
+        REQUIRE_FALSE(log.append({entry(2, 1)}));
+        files.set_fault(fake_storage::fault::none);
+        open_failure failure;
+        std::optional<durable_log> again = durable_log::reopen(log, failure);
+        REQUIRE(again);
+        CHECK(again->last_index() == 2);
+        CHECK(again->save_vote({9, "b"}));
+        files.crash(random);
+        CHECK(opened(files).last_index() == 2);
+        CHECK(opened(files).vote() == vote_record{9, "b"});
+    }
+}
+
+TEST_CASE("a disk that holds less than was promised is not taken again") {
+    const auto tried_with = [](const auto &write, const auto &spoil) {
+        fake_storage files;
+        durable_log log = opened(files);
+        const std::string name = files.list()->back();
+        const std::string before = files.bytes_of(name);
+        write(log);
+        files.set_fault(fake_storage::fault::full);
+        CHECK_FALSE(log.save_vote({20, "z"}));
+        files.set_fault(fake_storage::fault::none);
+        spoil(files, name, before);
+        open_failure failure;
+        const bool taken = durable_log::reopen(log, failure).has_value();
+        CHECK(taken != (failure.reason.find("less than was promised") != std::string::npos));
+        CHECK_FALSE(failure.may_pass);
+        return taken;
+    };
+    const auto vote = [](durable_log &log) { REQUIRE(log.save_vote({7, "a"})); };
+    const auto append = [](durable_log &log) { REQUIRE(log.append({entry(1, 1), entry(2, 1)})); };
+    const auto nothing = [](fake_storage &, const std::string &, const std::string &) {};
+    const auto forget = [](fake_storage &files, const std::string &name,
+                           const std::string &before) { files.bytes_of(name) = before; };
+    CHECK(tried_with(vote, nothing));
+    CHECK(tried_with(append, nothing));
+    CHECK_FALSE(tried_with(vote, forget));
+    CHECK_FALSE(tried_with(append, forget));
+    // More than was promised is no harm: the write that failed reached the disk after all.
+    CHECK(tried_with(append, [](fake_storage &files, const std::string &, const auto &) {
+        durable_log later = opened(files);
+        REQUIRE(later.append({entry(2, 3)}));
+    }));
+}
