The archive lacks what was decided while its disk was full: a test that is known to be red

Seen: found by reading, in looking for what else gives up for good on an error of the disk that passes.

Ruled out: that a fresh control part fills the gap when it applies the log again. The archive passes over every record up to the last that it holds, and that one is behind the gap by then.

--- a/tests/state/control_state_test.cpp
+++ b/tests/state/control_state_test.cpp
@@ -165,6 +165,34 @@
     CHECK_FALSE(verify_chain(records).whole);
 }
 
+TEST_CASE("the archive holds what was decided while its disk was full") {
+    // The chain of decisions of one voter lacked some for good. Its disk was full for a moment: the
+    // records of that moment were dropped after one line "audit_write_failed" each, and the next
+    // one that could be written began a segment behind the gap.
+    fake_storage files;
+    std::string reason;
+    auto log = audit_log::open(files, {.segment_records = 3}, reason);
+    REQUIRE(log);
+    driven_state driven;
+    auto decide = [&, version = std::uint64_t{0}]() mutable {
+        const std::string id = std::to_string(version);
+        return *driven.apply(change_table{id, version++, one_service}).audit;
+    };
+    CHECK(log->append(decide()));
+    files.set_fault(fake_storage::fault::full);
+    CHECK_FALSE(log->append(decide()));
+    CHECK_FALSE(log->append(decide()));
+    files.set_fault(fake_storage::fault::none);
+    CHECK(log->append(decide()));
+    CHECK(log->append(decide()));
+    CHECK(log->last_sequence() == 5);
+    const auto again = audit_log::open(files, {.segment_records = 3}, reason);
+    REQUIRE(again);
+    const std::vector<audit_record> records = again->read_all();
+    CHECK(records.size() == 5);
+    CHECK(verify_chain(records).whole);
+}
+
 TEST_CASE("no bytes crash the readers of commands, states and audit records") {
     const std::string written = encode(command{5, "a", "b", grant_ranges{"s", {{1, 2}}}});
     std::string reason;
