The archive keeps what its disk refuses and writes it later

Cause: a record whose write failed was dropped for good, and left the torn half of its line in the segment.

Ruled out: opening the archive again when the voter's log is opened again. The archive may be refused while the log is not (it is not synced), and then nothing opens the log again.

A torn line is cut before anything is written behind it. Reading gives the waiting ones too.

Conclusion: a disk that is full for a while leaves no gap in a voter's chain of decisions.

--- a/src/state/audit_log.cpp
+++ b/src/state/audit_log.cpp
@@ -65,33 +65,61 @@
     }
     const std::vector<audit_record> records = read_segment(files, log.m_segment);
     log.m_segment_size = records.size();
+    log.m_segment_bytes = whole;
     log.m_last = records.empty() ? 0 : records.back().sequence;
     return log;
 }
 
 bool audit_log::append(const audit_record &record) {
-    if (record.sequence <= m_last) {
-        return true;
+    if (record.sequence > last_sequence()) {
+        m_waiting.push_back(record);
     }
+    if (m_waiting.size() > m_options.waiting_records) {
+        m_waiting.pop_front();
+    }
+    // Given up at the first error, a record that the disk takes a second later would be missing
+    // from the chain for good.
+    while (!m_waiting.empty()) {
+        if (!write(m_waiting.front())) {
+            return false;
+        }
+        m_waiting.pop_front();
+    }
+    return true;
+}
+
+bool audit_log::write(const audit_record &record) {
+    if (m_torn && !m_files->truncate(m_segment, m_segment_bytes)) {
+        return false;
+    }
+    m_torn = false;
     const bool gap = record.sequence != m_last + 1;
     if (m_segment.empty() || gap || m_segment_size >= m_options.segment_records) {
-        m_segment = segment_name(record.sequence);
-        m_segment_size = 0;
-        // Unreadable for now: what is too old goes when the next segment begins.
-        const std::vector<std::string> names =
-            segments_of(*m_files).value_or(std::vector<std::string>{});
-        for (std::size_t i = 0; i + m_options.kept_segments < names.size(); ++i) {
-            m_files->remove(names[i]);
-        }
+        begin_segment(record);
     }
-    if (!m_files->append(m_segment, encode(record) + "\n")) {
+    const std::string line = encode(record) + "\n";
+    if (!m_files->append(m_segment, line)) {
+        m_torn = true;
         return false;
     }
     ++m_segment_size;
+    m_segment_bytes += line.size();
     m_last = record.sequence;
     return true;
 }
 
+void audit_log::begin_segment(const audit_record &first) {
+    m_segment = segment_name(first.sequence);
+    m_segment_size = 0;
+    m_segment_bytes = 0;
+    // Unreadable for now: what is too old goes when the next segment begins.
+    const std::vector<std::string> names =
+        segments_of(*m_files).value_or(std::vector<std::string>{});
+    for (std::size_t i = 0; i + m_options.kept_segments < names.size(); ++i) {
+        m_files->remove(names[i]);
+    }
+}
+
 std::vector<audit_record> audit_log::read_all() const {
     std::vector<audit_record> records;
     const auto names = segments_of(*m_files).value_or(std::vector<std::string>{});
@@ -99,6 +127,7 @@
         std::vector<audit_record> part = read_segment(*m_files, name);
         std::move(part.begin(), part.end(), std::back_inserter(records));
     }
+    records.insert(records.end(), m_waiting.begin(), m_waiting.end());
     return records;
 }
 
