The fuzzer's disks take writes again while their voters run

Cause: a fault of a disk, once drawn, lasted until its host crashed, so no drawn sequence brought a disk back under a running voter, and the way back was met only after all other faults had been healed.

Ruled out: drawing a length with each fault. A kind of its own shrinks by itself and meets whatever else is drawn between.

Change: a kind `mend_disk`, after the others, so that the meaning of the earlier ones stays. Sequences are drawn anew by it.

--- a/tests/coordination/fuzz_actions.cpp
+++ b/tests/coordination/fuzz_actions.cpp
@@ -14,11 +14,11 @@
     "heal",          "silence",       "losses",       "break_disk",
     "clock_rate",    "crash_target",  "start_target", "freeze_target",
     "thaw_target",   "replace_voter", "burst",        "slow_links",
-    "split",         "pause_leader"};
+    "split",         "pause_leader",  "mend_disk"};
 
 /// How often each kind is drawn. Requests and time dominate, so that faults meet work.
 constexpr std::array<unsigned int, action_kinds> weights{
-    14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4, 4, 3, 3, 3, 2, 3, 3, 2, 1, 1, 2, 2, 1, 1, 1, 8, 5, 3, 3};
+    14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4, 4, 3, 3, 3, 2, 3, 3, 2, 1, 1, 2, 2, 1, 1, 1, 8, 5, 3, 3, 3};
 
 void burst(world &in, unsigned int key, unsigned int node) {
     constexpr unsigned int requests = 6;
@@ -110,6 +110,7 @@
         break;
     case action_kind::split: split(in, leading, value.b); break;
     case action_kind::pause_leader: in.pause(leading); break;
+    case action_kind::mend_disk: in.break_disk(value.a % voters, fake_storage::fault::none); break;
     }
 }
 
--- a/tests/coordination/fuzz_actions.hpp
+++ b/tests/coordination/fuzz_actions.hpp
@@ -42,9 +42,10 @@
     slow_links,
     split,
     pause_leader,
+    mend_disk,
 };
 
-inline constexpr int action_kinds = static_cast<int>(action_kind::pause_leader) + 1;
+inline constexpr int action_kinds = static_cast<int>(action_kind::mend_disk) + 1;
 
 /// One step of a sequence. The numbers mean what the kind makes of them.
 struct action {
