A voter whose disk is away offers itself as a spare: a test that is known to be red

Once such a voter has been replaced, its offer counts as that of a spare.

Seen: found by reading, in following what a failed voter still does. voter_roster::spare takes the first offer by name; the learner stores nothing, is given up after 1.5 s, and its next offer, 250 ms later, makes it the first again.

Ruled out: that a leader can tell. The offer says who offers, not whether it can store anything.

--- a/tests/coordination/durable_voter_test.cpp
+++ b/tests/coordination/durable_voter_test.cpp
@@ -18,6 +18,7 @@
         durable_voter::options settings;
         settings.control.replication.self = "a:1";
         settings.control.replication.initial.voters = std::move(voters);
+        settings.control.roster.wanted = 3;
         std::string reason;
         voter = durable_voter::make(
             settings, disk, [](const audit_record &) { return true; }, {now, 0}, reason);
@@ -30,7 +31,9 @@
             for (const submit_answer &answer : voter->core().take_answers()) {
                 answers.push_back(answer);
             }
-            voter->core().take_outgoing();
+            for (const outgoing &item : voter->core().take_outgoing()) {
+                offers += std::holds_alternative<join_request>(item.body) ? 1 : 0;
+            }
             const news found = voter->tend_disk({now, 0});
             if (found != news::none) {
                 heard.push_back(found);
@@ -55,6 +58,7 @@
     instant now{1000s};
     std::vector<submit_answer> answers;
     std::vector<news> heard;
+    std::size_t offers = 0; ///< to become a voter
 };
 
 } // namespace
@@ -177,3 +181,21 @@
     CHECK_FALSE(vote_for("c:1", 7));
     CHECK(vote_for("b:1", one.voter->core().replication().term() + 1));
 }
+
+TEST_CASE("a voter whose disk is away does not offer itself as a spare") {
+    // A lost voter was not made good although a sound process stood ready. One whose disk refused
+    // writes had been replaced, offered itself again, was taken in first by its name, could not
+    // store what it was sent, was given up after a while, and was taken in again.
+    voter_fixture one({"a:1", "b:1", "c:1"});
+    one.run(1s);
+    CHECK(one.offers > 0);
+    one.disk.set_fault(fake_storage::fault::full);
+    one.voter->core().receive("b:1", append_request{.term = 9}, {one.now, 0});
+    REQUIRE(one.role() == replica::role::failed);
+    one.offers = 0;
+    one.run(5s);
+    CHECK(one.offers == 0);
+    one.disk.set_fault(fake_storage::fault::none);
+    one.run(3s);
+    CHECK(one.offers > 0);
+}
