A voter whose disk is away offers itself to nobody

Cause: offers to become a voter went out whenever no leader was heard, also from a voter that could store nothing. After it had been replaced, it was taken in as a spare before sound ones, again and again.

Ruled out: remembering at the leader whose change was cancelled. It would set a sound process aside that was only slow, and be forgotten with the leader.

Conclusion: a spare that is taken in can store what it is sent.

--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -105,7 +105,9 @@
         m_roster.note_leader(at.now);
         return;
     }
-    if (m_roster.offer_due(at.now)) {
+    // Taken in, a voter that can't store anything would hold the place of a sound spare.
+    const bool can_store = m_replica->current_role() != replica::role::failed;
+    if (can_store && m_roster.offer_due(at.now)) {
         send_to_contacts(join_request{.identity = m_options.replication.self});
     }
 }
