The test harness holds the ports of its clusters for as long as they live

Copies of a test program that start at once take a port from each other; the loser's node ends with peer_address_failed or http_address_failed, and its cluster never gets ready.

Ruled out: a port lost while a running node is down. This change therefore doesn't explain the restarted node without a lease.

Change: port_reservation holds each port by a socket that is bound with SO_REUSEADDR and doesn't listen. The listeners of the project set that option; nobody else is given the port, and connections to it are refused while it has no listener. free_port keeps its reservation until the process ends.

--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -1,12 +1,10 @@
 #include "local_cluster.hpp"
 
-#include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <httplib.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -17,28 +15,7 @@
 
 constexpr auto poll_interval = std::chrono::milliseconds(10);
 constexpr auto ready_patience = std::chrono::seconds(30);
-
-/// Ports that were free a moment ago; all are held until the last is known, so that none is drawn
-/// twice.
-std::vector<int> free_ports(std::size_t count) {
-    std::vector<int> sockets;
-    std::vector<int> ports;
-    for (std::size_t i = 0; i < count; ++i) {
-        const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-        socklen_t size = sizeof(address);
-        ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
-        sockets.push_back(handle);
-        ports.push_back(ntohs(address.sin_port));
-    }
-    for (const int handle : sockets) {
-        ::close(handle);
-    }
-    return ports;
-}
+constexpr std::size_t ports_per_place = 3; ///< for peers, for HTTP and for the target
 
 httplib::Client client_for(const std::string &address) {
     httplib::Client client("http://" + address);
@@ -50,17 +27,18 @@
 } // namespace
 
 local_cluster::local_cluster(std::string programs, cluster_options options)
-    : m_programs(std::move(programs)), m_options(std::move(options)) {
+    : m_programs(std::move(programs)), m_options(std::move(options)),
+      m_reserved(size() * ports_per_place) {
     static int number = 0;
     m_folder =
         std::filesystem::temp_directory_path() /
         ("peppertack-cluster-" + std::to_string(::getpid()) + "-" + std::to_string(++number));
     std::filesystem::create_directories(m_folder);
-    const std::vector<int> ports = free_ports(size() * 3);
+    const std::vector<int> &ports = m_reserved.ports();
     for (std::size_t i = 0; i < size(); ++i) {
-        m_peer.push_back("127.0.0.1:" + std::to_string(ports[i * 3]));
-        m_http.push_back("127.0.0.1:" + std::to_string(ports[i * 3 + 1]));
-        m_target.push_back("127.0.0.1:" + std::to_string(ports[i * 3 + 2]));
+        m_peer.push_back("127.0.0.1:" + std::to_string(ports[i * ports_per_place]));
+        m_http.push_back("127.0.0.1:" + std::to_string(ports[i * ports_per_place + 1]));
+        m_target.push_back("127.0.0.1:" + std::to_string(ports[i * ports_per_place + 2]));
     }
     m_nodes.assign(size(), -1);
     m_targets.assign(size(), -1);
@@ -274,7 +252,9 @@
 }
 
 int free_port() {
-    return free_ports(1).front();
+    static std::vector<port_reservation> reserved;
+    reserved.emplace_back(1);
+    return reserved.back().ports().front();
 }
 
 double resident_kb(pid_t process) {
--- a/tests/support/local_cluster.hpp
+++ b/tests/support/local_cluster.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "port_reservation.hpp"
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -76,6 +78,7 @@
     std::string m_programs;
     cluster_options m_options;
     std::string m_folder;
+    port_reservation m_reserved;
     std::vector<std::string> m_peer;
     std::vector<std::string> m_http;
     std::vector<std::string> m_target;
@@ -84,7 +87,8 @@
     std::vector<pid_t> m_targets;
 };
 
-/// A port on loopback that was free a moment ago.
+/// A port of 127.0.0.1 that no other process is given until this one ends. Listeners on it need
+/// SO_REUSEADDR, see `port_reservation`. Not thread safe.
 int free_port();
 
 /// Resident memory of a process in kilobytes.
