A voter doesn't take the time of its own syncs for silence of the others

Cause: while a voter waits for its disk it reads nothing. Its election timer ran on, so that a candidate stood for the next term before it had read the votes for the last, and a leader stepped down though its followers had answered. A vote under a newer term was written as two syncs, first the term, then the vote.

Ruled out: a mend in the harness (data folders in memory): it would hide a fault that slow disks bring about in operation as well.

Change: a step that follows a write of 30 ms or more moves the election timer, and what a leader last heard of its followers, by the time the write took. Term and vote are written at once. Leases and rounds of proof are left as they are: they don't go by these timers.

--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -120,6 +120,7 @@
     void on(const node_address &from, const append_reply &reply, instant now);
     void on(const node_address &from, const snapshot_request &request, instant now);
 
+    void begin_step(instant now);
     void start_election(bool pre_vote, instant now);
     void become_follower(std::uint64_t term, const node_address &leader, instant now);
     void become_leader(instant now);
@@ -151,6 +152,7 @@
     membership m_members;
     std::map<std::uint64_t, membership> m_member_history; ///< by index of its entry
     instant m_now{};                                      ///< of the current step
+    bool m_wrote = false; ///< the current step, or the one before, waited for the disk
     instant m_election_at{};
     instant m_leader_heard{};
     bool m_pre_vote = false;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -5,9 +5,18 @@
 #include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace peppertack {
 
+namespace {
+
+/// Above the pause between two ticks, which follows a write in any case, and well below the least
+/// election timeout: a faster write can't be mistaken for another voter's silence.
+constexpr duration least_slow_write = std::chrono::milliseconds(30);
+
+} // namespace
+
 std::string encode(const membership &value) {
     nlohmann::json json{{"v", 1}, {"voters", value.voters}};
     if (value.learner) {
@@ -38,15 +47,34 @@
 }
 
 replica::replica(replica_options options, durable_log &log, instant now)
-    : m_options(std::move(options)), m_log(&log), m_random(m_options.seed) {
+    : m_options(std::move(options)), m_log(&log), m_random(m_options.seed), m_now(now) {
     m_commit = m_log->snapshot() ? m_log->snapshot()->index : 0;
     m_handed_out = m_commit;
     reload_members(m_log->last_index());
     reset_election_timer(now);
 }
 
-void replica::tick(instant now) {
+/// While this voter waited for its own disk it read no messages, so that time tells nothing about
+/// the others. Counted as their silence it let a candidate stand for the next term before it had
+/// read the votes for the last one, and made a leader step down though its followers had answered:
+/// with syncs of 200 ms nobody was ever elected.
+void replica::begin_step(instant now) {
+    const duration waited = now - m_now;
+    if (waited <= duration{}) {
+        return; // still the same step, with what it wrote
+    }
     m_now = now;
+    if (!std::exchange(m_wrote, false) || waited < least_slow_write) {
+        return;
+    }
+    m_election_at += waited;
+    for (auto &[voter, state] : m_progress) {
+        state.heard += waited;
+    }
+}
+
+void replica::tick(instant now) {
+    begin_step(now);
     if (m_role == role::failed) {
         return;
     }
@@ -82,7 +110,7 @@
 }
 
 void replica::receive(const node_address &from, const message &body, instant now) {
-    m_now = now;
+    begin_step(now);
     if (m_role == role::failed) {
         return;
     }
@@ -105,7 +133,7 @@
 }
 
 void replica::flush(instant now) {
-    m_now = now;
+    begin_step(now);
     if (m_role != role::leader) {
         m_queued.clear();
         return;
@@ -113,6 +141,7 @@
     if (!m_queued.empty()) {
         const std::vector<log_entry> entries = std::move(m_queued);
         m_queued.clear();
+        m_wrote = true;
         if (!m_log->append(entries)) {
             fail();
             return;
@@ -198,6 +227,7 @@
         }
     }
     const std::uint64_t at_term = m_log->term_at(index).value_or(0);
+    m_wrote = true;
     if (!m_log->save_snapshot({index, at_term, encode(members), std::move(state)})) {
         fail();
         return false;
@@ -251,17 +281,22 @@
             {from, vote_reply{.term = told, .pre_vote = true, .granted = granted}});
         return;
     }
-    if (request.term > term()) {
+    const bool newer = request.term > term();
+    const std::string &voted_for = m_log->vote().voted_for;
+    const bool free_vote = newer || voted_for.empty() || voted_for == from || g_defects.forget_vote;
+    const bool granted = request.term >= term() && free_vote && log_is_current(request);
+    // Term and vote go to the disk in one write: two would keep the candidate waiting twice as
+    // long, and on a slow disk longer than until the next election.
+    if (granted && !save_vote(request.term, from)) {
+        return;
+    }
+    if (newer) {
         become_follower(request.term, {}, now);
     }
     if (m_role == role::failed) {
         return;
     }
-    const std::string &voted_for = m_log->vote().voted_for;
-    const bool free_vote = voted_for.empty() || voted_for == from || g_defects.forget_vote;
-    bool granted = request.term == term() && free_vote && log_is_current(request);
     if (granted) {
-        granted = save_vote(request.term, from);
         reset_election_timer(now);
     }
     m_outgoing.push_back({from, vote_reply{.term = term(), .granted = granted}});
@@ -294,6 +329,7 @@
 }
 
 bool replica::save_vote(std::uint64_t new_term, const node_address &voted_for) {
+    m_wrote = true;
     if (!m_log->save_vote({new_term, voted_for})) {
         fail();
         return false;
@@ -435,6 +471,7 @@
 
 bool replica::take_entries(const std::vector<log_entry> &entries) {
     const bool replaces = entries.front().index <= m_log->last_index();
+    m_wrote = true;
     // A leader that contradicts a committed entry means two histories: going on would choose one
     // of them silently.
     if (entries.front().index <= m_commit || !m_log->append(entries)) {
@@ -501,6 +538,7 @@
     }
     const log_snapshot &snapshot = request.snapshot;
     if (snapshot.index > m_commit) {
+        m_wrote = true;
         if (!m_log->save_snapshot(snapshot)) {
             fail();
             return;
