The test harness keeps the logs of its processes on request

Cause: the logs of the listed test were removed with its folder, so that a failure that showed once could not be read afterwards.

Ruled out: keeping them always: a run of transport_tests would leave a dozen folders behind on each machine.

Change: with PEPPERTACK_KEEP_FOLDERS set in the environment a local_cluster leaves its folder where it is.

Conclusion: a loop over a test can keep what failed, and remove the rest itself.

--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -1,6 +1,7 @@
 #include "local_cluster.hpp"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +17,9 @@
 constexpr auto poll_interval = std::chrono::milliseconds(10);
 constexpr auto ready_patience = std::chrono::seconds(30);
 constexpr std::size_t ports_per_place = 3; ///< for peers, for HTTP and for the target
+/// With this variable set the folder with the logs of all processes stays, so that a failure which
+/// shows once in many runs can be read afterwards. CI doesn't set it.
+constexpr const char *keep_folder_variable = "PEPPERTACK_KEEP_FOLDERS";
 
 httplib::Client client_for(const std::string &address) {
     httplib::Client client("http://" + address);
@@ -50,6 +54,9 @@
 
 local_cluster::~local_cluster() {
     end_all();
+    if (std::getenv(keep_folder_variable) != nullptr) {
+        return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
