A voter waits for a leader at least twice as long as its own disk took lately

Cause: a leader sends nothing while its disk syncs. Followers waited 300 to 600 ms whatever the disks did, so that with syncs of that order each entry cost the leader its place.

Ruled out: longer election timeouts in the settings, since the loss of a leader would cost more on fast disks too; refusing pre-votes for as long, since a voter with a slow disk may be the only other one left.

Change: the patience of elections and of a leader's check for a quorum goes by the slowest of the last own writes, from one to ten election timeouts. Fast writes shorten it again, and it is forgotten after a minute without a slow one.

Open: a leader that reads renewals late ends leases whose nodes did renew.

--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -31,7 +31,9 @@
 struct replica_options {
     node_address self;
     membership initial; ///< used only while the log holds no other
-    duration election_timeout = std::chrono::milliseconds(300); ///< drawn from once to twice this
+    /// Drawn from once to twice this; from more while this voter's own disk is slow, see
+    /// `patience`.
+    duration election_timeout = std::chrono::milliseconds(300);
     duration heartbeat_interval = std::chrono::milliseconds(60);
     /// Least time between two rounds that only prove leadership. What asks for proof meanwhile
     /// shares the next one.
@@ -121,6 +123,9 @@
     void on(const node_address &from, const snapshot_request &request, instant now);
 
     void begin_step(instant now);
+    void note_write(duration time);
+    duration slowest_write() const;
+    duration patience() const;
     void start_election(bool pre_vote, instant now);
     void become_follower(std::uint64_t term, const node_address &leader, instant now);
     void become_leader(instant now);
@@ -152,7 +157,9 @@
     membership m_members;
     std::map<std::uint64_t, membership> m_member_history; ///< by index of its entry
     instant m_now{};                                      ///< of the current step
-    bool m_wrote = false; ///< the current step, or the one before, waited for the disk
+    bool m_wrote = false;       ///< the current step, or the one before, waited for the disk
+    duration m_slowest_write{}; ///< see slowest_write()
+    instant m_slowest_write_until{};
     instant m_election_at{};
     instant m_leader_heard{};
     bool m_pre_vote = false;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -14,6 +14,17 @@
 /// Above the pause between two ticks, which follows a write in any case, and well below the least
 /// election timeout: a faster write can't be mistaken for another voter's silence.
 constexpr duration least_slow_write = std::chrono::milliseconds(30);
+/// A leader that writes sends nothing meanwhile, and its next message comes a heartbeat later at
+/// most: twice the time of a write leaves room for both.
+constexpr int writes_to_wait_for = 2;
+/// Each write leaves that much of what slower ones before it count for: eight fast writes take away
+/// nine tenths of the patience that a slow one brought.
+constexpr double slow_write_decay = 0.75;
+/// Without any write to go by, a slow one counts for so long: disks are slow for some seconds up to
+/// a minute, while others write much to them.
+constexpr duration slow_write_memory = std::chrono::seconds(60);
+/// At ten election timeouts, 3 s unless set otherwise, another voter's disk is likely the better.
+constexpr int most_timeouts_to_wait = 10;
 
 } // namespace
 
@@ -64,15 +75,42 @@
         return; // still the same step, with what it wrote
     }
     m_now = now;
-    if (!std::exchange(m_wrote, false) || waited < least_slow_write) {
+    if (!std::exchange(m_wrote, false)) {
+        return;
+    }
+    note_write(waited);
+    if (waited < least_slow_write) {
         return;
     }
     m_election_at += waited;
+    m_leader_heard += waited;
     for (auto &[voter, state] : m_progress) {
         state.heard += waited;
     }
 }
 
+void replica::note_write(duration time) {
+    const duration left = std::chrono::duration_cast<duration>(slowest_write() * slow_write_decay);
+    if (time >= left) {
+        m_slowest_write_until = m_now + slow_write_memory;
+    }
+    m_slowest_write = std::max(time, left);
+}
+
+/// Of the last writes, the older the less.
+duration replica::slowest_write() const {
+    return m_now < m_slowest_write_until ? m_slowest_write : duration{};
+}
+
+/// How long another voter may be silent. Usually the election timeout. Disks that are slow for one
+/// voter tend to be so for all, and a leader is silent while it writes: with syncs of 400 ms and
+/// 300 to 600 ms of patience each entry cost the leader its place. A leader whose disk alone is
+/// slow is still replaced: the patience goes by the disk of who waits.
+duration replica::patience() const {
+    return std::clamp(slowest_write() * writes_to_wait_for, m_options.election_timeout,
+                      m_options.election_timeout * most_timeouts_to_wait);
+}
+
 void replica::tick(instant now) {
     begin_step(now);
     if (m_role == role::failed) {
@@ -88,8 +126,7 @@
         // Cut off from a quorum: a newer leader may exist. Going on would only keep nodes asking
         // here.
         const bool heard = quorum([&](const node_address &voter) {
-            return voter == m_options.self ||
-                   m_progress[voter].heard + m_options.election_timeout * 2 > now;
+            return voter == m_options.self || m_progress[voter].heard + patience() * 2 > now;
         });
         if (!heard) {
             become_follower(term(), {}, now);
@@ -266,6 +303,8 @@
 }
 
 bool replica::knows_leader(instant now) const {
+    // By the usual timeout, however slow this voter's disk is: it may be the only other one left,
+    // and a voter with a fast disk that has waited for long enough should get its vote.
     return m_role == role::leader ||
            (!m_leader.empty() && m_leader_heard + m_options.election_timeout > now);
 }
@@ -363,8 +402,9 @@
 }
 
 void replica::reset_election_timer(instant now) {
-    std::uniform_int_distribution<duration::rep> spread(0, m_options.election_timeout.count());
-    m_election_at = now + m_options.election_timeout + duration(spread(m_random));
+    const duration least = patience();
+    std::uniform_int_distribution<duration::rep> spread(0, least.count());
+    m_election_at = now + least + duration(spread(m_random));
 }
 
 // ---- replication ----
