--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -5,9 +5,29 @@
 #include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace peppertack {
 
+namespace {
+
+/// Above the pause between two ticks, which follows a write in any case, and well below the least
+/// election timeout: a faster write can't be mistaken for another voter's silence.
+constexpr duration least_slow_write = std::chrono::milliseconds(30);
+/// A leader that writes sends nothing meanwhile, and its next message comes a heartbeat later at
+/// most: twice the time of a write leaves room for both.
+constexpr int writes_to_wait_for = 2;
+/// Each write leaves that much of what slower ones before it count for: eight fast writes take away
+/// nine tenths of the patience that a slow one brought.
+constexpr double slow_write_decay = 0.75;
+/// Without any write to go by, a slow one counts for so long: disks are slow for some seconds up to
+/// a minute, while others write much to them.
+constexpr duration slow_write_memory = std::chrono::seconds(60);
+/// At ten election timeouts, 3 s unless set otherwise, another voter's disk is likely the better.
+constexpr int most_timeouts_to_wait = 10;
+
+} // namespace
+
 std::string encode(const membership &value) {
     nlohmann::json json{{"v", 1}, {"voters", value.voters}};
     if (value.learner) {
@@ -38,15 +58,61 @@
 }
 
 replica::replica(replica_options options, durable_log &log, instant now)
-    : m_options(std::move(options)), m_log(&log), m_random(m_options.seed) {
+    : m_options(std::move(options)), m_log(&log), m_random(m_options.seed), m_now(now) {
     m_commit = m_log->snapshot() ? m_log->snapshot()->index : 0;
     m_handed_out = m_commit;
     reload_members(m_log->last_index());
     reset_election_timer(now);
 }
 
-void replica::tick(instant now) {
+/// While this voter waited for its own disk it read no messages, so that time tells nothing about
+/// the others. Counted as their silence it let a candidate stand for the next term before it had
+/// read the votes for the last one, and made a leader step down though its followers had answered:
+/// with syncs of 200 ms nobody was ever elected.
+void replica::begin_step(instant now) {
+    const duration waited = now - m_now;
+    if (waited <= duration{}) {
+        return; // still the same step, with what it wrote
+    }
     m_now = now;
+    if (!std::exchange(m_wrote, false)) {
+        return;
+    }
+    note_write(waited);
+    if (waited < least_slow_write) {
+        return;
+    }
+    m_election_at += waited;
+    m_leader_heard += waited;
+    for (auto &[voter, state] : m_progress) {
+        state.heard += waited;
+    }
+}
+
+void replica::note_write(duration time) {
+    const duration left = std::chrono::duration_cast<duration>(slowest_write() * slow_write_decay);
+    if (time >= left) {
+        m_slowest_write_until = m_now + slow_write_memory;
+    }
+    m_slowest_write = std::max(time, left);
+}
+
+/// Of the last writes, the older the less.
+duration replica::slowest_write() const {
+    return m_now < m_slowest_write_until ? m_slowest_write : duration{};
+}
+
+/// How long another voter may be silent. Usually the election timeout. Disks that are slow for one
+/// voter tend to be so for all, and a leader is silent while it writes: with syncs of 400 ms and
+/// 300 to 600 ms of patience each entry cost the leader its place. A leader whose disk alone is
+/// slow is still replaced: the patience goes by the disk of who waits.
+duration replica::patience() const {
+    return std::clamp(slowest_write() * writes_to_wait_for, m_options.election_timeout,
+                      m_options.election_timeout * most_timeouts_to_wait);
+}
+
+void replica::tick(instant now) {
+    begin_step(now);
     if (m_role == role::failed) {
         return;
     }
@@ -60,8 +126,7 @@
         // Cut off from a quorum: a newer leader may exist. Going on would only keep nodes asking
         // here.
         const bool heard = quorum([&](const node_address &voter) {
-            return voter == m_options.self ||
-                   m_progress[voter].heard + m_options.election_timeout * 2 > now;
+            return voter == m_options.self || m_progress[voter].heard + patience() * 2 > now;
         });
         if (!heard) {
             become_follower(term(), {}, now);
@@ -82,7 +147,7 @@
 }
 
 void replica::receive(const node_address &from, const message &body, instant now) {
-    m_now = now;
+    begin_step(now);
     if (m_role == role::failed) {
         return;
     }
@@ -105,7 +170,7 @@
 }
 
 void replica::flush(instant now) {
-    m_now = now;
+    begin_step(now);
     if (m_role != role::leader) {
         m_queued.clear();
         return;
@@ -113,6 +178,7 @@
     if (!m_queued.empty()) {
         const std::vector<log_entry> entries = std::move(m_queued);
         m_queued.clear();
+        m_wrote = true;
         if (!m_log->append(entries)) {
             fail();
             return;
@@ -198,6 +264,7 @@
         }
     }
     const std::uint64_t at_term = m_log->term_at(index).value_or(0);
+    m_wrote = true;
     if (!m_log->save_snapshot({index, at_term, encode(members), std::move(state)})) {
         fail();
         return false;
@@ -236,6 +303,8 @@
 }
 
 bool replica::knows_leader(instant now) const {
+    // By the usual timeout, however slow this voter's disk is: it may be the only other one left,
+    // and a voter with a fast disk that has waited for long enough should get its vote.
     return m_role == role::leader ||
            (!m_leader.empty() && m_leader_heard + m_options.election_timeout > now);
 }
@@ -251,17 +320,22 @@
             {from, vote_reply{.term = told, .pre_vote = true, .granted = granted}});
         return;
     }
-    if (request.term > term()) {
+    const bool newer = request.term > term();
+    const std::string &voted_for = m_log->vote().voted_for;
+    const bool free_vote = newer || voted_for.empty() || voted_for == from || g_defects.forget_vote;
+    const bool granted = request.term >= term() && free_vote && log_is_current(request);
+    // Term and vote go to the disk in one write: two would keep the candidate waiting twice as
+    // long, and on a slow disk longer than until the next election.
+    if (granted && !save_vote(request.term, from)) {
+        return;
+    }
+    if (newer) {
         become_follower(request.term, {}, now);
     }
     if (m_role == role::failed) {
         return;
     }
-    const std::string &voted_for = m_log->vote().voted_for;
-    const bool free_vote = voted_for.empty() || voted_for == from || g_defects.forget_vote;
-    bool granted = request.term == term() && free_vote && log_is_current(request);
     if (granted) {
-        granted = save_vote(request.term, from);
         reset_election_timer(now);
     }
     m_outgoing.push_back({from, vote_reply{.term = term(), .granted = granted}});
@@ -294,6 +368,7 @@
 }
 
 bool replica::save_vote(std::uint64_t new_term, const node_address &voted_for) {
+    m_wrote = true;
     if (!m_log->save_vote({new_term, voted_for})) {
         fail();
         return false;
@@ -327,8 +402,9 @@
 }
 
 void replica::reset_election_timer(instant now) {
-    std::uniform_int_distribution<duration::rep> spread(0, m_options.election_timeout.count());
-    m_election_at = now + m_options.election_timeout + duration(spread(m_random));
+    const duration least = patience();
+    std::uniform_int_distribution<duration::rep> spread(0, least.count());
+    m_election_at = now + least + duration(spread(m_random));
 }
 
 // ---- replication ----
@@ -435,6 +511,7 @@
 
 bool replica::take_entries(const std::vector<log_entry> &entries) {
     const bool replaces = entries.front().index <= m_log->last_index();
+    m_wrote = true;
     // A leader that contradicts a committed entry means two histories: going on would choose one
     // of them silently.
     if (entries.front().index <= m_commit || !m_log->append(entries)) {
@@ -501,6 +578,7 @@
     }
     const log_snapshot &snapshot = request.snapshot;
     if (snapshot.index > m_commit) {
+        m_wrote = true;
         if (!m_log->save_snapshot(snapshot)) {
             fail();
             return;
