A test that fails: a caller ends the process with two requests in one write

Cause of the failure: http_server_connection::take goes on to the next request after an answer that was made while the bytes were being read, also where that answer ended the connection. finish has called drop then, m_server is null, and on_head reads through it.

Part of a request behind the last one does no harm. Answers made later do none either: bytes behind wait in m_waiting.

Change: test only; two cases, a part of a request and a whole one.

--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -373,6 +373,34 @@
     CHECK_MESSAGE(count_of(client.received, "HTTP/1.1 200") == 2, client.received);
 }
 
+// What follows a request that ends its connection is no request any more. Where the first was
+// answered while its bytes were still being read, as each is that no route takes, the engine went
+// on to the second on a connection that the server had let go of already: "Segmentation violation
+// signal". One caller could end the process so.
+TEST_CASE("bytes behind a request that ends its connection are passed over") {
+    asio::io_context io;
+    const std::string address = own_address();
+    int requests = 0;
+    http_server server(io, {.address = address},
+                       whole_request::factory([&](const auto &caller, const std::string &) {
+                           ++requests;
+                           caller->respond(200, {}, "ok");
+                       }));
+    std::string reason;
+    REQUIRE(server.start(reason));
+    raw_client client(io, address);
+    const std::string last = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    SUBCASE("a part of a request") {
+        client.send(last + "GE");
+    }
+    SUBCASE("a whole request") {
+        client.send(last + last);
+    }
+    CHECK(run_until(io, [&] { return client.ended; }));
+    CHECK(count_of(client.received, "HTTP/1.1 200") == 1);
+    CHECK(requests == 1);
+}
+
 TEST_CASE("a server that chooses the moment is sent the body only when it asks for it") {
     // Symptom: every small request to an instance took seconds. Sequence: many large bodies were
     // sent to it at once over its slow link, most of them only to be refused. Cause: bodies were
