A test that fails: requests denied by limits that were built in when they began

Cause of the failure: a request keeps the limits that held when its first byte came, while limits_known is asked when they are exceeded. A head or body that begins before the first table and ends after it is answered 431 or 413 by limits that no table ever had.

What was ruled out: that limits are taken anew within a request (reader bounds change only between messages); that the test sees the limits of the table (they allow both requests).

Change: test only, two cases.

Conclusion: a refusal is final only if the limits it was judged by are those of the confirmed table.

--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -373,6 +373,48 @@
     CHECK_MESSAGE(count_of(client.received, "HTTP/1.1 200") == 2, client.received);
 }
 
+// A caller began a long request while the node knew no table yet, so it was judged by limits that
+// are built in. The table came before the request was whole. The limits that were known then
+// allowed it; those by which it was refused were never in force, and yet the refusal was for good.
+TEST_CASE("no request is denied for good by limits that were not known when it began") {
+    asio::io_context io;
+    const std::string address = own_address();
+    bool known = false;
+    http_server server(io,
+                       {.address = address,
+                        .limits = {.header_bytes = 64, .body_bytes = 4},
+                        .limits_known = [&] { return known; }},
+                       whole_request::factory([](const auto &caller, const std::string &) {
+                           caller->respond(200, {}, "ok");
+                       }));
+    std::string reason;
+    REQUIRE(server.start(reason));
+    const auto told = [&](const std::string &first, const std::string &rest) {
+        raw_client client(io, address);
+        client.send(first);
+        // Answered only after the bytes before it were read, by the one loop of this test.
+        raw_client other(io, address);
+        other.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(run_until(io, [&] { return !other.received.empty(); }));
+        server.set_limits({.header_bytes = 1024, .body_bytes = 8}, 3s, 15s);
+        known = true;
+        client.send(rest);
+        REQUIRE(run_until(io, [&] { return client.ended || !client.received.empty(); }));
+        return client.received.substr(0, client.received.find("\r\n"));
+    };
+    const std::string line = "POST / HTTP/1.1\r\nHost: h\r\n";
+    SUBCASE("a body") {
+        const std::string answer =
+            told(line + "Transfer-Encoding: chunked\r\n\r\n3\r\n123\r\n", "3\r\n456\r\n0\r\n\r\n");
+        CHECK_MESSAGE(answer.find(" 413") == std::string::npos, answer);
+    }
+    SUBCASE("a head") {
+        const std::string answer =
+            told(line, "Note: " + std::string(100, 'x') + "\r\nContent-Length: 0\r\n\r\n");
+        CHECK_MESSAGE(answer.find(" 431") == std::string::npos, answer);
+    }
+}
+
 // What follows a request that ends its connection is no request any more. Where the first was
 // answered while its bytes were still being read, as each is that no route takes, the engine went
 // on to the second on a connection that the server had let go of already: "Segmentation violation
