A test that fails: an answer to an earlier life of a process is taken for a fresh one

Cause of the failure: renewals are numbered from 1 in every life of a process, and an answer names nothing but that number. The leader sends it to the node's address, waiting for a connection there, so it can reach the life after. It is taken for the answer to the renewal with the same number, and what it brings is dated by that renewal.

What was ruled out: that the incarnation tells them apart (it is in the request, not in the answer); that hello refuses the connection (it compares identities only where they name a disk, and nodes have bare addresses). Not shown between real processes.

Change: test only.

Conclusion: besides denials this touches leases; numbers of renewals have to differ between lives.

--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -66,3 +66,43 @@
     lease.receive("a:1", same, {start + 1501ms, 0});
     CHECK(lease.routes_trusted(start + 1501ms));
 }
+
+// A leader answers a renewal only once a quorum has confirmed it, and an answer waits for a
+// connection to the node's address. A node that was started again meanwhile is given the answer to
+// its earlier life, and counts its renewals from 1 like that life did: the answer passed for one to
+// the renewal of the same number. It showed a leadership of five seconds ago as one of now, and
+// brought a lease that runs on here for five seconds longer than at the leader.
+TEST_CASE("an answer to an earlier life of the process confirms nothing and brings no lease") {
+    node_options options;
+    options.self = "n:1";
+    options.voters = {"a:1"};
+    options.incarnation = 11;
+    node_options restarted = options;
+    restarted.incarnation = 12;
+    const instant start(1000s);
+    const target_announcement target{.name = "t", .service = "s", .slots = 1, .connections = 1};
+    const auto ask = [&](lease_client &lease, instant now) {
+        std::vector<outgoing> sent;
+        lease.announce(target, {now, 0});
+        lease.tick(
+            {now, 0}, [](renew_request &, instant) {}, sent);
+        REQUIRE(sent.size() == 1);
+        return std::get<renew_request>(sent.back().body).sequence;
+    };
+    lease_client before(options);
+    const std::uint64_t asked_before = ask(before, start);
+    const routing_sheet sheet{.version = 4};
+    renew_reply held_up{.sequence = asked_before,
+                        .is_leader = true,
+                        .number = 7,
+                        .lease = options.lease.length,
+                        .routes_version = 4};
+    held_up.routes = pack(encode(sheet));
+
+    lease_client after(restarted);
+    ask(after, start + 5s);
+    after.receive("a:1", held_up, {start + 5010ms, 0});
+    CHECK(!after.routes_trusted(start + 5010ms));
+    CHECK(after.number() == no_target);
+    CHECK(!after.lease_valid(start + 5010ms));
+}
