A test that fails: a table is trusted in the first second of a clock before any was confirmed

Cause of the failure: "never confirmed" is the instant zero, and zero and 1 s lie after each reading of the clock below one second.

What was ruled out: that a caller's 404 follows from it: entry_relay asks whether routes are known before. The limits of callers are not guarded so (traffic_host.cpp, limits_known), nor the table of services (request_router.cpp, unknown-service).

Change: test only; a clock at 0.5 s.

Conclusion: of little weight on instances that run for long; the boot clock of a fresh one may be that low.

--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -67,6 +67,18 @@
     CHECK(lease.routes_trusted(start + 1501ms));
 }
 
+// A clock that counts from the start of the instance reads less than a second in a process that is
+// started with it. "Never confirmed" was kept as zero, so the limits and the table of a node that
+// had heard from no voter passed for confirmed in that first second.
+TEST_CASE("no table is trusted before a leader has confirmed one") {
+    node_options options;
+    options.self = "n:1";
+    options.voters = {"a:1"};
+    const lease_client lease(options);
+    CHECK(!lease.routes_trusted(instant(500ms)));
+    CHECK(!lease.table_trusted(instant(500ms)));
+}
+
 // A leader answers a renewal only once a quorum has confirmed it, and an answer waits for a
 // connection to the node's address. A node that was started again meanwhile is given the answer to
 // its earlier life, and counts its renewals from 1 like that life did: the answer passed for one to
