A test that fails: a target that said that it leaves is taken up again

Cause of the failure: target_leaves does nothing where the node does not know the target yet, and the call is answered 200 all the same. Once the map has come, look_for_target finds the target at its address and takes it on for two heartbeat intervals.

What was ruled out: that the list of ended names keeps it out (nothing was put there, and assume_target does not look); that the target's next heartbeat corrects it (after that call it sends none).

Change: test only. Not shown with real processes.

Conclusion: an acknowledgement that is not kept; it needs a restart of the node while the voters can't be reached.

--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -75,3 +75,27 @@
     CHECK_MESSAGE(answer_for(*kind).status >= first_failure_status,
                   std::string(answer_for(*kind).name));
 }
+
+// A node was started again while no voter could be reached, so it did not know its target yet. The
+// target said that it leaves, was told 200, and said nothing more. Nothing was noted: when the map
+// came, the node asked the address for a name, found the target still at work there, and handed it
+// new requests, long after it had acknowledged that the target is gone.
+TEST_CASE("a target that said that it leaves is not taken up again") {
+    agent_with_leader one(one_node());
+    const instant start(1000s);
+    one.agent.tick({start, 0});
+    one.agent.target_leaves("t", {start, 0});
+    one.found = "t";
+    routing_sheet sheet{.version = 4};
+    sheet.services["s"] = {.name = "s"};
+    renew_reply reply;
+    reply.map.to = 9;
+    reply.map.as_of = 9;
+    reply.map.targets = {{.number = 7, .name = "t", .service = "s", .address = "n:1", .slots = 1}};
+    one.answer(start + 5s, reply, sheet);
+    REQUIRE(one.agent.serving("s").size() == 1);
+    one.agent.tick({start + 5100ms, 0});
+    const bool given_work =
+        one.agent.has_target() && !one.agent.refusal(std::nullopt, start + 5100ms);
+    CHECK(!given_work);
+}
