--- /dev/null
+++ b/tests/transport/node_agent_test.cpp
@@ -0,0 +1,101 @@
+#include "peppertack/protocol/error_answer.hpp"
+#include "peppertack/state/packed_text.hpp"
+#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/transport/traffic/node_agent.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peppertack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int first_failure_status = 500;
+
+traffic_options one_node() {
+    traffic_options options;
+    options.service = "s";
+    options.target_address = "n:80";
+    options.node.self = "n:1";
+    options.node.voters = {"a:1"};
+    return options;
+}
+
+/// An agent whose leader answers as it is told to.
+class agent_with_leader {
+public:
+    explicit agent_with_leader(traffic_options options)
+        : m_options(std::move(options)),
+          agent(
+              m_options,
+              [this](const outgoing &item) {
+                  if (const auto *renewal = std::get_if<renew_request>(&item.body)) {
+                      asked = renewal->sequence;
+                  }
+              },
+              [this](const std::string &, std::function<void(std::string)> done) { done(found); }) {
+    }
+
+    void answer(instant now, renew_reply reply, const routing_sheet &sheet) {
+        agent.tick({now, 0});
+        reply.sequence = asked;
+        reply.is_leader = true;
+        reply.routes_version = sheet.version;
+        reply.routes = pack(encode(difference({}, sheet)));
+        agent.receive("a:1", reply, {now, 0});
+    }
+
+private:
+    traffic_options m_options;
+
+public:
+    std::uint64_t asked = 0;
+    std::string found; ///< name that the target tells when it is asked
+    node_agent agent;
+};
+
+} // namespace
+
+// The node beside a target said "malformed" of a request without a key, and its sender told the
+// caller 400. Whether a request has a key on this hop is decided by the sender's table: it leaves
+// out the key that the caller sent where its table has the service undivided. So a proper request
+// was denied for good, by no table that was ever in force, and here by one that nobody had
+// confirmed for ten seconds.
+TEST_CASE("a request without a key is not denied for good by the node beside the target") {
+    agent_with_leader one(one_node());
+    const instant start(1000s);
+    routing_sheet sheet{.version = 4};
+    sheet.services["s"] = {.name = "s", .keyed = true};
+    one.answer(start, {}, sheet);
+    REQUIRE(one.agent.ready());
+    one.agent.heartbeat({.name = "t", .address = "n:80", .service = "s"}, {start, 0},
+                        [](const hold_grant &) {});
+    const auto kind = one.agent.refusal(std::nullopt, start + 10s);
+    REQUIRE(kind);
+    CHECK_MESSAGE(answer_for(*kind).status >= first_failure_status,
+                  std::string(answer_for(*kind).name));
+}
+
+// A node was started again while no voter could be reached, so it did not know its target yet. The
+// target said that it leaves, was told 200, and said nothing more. Nothing was noted: when the map
+// came, the node asked the address for a name, found the target still at work there, and handed it
+// new requests, long after it had acknowledged that the target is gone.
+TEST_CASE("a target that said that it leaves is not taken up again") {
+    agent_with_leader one(one_node());
+    const instant start(1000s);
+    one.agent.tick({start, 0});
+    one.agent.target_leaves("t", {start, 0});
+    one.found = "t";
+    routing_sheet sheet{.version = 4};
+    sheet.services["s"] = {.name = "s"};
+    renew_reply reply;
+    reply.map.to = 9;
+    reply.map.as_of = 9;
+    reply.map.targets = {{.number = 7, .name = "t", .service = "s", .address = "n:1", .slots = 1}};
+    one.answer(start + 5s, reply, sheet);
+    REQUIRE(one.agent.serving("s").size() == 1);
+    one.agent.tick({start + 5100ms, 0});
+    const bool given_work =
+        one.agent.has_target() && !one.agent.refusal(std::nullopt, start + 5100ms);
+    CHECK(!given_work);
+}
