--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -55,13 +55,9 @@
     instant routes_confirmed_at() const { return m_routes_confirmed_at; }
     /// Whether a request may be told to be wrong by the routing sheet here. A caller does not send
     /// such a request again, so a sheet that may have been replaced must not decide it.
-    bool routes_trusted(instant now) const {
-        return now < m_routes_confirmed_at + m_options.table_trusted_for;
-    }
+    bool routes_trusted(instant now) const { return trusted(m_routes_confirmed_at, now); }
     /// The same for the table of services.
-    bool table_trusted(instant now) const {
-        return now < m_table_confirmed_at + m_options.table_trusted_for;
-    }
+    bool table_trusted(instant now) const { return trusted(m_table_confirmed_at, now); }
     /// Ranges of the local target, in order, with the last hash of each.
     struct own_range {
         range_record record;
@@ -77,6 +73,9 @@
     std::uint64_t renewed() const { return m_renewed; }
 
 private:
+    bool trusted(instant confirmed_at, instant now) const {
+        return confirmed_at != instant{} && now < confirmed_at + m_options.table_trusted_for;
+    }
     struct sent_renewal {
         instant at{};
         target_number number = no_target;
@@ -110,7 +109,7 @@
     routing_sheet m_routes;
     instant m_routes_confirmed_at{};
     instant m_table_confirmed_at{};
-    std::uint64_t m_sequence = 0;
+    std::uint64_t m_sequence; ///< of the last renewal
     std::map<std::uint64_t, sent_renewal> m_sent;
     instant m_renew_at{};
     instant m_answer_due{};
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -99,6 +99,8 @@
     void check_identity(const target_heartbeat &beat);
     void look_for_target();
     void assume_target(const std::string &name, moment at);
+    void note_ended(const std::string &name);
+    bool has_ended(const std::string &name) const;
     void drop_target(const char *why, bool ended, moment at);
     void announce(moment at);
     void follow(const lease_client::change &changed);
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -21,10 +21,19 @@
 constexpr duration relay_time = std::chrono::seconds(3);
 constexpr duration least_interval = std::chrono::milliseconds(5);
 
+/// Renewals of different lives of a process are numbered far apart: an answer names nothing but
+/// that number, and one that waited for a connection may reach the life after. It would bring a
+/// lease that runs on here after it has ended at the leader.
+std::uint64_t first_sequence(std::uint64_t incarnation) {
+    constexpr std::uint64_t far_apart = 0x9E3779B97F4A7C15; // 2^64 over the golden ratio
+    return incarnation * far_apart;
+}
+
 } // namespace
 
 lease_client::lease_client(const node_options &options)
-    : m_options(options), m_voters(options.voters), m_registration(options.incarnation) {
+    : m_options(options), m_voters(options.voters), m_registration(options.incarnation),
+      m_sequence(first_sequence(options.incarnation)) {
     assert(!m_voters.empty());
     m_voter = options.seed % m_voters.size();
 }
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -66,8 +66,11 @@
     const route_map::service_map *service = m_lease.map().find_service(value.request.service);
     const bool listed =
         service != nullptr || m_lease.current_table().has_service(value.request.service);
-    if (!listed && m_lease.table_trusted(at.now)) {
-        finish(value, refusal(error_kind::unknown_service, value), at);
+    if (!listed && m_lease.map().version() != 0) {
+        // Whoever added the service since will see it here once a voter can be reached.
+        const bool sure = m_lease.table_trusted(at.now);
+        finish(value, refusal(sure ? error_kind::unknown_service : error_kind::no_owner, value),
+               at);
         return;
     }
     const range_record *range = m_lease.map().find_range(value.request.service, value.hash);
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -58,6 +58,9 @@
 }
 
 void http_server_connection::take(std::string_view bytes) {
+    if (m_server == nullptr) {
+        return; // the last answer has ended the connection; nothing after it is a request
+    }
     if (!m_reader.in_message()) {
         m_since = steady_instant();
         // A limit that was raised since the connection was opened would else deny what is allowed.
@@ -144,8 +147,12 @@
 /// By limits that may not be those in force a request that is allowed would be denied for good.
 bool http_server_connection::beyond_unknown_limits(int status) const {
     const bool by_limits = status == body_too_large || status == header_too_large;
-    return by_limits && m_server != nullptr && m_server->m_options.limits_known &&
-           !m_server->m_options.limits_known();
+    if (!by_limits || m_server == nullptr) {
+        return false;
+    }
+    const http_server::options &now = m_server->m_options;
+    const bool replaced = !(m_reader.bounds() == now.limits); // since the request began
+    return replaced || (now.limits_known && !now.limits_known());
 }
 
 void http_server_connection::send_continue() {
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -70,7 +70,7 @@
         return item.second.name == name && item.second.address == m_options.node.self &&
                item.second.phase == target_phase::serving;
     });
-    if (m_target || m_stopping || known == targets.end()) {
+    if (m_target || m_stopping || known == targets.end() || has_ended(name)) {
         return;
     }
     log_event(log_level::info, "target_assumed", {{"target", name}});
@@ -233,7 +233,7 @@
 
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
-    if (std::find(m_ended.begin(), m_ended.end(), beat.name) != m_ended.end()) {
+    if (has_ended(beat.name)) {
         return false; // sent by a target that has ended since, and held up on its way
     }
     if (m_target && m_target->name != beat.name) {
@@ -297,10 +297,7 @@
     log_event(log_level::info, "target_gone",
               {{"target", m_target->name}, {"cause", why}, {"in_flight", m_queue.in_flight()}});
     if (ended) {
-        m_ended.push_back(m_target->name);
-        if (m_ended.size() > most_ended_names) {
-            m_ended.pop_front();
-        }
+        note_ended(m_target->name);
     }
     m_target.reset();
     m_assumed = false;
@@ -313,7 +310,25 @@
     }
 }
 
+void node_agent::note_ended(const std::string &name) {
+    m_ended.push_back(name);
+    if (m_ended.size() > most_ended_names) {
+        m_ended.pop_front();
+    }
+}
+
+bool node_agent::has_ended(const std::string &name) const {
+    return std::find(m_ended.begin(), m_ended.end(), name) != m_ended.end();
+}
+
 void node_agent::target_leaves(const std::string &name, moment at) {
+    if (!m_target && !has_ended(name)) {
+        // This node was started again and has not heard of the target yet. It says nothing more, so
+        // taking it up later, by the map, would give it work after its farewell was acknowledged.
+        log_event(log_level::info, "target_leaves", {{"target", name}, {"known", false}});
+        note_ended(name);
+        return;
+    }
     if (!m_target || m_target->name != name || m_left) {
         return;
     }
--- a/tests/coordination/replica_test.cpp
+++ b/tests/coordination/replica_test.cpp
@@ -53,7 +53,7 @@
 /// Counts the syncs, so that a test can let each of them take time.
 class counting_storage final : public storage {
 public:
-    std::vector<std::string> list() override { return m_disk.list(); }
+    std::optional<std::vector<std::string>> list() override { return m_disk.list(); }
     std::optional<std::string> read(const std::string &name) override { return m_disk.read(name); }
     bool append(const std::string &name, std::string_view bytes) override {
         return m_disk.append(name, bytes);
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -70,7 +70,7 @@
     REQUIRE(one.agent.ready());
     one.agent.heartbeat({.name = "t", .address = "n:80", .service = "s"}, {start, 0},
                         [](const hold_grant &) {});
-    const auto kind = one.agent.refusal(std::nullopt, start + 10s);
+    const auto kind = one.agent.refusal({.service = "s"}, start + 10s);
     REQUIRE(kind);
     CHECK_MESSAGE(answer_for(*kind).status >= first_failure_status,
                   std::string(answer_for(*kind).name));
@@ -96,6 +96,6 @@
     REQUIRE(one.agent.serving("s").size() == 1);
     one.agent.tick({start + 5100ms, 0});
     const bool given_work =
-        one.agent.has_target() && !one.agent.refusal(std::nullopt, start + 5100ms);
+        one.agent.has_target() && !one.agent.refusal({.service = "s"}, start + 5100ms);
     CHECK(!given_work);
 }
