Test: a file that was not finished is not taken for the log

Cause: posix_storage::replace writes under a temporary name and renames. A process that is killed in between leaves that file, and durable_log::load takes the last name that begins like a log's, which is that one. It cuts what is torn and removes the whole file.

Ruled out: the tests so far can't see it, since the storage they use replaces a file in one step.

--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
 #include <rapidcheck.h>
 #include <unistd.h>
 
@@ -126,6 +127,33 @@
     }));
 }
 
+TEST_CASE("a file that was not finished is not taken for the log") {
+    // A voter that was killed while it began a new file for its log came up with an empty log and
+    // without its vote: it read the file under its temporary name, which sorts behind the whole
+    // one, and removed the whole one. It could have voted twice in one term, and entries that it
+    // had acknowledged were gone. On a disk whose syncs take seconds the kill has as long to come.
+    const std::string folder = std::filesystem::temp_directory_path() /
+                               ("peppertack-unfinished-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::string reason;
+    {
+        const auto files = posix_storage::make(folder, reason);
+        REQUIRE_MESSAGE(files, reason);
+        durable_log log = opened(*files);
+        CHECK(log.save_vote({3, "a"}));
+        CHECK(log.append({entry(1, 3)}));
+    }
+    std::ofstream(folder + "/log-00000000000000000009.new") << "PTL";
+    {
+        const auto files = posix_storage::make(folder, reason);
+        REQUIRE_MESSAGE(files, reason);
+        const durable_log log = opened(*files);
+        CHECK(log.vote() == vote_record{3, "a"});
+        CHECK(log.last_index() == 1);
+    }
+    std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("files on a real disk") {
     const std::string folder =
         std::filesystem::temp_directory_path() / ("peppertack-test-" + std::to_string(::getpid()));
