A file that was not finished is not listed

Cause: posix_storage listed the temporary file that a process killed in replace leaves, and the log took it for its newest file.

Ruled out: leaving it to durable_log: the archive of audit records lists files by a prefix as well.

Change: list leaves out names with the suffix of unfinished files; the next replace writes over them. A voter that already came up on such a file goes on under that name and would not find it after this change: replace such a voter by a new one.

Conclusion: a kill at any moment of replace leaves the old file in force.

--- a/src/state/posix_storage.cpp
+++ b/src/state/posix_storage.cpp
@@ -16,6 +16,12 @@
 
 constexpr const char *lock_file = "lock";
 constexpr int file_mode = 0640;
+/// Ends the name of a file until it is whole and takes the place of the one before.
+constexpr const char *unfinished_suffix = ".new";
+
+bool is_unfinished(const std::filesystem::path &file) {
+    return file.extension() == unfinished_suffix;
+}
 
 bool write_all(int handle, std::string_view bytes) {
     while (!bytes.empty()) {
@@ -65,7 +71,9 @@
     std::error_code error;
     for (const auto &item : std::filesystem::directory_iterator(m_folder, error)) {
         const std::string name = item.path().filename().string();
-        if (item.is_regular_file(error) && name != lock_file) {
+        // A process that was killed in `replace` leaves an unfinished file. Listed, it would be
+        // taken for the newest log, and a voter would come up without its vote and its entries.
+        if (item.is_regular_file(error) && name != lock_file && !is_unfinished(item.path())) {
             names.push_back(name);
         }
     }
@@ -128,7 +136,7 @@
 
 bool posix_storage::replace(const std::string &name, std::string_view bytes) {
     close_handle(name);
-    const std::string fresh = path_of(name) + ".new";
+    const std::string fresh = path_of(name) + unfinished_suffix;
     const int handle = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (handle < 0) {
         return fail("create " + name);
