The test harness waits on when a voter tells nothing of its state

Cause: while a voter's control thread waits for its disk, its dump has no part on targets and services. make_ready read that part without looking, and an assertion of the JSON library ended the whole test program.

Ruled out: a voter without state: its process was up and answered, and the next question would have been answered in full.

Change: such an answer counts as not ready, and is asked for again within the same 30 s.

Conclusion: a disk that stands still shows as a check that failed, in the case that it concerns.

--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -210,7 +210,9 @@
                    return false;
                }
                const nlohmann::json control = dump(*at)["control"];
-               if (!control.is_object() || control["targets"].size() < size()) {
+               // A voter whose control thread waits for its disk tells nothing of its state.
+               if (!control.is_object() || !control.contains("targets") ||
+                   !control.contains("services") || control["targets"].size() < size()) {
                    return false;
                }
                for (const nlohmann::json &service : control["services"]) {
