Tests name the renewal that they answer

Cause: two fixtures answered "renewal 1"; renewals of a life are now numbered from a place of its own, so these answers were answers to no renewal, and four cases failed (hold_keeper_test, lease_client_test).

Ruled out: a fault of the client: it rightly passes over an answer to a number that it never sent.

Change: the fixtures read the number from the renewal that was sent, as the second answer of the same fixture did. Nothing that is checked changes.

Conclusion: as strict as before, and also right.

--- a/tests/coordination/hold_keeper_test.cpp
+++ b/tests/coordination/hold_keeper_test.cpp
@@ -19,7 +19,10 @@
         std::vector<outgoing> sent;
         lease.tick(
             {start, 0}, [](renew_request &, instant) {}, sent);
-        renew_reply reply{.sequence = 1, .is_leader = true, .number = 7, .lease = 2s};
+        renew_reply reply{.sequence = std::get<renew_request>(sent.back().body).sequence,
+                          .is_leader = true,
+                          .number = 7,
+                          .lease = 2s};
         reply.map = {.from = 0, .to = 1, .as_of = 1};
         reply.map.targets = {{.number = 7, .name = "t", .service = "s"}};
         reply.map.services = {
--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -20,7 +20,7 @@
     lease.tick(
         {instant(1000s), 0}, [](renew_request &, instant) {}, sent);
     lease.receive("a:1",
-                  renew_reply{.sequence = 1,
+                  renew_reply{.sequence = std::get<renew_request>(sent.back().body).sequence,
                               .is_leader = true,
                               .voters = {"a:1#founder", "b:1#founder", "c:1#7"}},
                   {instant(1000s), 0});
