Tests that fail: a target that starts again under its name

Cause: a target may start again under the name it had; `born` at the top level of what it says tells its lives apart. Nothing here reads it. Ruled out: that the lease alone decides; "while its lease runs" and "twice within a heartbeat" pass, by silence and a new registration. So does "what an ended life was working on is unknown". Change: stand-ins have `born` and can start again under their name; a proxy can refuse connections; the oracle tells lives apart, so that a token given twice to two lives of one name is a violation.

--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -114,7 +114,8 @@
 };
 
 fault_proxy::fault_proxy(asio::io_context &io, const std::string &address, std::string server)
-    : m_io(io), m_server(std::move(server)), m_acceptor(io, endpoint_from(address)) {
+    : m_io(io), m_address(address), m_server(std::move(server)),
+      m_acceptor(io, endpoint_from(address)) {
     accept();
 }
 
@@ -150,4 +151,14 @@
     }
 }
 
+void fault_proxy::refuse(bool refuses) {
+    reset_all();
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    if (!refuses) {
+        m_acceptor = asio::ip::tcp::acceptor(m_io, endpoint_from(m_address));
+        accept();
+    }
+}
+
 } // namespace peppertack::testing
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -38,6 +38,8 @@
     }
     /// Resets every connection.
     void reset_all();
+    /// Takes no connections any more, as the address of a process that has ended, or does again.
+    void refuse(bool refuses);
 
 private:
     class link;
@@ -45,6 +47,7 @@
     void mark_opened();
 
     asio::io_context &m_io;
+    std::string m_address;
     std::string m_server;
     asio::ip::tcp::acceptor m_acceptor;
     fault m_fault = fault::none;
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -80,10 +80,23 @@
 // ---- targets ----
 
 stand_in_platform_target::stand_in_platform_target(platform_cluster &cluster, std::size_t place)
-    : m_cluster(cluster), m_place(place) {}
+    : m_cluster(cluster), m_place(place), m_service(cluster.m_options.services[place]) {}
 
 void stand_in_platform_target::start() {
     m_name = "i-" + std::to_string(m_place) + "-" + std::to_string(++m_cluster.m_lives);
+    m_born = read_clocks().wall_ms;
+    come_up();
+}
+
+void stand_in_platform_target::start_again(duration clock_step) {
+    const auto step = std::chrono::duration_cast<std::chrono::milliseconds>(clock_step).count();
+    const std::int64_t now = read_clocks().wall_ms + step;
+    // A real process takes more than a millisecond to start.
+    m_born = step < 0 ? now : std::max(now, m_born + 1);
+    come_up();
+}
+
+void stand_in_platform_target::come_up() {
     m_sequence = 0;
     m_draining = false;
     m_holds.clear();
@@ -114,28 +127,32 @@
     });
 }
 
-void stand_in_platform_target::beat() {
-    const instant sent = steady_instant();
+nlohmann::json stand_in_platform_target::heartbeat_body() const {
+    const instant now = steady_instant();
     nlohmann::json holds = nlohmann::json::array();
     for (const stand_in_hold &hold : m_holds) {
-        if (sent < hold.until) {
+        if (now < hold.until) {
             holds.push_back({hold.from, hold.to, hold.token});
         }
     }
-    const nlohmann::json body{
-        {"address",
-         m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"))},
-        {"info", {{"service", m_cluster.m_options.services[m_place]}, {"slots", 8}}},
-        {"status", {{"state", m_draining ? "draining" : "ready"}, {"sequence", ++m_sequence}}},
-        {"holds", holds},
-        {"freed", m_freed}};
+    return {{"address",
+             m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"))},
+            {"born", m_born},
+            {"info", {{"service", m_service}, {"slots", 8}}},
+            {"status", {{"state", m_draining ? "draining" : "ready"}, {"sequence", m_sequence}}},
+            {"holds", holds},
+            {"freed", m_freed}};
+}
+
+void stand_in_platform_target::beat() {
+    const instant sent = steady_instant();
+    ++m_sequence;
+    const nlohmann::json body = heartbeat_body();
     http_head head;
     head.method = "PUT";
     head.target = "/peppertack/instances/" + m_name;
     head.headers = {{"Host", "node"}};
-    const std::string control =
-        m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("control"));
-    call(m_cluster.m_io, m_cluster.m_pool, control, head, body.dump(),
+    call(m_cluster.m_io, m_cluster.m_pool, m_cluster.control_address(m_place), head, body.dump(),
          [this, sent, life = std::weak_ptr(m_life)](int status, const std::string &text,
                                                     const http_head &) {
              if (!life.expired() && status == 200) {
@@ -390,6 +407,23 @@
     return result;
 }
 
+std::string platform_cluster::control_address(std::size_t node) const {
+    return node_ip(node) + ":" + std::to_string(m_ports.at("control"));
+}
+
+std::pair<int, std::string> platform_cluster::tell(std::size_t node, const std::string &method,
+                                                   const std::string &name,
+                                                   const std::string &body) {
+    http_head head;
+    head.method = method;
+    head.target = "/peppertack/instances/" + name;
+    head.headers = {{"Host", "node"}};
+    const auto attempt = std::make_shared<caller_attempt>();
+    call(m_io, m_pool, control_address(node), head, body, fill_in(attempt));
+    run_until([&] { return attempt->status != 0; });
+    return {attempt->status, attempt->body};
+}
+
 bool platform_cluster::configure(std::uint64_t version, std::uint64_t base) {
     const auto digits = [](std::uint64_t value) {
         std::string text =
@@ -498,13 +532,13 @@
             continue;
         }
         auto &[highest, owner] = m_tokens[key];
-        if (hold.token < highest || (hold.token == highest && owner != holder.name())) {
-            violate("key " + std::to_string(key) + " went to " + holder.name() + " with token " +
+        if (hold.token < highest || (hold.token == highest && owner != holder.life())) {
+            violate("key " + std::to_string(key) + " went to " + holder.life() + " with token " +
                     std::to_string(hold.token) + " after " + owner + " had it with " +
                     std::to_string(highest));
         }
         highest = std::max(highest, hold.token);
-        owner = holder.name();
+        owner = holder.life();
     }
 }
 
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -34,17 +34,27 @@
 class stand_in_platform_target {
 public:
     stand_in_platform_target(platform_cluster &cluster, std::size_t place);
+    /// Starts under a name of its own.
     void start();
+    /// Starts a new life under the name it had: it holds nothing and counts its calls anew. Its
+    /// clock, by which `born` is told, may have been set by `clock_step` since.
+    void start_again(duration clock_step = {});
+    /// Takes requests for another service from the next start on.
+    void set_service(const std::string &service) { m_service = service; }
     /// Falls silent; its address takes no connections.
     void crash();
     void begin_drain() { m_draining = true; }
     bool up() const { return m_server != nullptr; }
     const std::string &name() const { return m_name; }
+    /// Name and start: no two lives share it.
+    std::string life() const { return m_name + "/" + std::to_string(m_born); }
+    /// What it would say of itself in a heartbeat now, as it goes over the wire.
+    nlohmann::json heartbeat_body() const;
     const std::vector<stand_in_hold> &holds() const { return m_holds; }
     std::uint64_t heartbeats() const { return m_sequence; }
 
 private:
-    friend class heartbeat_call;
+    void come_up();
     void beat();
     void take_answer(const std::string &body, instant sent);
     void take_request(const std::shared_ptr<http_server_connection> &caller,
@@ -54,6 +64,8 @@
     platform_cluster &m_cluster;
     std::size_t m_place;
     std::string m_name;
+    std::string m_service;
+    std::int64_t m_born = 0; ///< wall clock at the start, in milliseconds
     std::uint64_t m_sequence = 0;
     bool m_draining = false;
     std::unique_ptr<http_server> m_server;
@@ -122,6 +134,9 @@
     /// `length`: bytes of a body that is announced and not sent.
     std::shared_ptr<caller_attempt> ask(std::size_t node, const std::string &host,
                                         std::uint64_t length = 0);
+    /// Sends a node what its target might: status and body of the answer.
+    std::pair<int, std::string> tell(std::size_t node, const std::string &method,
+                                     const std::string &name, const std::string &body);
     /// Sends requests until one of each kind was answered 200.
     bool serves();
 
@@ -144,6 +159,7 @@
 private:
     friend class stand_in_platform_target;
 
+    std::string control_address(std::size_t node) const;
     std::string voter_ip(std::size_t place) const;
     std::string node_ip(std::size_t place) const;
     /// Where a node and its target really listen, behind the proxies.
