A target may start again under its name: each start is a life of its own

Cause: names stood for lives. A name that had ended was shut out for good, `sequence` was compared over lives, a drain or removal outlived the process, and a restarted node took the old registration with its fencing tokens for the new life (incarnation = hash(name)). Ruled out: asking the address when `born` differs. It tells a name only, so it can't tell two lives; a later `born` is believed, a smaller one is refused while the later life is in force. Change: `target_life` (name, born) decides in node_agent; incarnation = hash(name, born). A restarted node resumes with `any_life`, and its lease counts again only when the leader has confirmed the life. Idle connections to the old life close; a finished planned stop binds only the life it was for.

--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -132,7 +132,8 @@
     void take_reports(const renew_request &request, const target_record &record, moment at);
     void take_loads(const renew_request &request, const target_record &record, moment at);
     void register_node(const renew_request &request, const node_address &from, moment at);
-    const target_record *registration_of(const renew_request &request) const;
+    const target_record *registration_of(const renew_request &request,
+                                         const node_address &from) const;
     const map_update &update_since(std::uint64_t version);
     map_update make_update_since(std::uint64_t version) const;
     void add_own_ranges(map_update &update, const target_record &record) const;
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -20,6 +20,9 @@
 
     explicit lease_client(const node_options &options);
 
+    /// The lease is held back while the life of a registered target becomes known, until the leader
+    /// has confirmed that the registration is that life's: it may be an earlier one's, whose
+    /// fencing tokens must not be handed out again.
     void announce(const target_announcement &announcement, moment at);
     /// The target is gone: nothing is served from now on and the lease is given up.
     void give_up(moment at);
@@ -77,8 +80,11 @@
     struct sent_renewal {
         instant at{};
         target_number number = no_target;
+        std::uint64_t incarnation = 0;
     };
 
+    std::uint64_t incarnation() const;
+    bool is_other(const target_announcement &announcement) const;
     void send(moment at, const fill_report &fill, std::vector<outgoing> &messages);
     void next_voter(const node_address &hint, instant now);
     void follow_voters(const node_address &leader, const std::vector<node_address> &voters);
@@ -98,6 +104,7 @@
     bool m_stopping = false;
     bool m_drain_seen = false; ///< a planned stop of this registration was under way
     bool m_retired = false;    ///< the stop is done and the target has not been away since
+    std::optional<target_announcement> m_retired_target; ///< whose stop that was
     route_map m_map;
     table m_table;
     std::uint64_t m_table_version = 0;
--- a/include/peppertack/coordination/node_options.hpp
+++ b/include/peppertack/coordination/node_options.hpp
@@ -22,8 +22,9 @@
     duration renew_timeout = std::chrono::milliseconds(150); ///< then the next voter is asked
     duration announce_timeout =
         std::chrono::milliseconds(1200); ///< a target silent so long is lost
-    /// The registration is told apart by the target's name alone, which then is new with each start
-    /// of the target. So a node that is restarted goes on with the lease of a target that was not.
+    /// The registration is told apart by the target's life (`target_announcement::incarnation`),
+    /// not by the node's. So a node that is restarted goes on with the lease of a target that was
+    /// not.
     bool named_registrations = false;
     /// A request is told to be wrong by a table only for so long after a leader confirmed that the
     /// table is the one in force. Half of the shortest time, 2 s, within which an accepted change
@@ -52,6 +53,8 @@
     std::uint32_t connections = 1;
     bool checks_tokens = false;
     bool draining = false;
+    /// Of its life, or `any_life`; used with `named_registrations` only.
+    std::uint64_t incarnation = 0;
 
     friend bool operator==(const target_announcement &, const target_announcement &) = default;
 };
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "peppertack/coordination/hold_keeper.hpp"
 #include "peppertack/coordination/lease_client.hpp"
+#include "peppertack/coordination/target_life.hpp"
 #include "peppertack/coordination/work_queue.hpp"
 #include "peppertack/transport/traffic/traffic_options.hpp"
 
@@ -17,18 +18,28 @@
 
 /// What a target says of itself in a heartbeat.
 struct target_heartbeat {
-    std::string name;    ///< new with each start of the target
-    std::string address; ///< IP:port at which it takes requests
+    std::string name;
+    std::optional<std::uint64_t> born; ///< tells lives under one name apart; see `target_life`
+    std::string address;               ///< IP:port at which it takes requests
     std::string service;
     std::uint32_t slots = 1;
-    std::uint64_t sequence = 0; ///< grows with each heartbeat of one target
+    std::uint64_t sequence = 0; ///< grows with each heartbeat of one life
     bool draining = false;      ///< about to stop
     duration cold_left{};       ///< it is slow for so much longer
     hold_report report;
 
+    target_life life() const { return {name, born}; }
     friend bool operator==(const target_heartbeat &, const target_heartbeat &) = default;
 };
 
+/// Why a target's call says nothing of the target as it is now.
+enum class call_fault : std::uint8_t {
+    none,
+    born_missing, ///< it names no life, and lives of that target are told apart
+    ended_life,   ///< of a life that is known to have ended: it was held up on its way
+    earlier_life, ///< of a life that began before the one in force
+};
+
 /// A node's view of the system and of the target beside it: the lease, what the target holds, which
 /// requests it may be given. Everything that traffic decides on is read here. Not thread safe: it
 /// belongs to the traffic thread.
@@ -54,7 +65,14 @@
     void begin_stop(moment at);
     /// Nothing more is given to the target; what it runs is finished.
     void refuse_new_work() { m_refusing = true; }
-    /// The target is leaving and says nothing more.
+    /// What is wrong with a call of this life; what is, must change nothing. The clock of a target
+    /// may have been set back between two lives: the one that began earlier by it is taken on once
+    /// the one in force is known to have ended, or has been silent for as long as it may hold keys.
+    call_fault judge(const target_life &life, instant now) const;
+    /// The target is leaving and says nothing more. Yields what is wrong with the call, if
+    /// anything.
+    call_fault target_leaves(const target_life &life, moment at);
+    /// The same for a call that names no life: the one in force is meant.
     void target_leaves(const std::string &name, moment at);
     /// The target's address takes no connections: its process has ended.
     void target_refused(moment at);
@@ -80,13 +98,23 @@
     const std::vector<const target_route *> &serving(const std::string &service) const;
     /// Called when routes, map or target change.
     void set_on_change(std::function<void()> on_change) { m_on_change = std::move(on_change); }
-    /// Called when the target was replaced or is gone.
-    void set_on_target_gone(std::function<void()> on_gone) {
+    /// Called with its address when the target was replaced or is gone.
+    void set_on_target_gone(std::function<void(const std::string &)> on_gone) {
         m_on_target_gone = std::move(on_gone);
     }
 
 private:
+    /// A life that is known to have ended.
+    struct ended_life {
+        target_life life;
+        instant at{};
+    };
+
     void adopt(const target_heartbeat &beat, moment at);
+    void leave(moment at);
+    void note_ended(const target_life &life, instant now);
+    bool has_ended(const target_life &life, instant now) const;
+    bool lives_told_apart(const std::string &name) const;
     void answer_heartbeat_if_due(instant now);
     void answer_heartbeat(instant now);
     bool accept_heartbeat(const target_heartbeat &beat, moment at);
@@ -109,15 +137,16 @@
     work_queue m_queue;
     route_index m_index;
     std::function<void()> m_on_change;
-    std::function<void()> m_on_target_gone;
+    std::function<void(const std::string &)> m_on_target_gone;
     std::optional<target_heartbeat> m_target;
     instant m_beat_at{};
-    instant m_draining_since{};      ///< zero while the target is not leaving
-    bool m_left = false;             ///< it says nothing more
-    std::deque<std::string> m_ended; ///< names of targets that are known to be gone
-    std::string m_probing;           ///< name that is being checked
-    bool m_looked = false;           ///< for a target that was here before this process
-    bool m_assumed = false;          ///< the target is known from the map, not by a heartbeat
+    instant m_draining_since{};     ///< zero while the target is not leaving
+    bool m_left = false;            ///< it says nothing more
+    std::deque<ended_life> m_ended; ///< the latest is the last
+    instant m_reborn_at{};          ///< when a new life followed under the name of the old one
+    std::string m_probing;          ///< name that is being checked
+    bool m_looked = false;          ///< for a target that was here before this process
+    bool m_assumed = false;         ///< known from the map, not by a heartbeat, nor in which life
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
     instant m_loads_at{};
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -1,6 +1,7 @@
 #include "peppertack/coordination/control_core.hpp"
 
 #include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/coordination/target_life.hpp"
 #include "peppertack/state/key_hash.hpp"
 
 #include <algorithm>
@@ -400,17 +401,16 @@
     }
 }
 
-const target_record *control_core::registration_of(const renew_request &request) const {
-    if (request.target.number == no_target) {
-        const target_record *latest = m_state.find_target(request.target.name);
-        const bool same = latest != nullptr && latest->incarnation == request.target.incarnation &&
-                          latest->phase != target_phase::gone;
-        return same ? latest : nullptr;
+const target_record *control_core::registration_of(const renew_request &request,
+                                                   const node_address &from) const {
+    const target_record *record = request.target.number == no_target
+                                      ? m_state.find_target(request.target.name)
+                                      : m_state.find_target(request.target.number);
+    if (record == nullptr || record->phase == target_phase::gone) {
+        return nullptr;
     }
-    const target_record *record = m_state.find_target(request.target.number);
-    const bool same = record != nullptr && record->phase != target_phase::gone &&
-                      record->incarnation == request.target.incarnation;
-    return same ? record : nullptr;
+    const bool resumed = request.target.incarnation == any_life && record->node_address == from;
+    return resumed || record->incarnation == request.target.incarnation ? record : nullptr;
 }
 
 void control_core::answer_renewal(const waiting_renewal &waiting, moment at) {
@@ -440,7 +440,7 @@
     }
     const bool current = reply.table_csv.empty() && routes_current;
     if (request.has_target) {
-        const target_record *record = registration_of(request);
+        const target_record *record = registration_of(request, from);
         if (record != nullptr) {
             reply.number = record->number;
             node.number = record->number;
@@ -479,7 +479,8 @@
 
 void control_core::register_node(const renew_request &request, const node_address &from,
                                  moment at) {
-    if (request.draining || request.giving_up || !m_state.has_service(request.target.service) ||
+    if (request.target.incarnation == any_life || request.draining || request.giving_up ||
+        !m_state.has_service(request.target.service) ||
         !m_registering.insert(registration_key(request.target)).second) {
         return;
     }
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -1,8 +1,8 @@
 #include "peppertack/coordination/lease_client.hpp"
 
 #include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/coordination/target_life.hpp"
 #include "peppertack/coordination/voter_roster.hpp"
-#include "peppertack/state/key_hash.hpp"
 #include "peppertack/state/packed_text.hpp"
 #include "peppertack/state/sheet_delta.hpp"
 
@@ -29,14 +29,33 @@
     m_voter = options.seed % m_voters.size();
 }
 
+std::uint64_t lease_client::incarnation() const {
+    return m_options.named_registrations && m_announcement ? m_announcement->incarnation
+                                                           : m_registration;
+}
+
+/// Whether this is not the target, or not the life, that was announced before.
+bool lease_client::is_other(const target_announcement &announcement) const {
+    const bool same_life = m_announcement->incarnation == announcement.incarnation ||
+                           m_announcement->incarnation == any_life;
+    return m_announcement->name != announcement.name ||
+           m_announcement->service != announcement.service || !same_life;
+}
+
 void lease_client::announce(const target_announcement &announcement, moment at) {
-    const bool other = m_announcement && m_number != no_target &&
-                       (m_announcement->name != announcement.name ||
-                        m_announcement->service != announcement.service);
-    if (other) {
+    if (m_announcement && m_number != no_target && is_other(announcement)) {
         give_up(at);
         return; // the new target is taken on once the old one's lease has ended
     }
+    if (m_announcement && m_announcement->incarnation != announcement.incarnation) {
+        m_lease_until = {};
+    }
+    // A new life has nothing to do with the stop of the one before. Held to it, a target that was
+    // started again after its planned stop would never be given keys.
+    if (m_retired_target && (m_retired_target->name != announcement.name ||
+                             m_retired_target->incarnation != announcement.incarnation)) {
+        m_retired = false;
+    }
     const bool returned = m_announced_at + m_options.announce_timeout < at.now;
     if (m_retired && (returned || (m_announcement && *m_announcement != announcement))) {
         m_retired = false;
@@ -63,6 +82,7 @@
     // taking it on again would undo the stop.
     const target_route *own = m_map.find_target(m_number);
     m_retired = own != nullptr && own->phase != target_phase::serving && m_drain_seen;
+    m_retired_target = m_retired ? m_announcement : std::nullopt;
     m_drain_seen = false;
     m_number = no_target;
     m_lease_until = {};
@@ -102,9 +122,7 @@
                           .giving_up = m_giving_up,
                           .wants_relay = at.now < m_relay_until};
     request.target.number = m_number;
-    request.target.incarnation = m_options.named_registrations && m_announcement
-                                     ? key_hash(m_announcement->name)
-                                     : m_registration;
+    request.target.incarnation = incarnation();
     // Once registered, the number says it all: the rest would be half of what a renewal costs.
     if (m_announcement && m_number == no_target) {
         request.target.failure_domain = m_options.failure_domain;
@@ -116,7 +134,7 @@
         request.target.checks_tokens = m_announcement->checks_tokens;
     }
     fill(request, at.now);
-    m_sent[m_sequence] = {at.now, m_number};
+    m_sent[m_sequence] = {at.now, m_number, request.target.incarnation};
     if (m_sent.size() > remembered_renewals) {
         m_sent.erase(m_sent.begin());
     }
@@ -178,6 +196,9 @@
     if (reply.table_version != 0 && reply.table_version == m_table_version) {
         m_table_confirmed_at = std::max(m_table_confirmed_at, renewal.at);
     }
+    if (renewal.incarnation != incarnation()) {
+        return changed; // about a registration that this one does not go on with
+    }
     if (renewal.number == m_number && reply.registration_lost && m_number != no_target) {
         end_registration();
         changed.registration = true;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -32,7 +32,13 @@
 /// enough to fit into the room that targets have, large enough to keep ranges few.
 constexpr double parts_of_capacity = 10;
 constexpr std::size_t most_cuts = 31; ///< of one range in one report
-constexpr std::size_t most_ended_names = 64;
+constexpr std::size_t most_ended_lives = 64;
+/// Calls come seconds late, not minutes. A life that still reports so much later has not ended: a
+/// refused connection was its node's or its kernel's fault, and it would be shut out for good.
+constexpr duration ended_life_memory = std::chrono::seconds(30);
+/// An attempt to connect that is refused so soon after a new life was found may have been made at
+/// the old one: attempts are given up after 150 ms.
+constexpr duration refusal_in_flight = std::chrono::milliseconds(200);
 /// Requests within an interval from which its target's capacity can be told.
 constexpr std::uint64_t least_sample = 10;
 
@@ -129,7 +135,8 @@
                       .slots = m_target->slots,
                       .connections = m_target->slots,
                       .checks_tokens = true,
-                      .draining = m_target->draining || m_left},
+                      .draining = m_target->draining || m_left,
+                      .incarnation = m_assumed ? any_life : incarnation_of(m_target->life())},
                      at);
 }
 
@@ -233,13 +240,17 @@
 
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
-    if (std::find(m_ended.begin(), m_ended.end(), beat.name) != m_ended.end()) {
-        return false; // sent by a target that has ended since, and held up on its way
+    if (judge(beat.life(), at.now) != call_fault::none || has_ended(beat.life(), at.now)) {
+        return false;
     }
     if (m_target && m_target->name != beat.name) {
         check_identity(beat);
         return false;
     }
+    if (m_target && !m_assumed && m_target->life() != beat.life()) {
+        drop_target("new life", true, at);
+        m_reborn_at = at.now;
+    }
     if (m_target && beat.sequence < m_target->sequence) {
         return false; // overtaken by a later one
     }
@@ -264,7 +275,10 @@
 
 void node_agent::adopt(const target_heartbeat &beat, moment) {
     log_event(log_level::info, "target_found",
-              {{"target", beat.name}, {"address", beat.address}, {"service", beat.service}});
+              {{"target", beat.name},
+               {"born", beat.born.value_or(0)},
+               {"address", beat.address},
+               {"service", beat.service}});
     m_holds.reset();
     m_draining_since = {};
     m_left = false;
@@ -285,7 +299,7 @@
         }
         if (m_target && m_target->name != name) {
             // The address is the new one's: the old process has ended, and holds nothing.
-            drop_target("replaced", true, {});
+            drop_target("replaced", true, read_clocks());
         }
     });
 }
@@ -295,29 +309,90 @@
         return;
     }
     log_event(log_level::info, "target_gone",
-              {{"target", m_target->name}, {"cause", why}, {"in_flight", m_queue.in_flight()}});
-    if (ended) {
-        m_ended.push_back(m_target->name);
-        if (m_ended.size() > most_ended_names) {
-            m_ended.pop_front();
-        }
-    }
+              {{"target", m_target->name},
+               {"born", m_target->born.value_or(0)},
+               {"cause", why},
+               {"in_flight", m_queue.in_flight()}});
+    if (ended && !m_assumed) {
+        note_ended(m_target->life(), at.now);
+    }
+    const std::string address = m_target->address;
     m_target.reset();
+    m_key_requests.clear();
+    if (m_unanswered) {
+        std::exchange(m_unanswered, nullptr)({}); // what is granted from now on is another's
+    }
     m_assumed = false;
     m_holds.reset();
     m_left = false;
     m_draining_since = {};
     m_lease.give_up(at);
     if (m_on_target_gone) {
-        m_on_target_gone();
+        m_on_target_gone(address);
     }
 }
 
+void node_agent::note_ended(const target_life &life, instant now) {
+    m_ended.push_back({life, now});
+    if (m_ended.size() > most_ended_lives) {
+        m_ended.pop_front();
+    }
+}
+
+/// A life that tells no start has a name of its own, which is never used again.
+bool node_agent::has_ended(const target_life &life, instant now) const {
+    return std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
+        return ended.life == life && (!life.born || now < ended.at + ended_life_memory);
+    });
+}
+
+bool node_agent::lives_told_apart(const std::string &name) const {
+    const bool present = m_target && m_target->name == name;
+    return (present && m_target->born) ||
+           std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
+               return ended.life.name == name && ended.life.born;
+           });
+}
+
+call_fault node_agent::judge(const target_life &life, instant now) const {
+    if (!life.born) {
+        return lives_told_apart(life.name) ? call_fault::born_missing : call_fault::none;
+    }
+    if (has_ended(life, now)) {
+        return call_fault::ended_life;
+    }
+    const bool earlier = m_target && m_target->name == life.name && life.born < m_target->born;
+    return earlier ? call_fault::earlier_life : call_fault::none;
+}
+
+call_fault node_agent::target_leaves(const target_life &life, moment at) {
+    const call_fault fault = judge(life, at.now);
+    if (fault != call_fault::none) {
+        return fault;
+    }
+    const bool present = m_target && m_target->name == life.name;
+    if (present && (m_assumed || m_target->life() == life)) {
+        leave(at);
+    } else if (present) {
+        // The first that is heard of a later life is that it leaves.
+        drop_target("new life", true, at);
+        note_ended(life, at.now);
+    }
+    return call_fault::none;
+}
+
 void node_agent::target_leaves(const std::string &name, moment at) {
-    if (!m_target || m_target->name != name || m_left) {
+    if (m_target && m_target->name == name) {
+        leave(at);
+    }
+}
+
+/// Precondition: there is a target.
+void node_agent::leave(moment at) {
+    if (m_left) {
         return;
     }
-    log_event(log_level::info, "target_leaves", {{"target", name}});
+    log_event(log_level::info, "target_leaves", {{"target", m_target->name}});
     m_left = true;
     if (m_draining_since == instant{}) {
         m_draining_since = at.now;
@@ -326,6 +401,9 @@
 }
 
 void node_agent::target_refused(moment at) {
+    if (at.now < m_reborn_at + refusal_in_flight) {
+        return;
+    }
     drop_target("connection refused", true, at);
 }
 
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -74,7 +74,12 @@
     const std::string &address = m_options.node_address;
     m_forward_port = address.substr(address.rfind(':'));
     m_agent.set_on_change([this] { m_changed = true; });
-    m_agent.set_on_target_gone([this] { m_changed = true; });
+    m_agent.set_on_target_gone([this](const std::string &address) {
+        // A request that is sent on a connection to a process that has ended is lost on its way,
+        // and nobody can tell that it has not run.
+        m_pool.forget(address);
+        m_changed = true;
+    });
 }
 
 traffic_host::~traffic_host() = default;
