Soak: targets start again under their names

Cause: the soak's targets only ever came back under new names, so nothing that is kept by name was met by a second life of it. Change: two disturbances, a target that starts again at once or after its address was closed for up to 0.3 s, and one that does so twice in a row.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -82,6 +82,8 @@
             disturbance{"open connections silent", &soak_run::silence_open_connections},
             disturbance{"connections reset", &soak_run::reset_links},
             disturbance{"node stopped in order", &soak_run::stop_node},
+            disturbance{"target started again under its name", &soak_run::restart_target},
+            disturbance{"target started again twice", &soak_run::restart_target_twice},
         };
         if (m_signals_only || draw(4) != 0) {
             mend();
@@ -139,6 +141,20 @@
             m_down_target = m_node;
         }
     }
+    /// The address is closed in between for as long as a process takes to start, or not at all.
+    void restart_target() {
+        if (!m_down_target) {
+            m_cluster.target(m_node).crash();
+            m_cluster.target_links(m_node).refuse(true);
+            m_cluster.run_for(std::chrono::milliseconds(draw(2) * draw(300)));
+            m_cluster.target_links(m_node).refuse(false);
+            m_cluster.target(m_node).start_again();
+        }
+    }
+    void restart_target_twice() {
+        restart_target();
+        restart_target();
+    }
     void change_configuration() {
         if (m_cluster.configure(m_version + 2, m_version)) {
             m_version += 2;
