A farewell without a start is remembered as long as the node runs

Ruled out: a longer time: a target that tells no start has a name of its own, which is never used again.

Change: as with ended lives, the memory ends by time only where a start tells lives apart.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -403,7 +403,8 @@
 /// Whether a life of this name, whichever, ended or said that it leaves a short while ago.
 bool node_agent::has_left(const std::string &name, instant now) const {
     return std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
-        return ended.life.name == name && now < ended.at + ended_life_memory;
+        const bool fresh = !ended.life.born || now < ended.at + ended_life_memory;
+        return ended.life.name == name && fresh;
     });
 }
 
