--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -35,9 +35,11 @@
 /// Why a target's call says nothing of the target as it is now.
 enum class call_fault : std::uint8_t {
     none,
-    born_missing, ///< it names no life, and lives of that target are told apart
-    ended_life,   ///< of a life that is known to have ended: it was held up on its way
-    earlier_life, ///< of a life that began before the one in force
+    born_missing,     ///< it names no life, and lives of that target are told apart
+    ended_life,       ///< of a life that is known to have ended: it was held up on its way
+    earlier_life,     ///< of a life that began before the one in force
+    unknown_service,  ///< no table names its service
+    unsure_of_service ///< nor does this one, which may have been replaced
 };
 
 /// A node's view of the system and of the target beside it: the lease, what the target holds, which
@@ -69,6 +71,9 @@
     /// may have been set back between two lives: the one that began earlier by it is taken on once
     /// the one in force is known to have ended, or has been silent for as long as it may hold keys.
     call_fault judge(const target_life &life, instant now) const;
+    /// The same for a heartbeat. A service that no table names would end the registration of a
+    /// target at work under that name while it still holds its keys.
+    call_fault judge(const target_heartbeat &beat, instant now) const;
     /// The target is leaving and says nothing more. Yields what is wrong with the call, if
     /// anything.
     call_fault target_leaves(const target_life &life, moment at);
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -240,7 +240,7 @@
 
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
-    if (judge(beat.life(), at.now) != call_fault::none || has_ended(beat.life(), at.now)) {
+    if (judge(beat, at.now) != call_fault::none || has_ended(beat.life(), at.now)) {
         return false;
     }
     if (m_target && m_target->name != beat.name) {
@@ -365,6 +365,14 @@
     return earlier ? call_fault::earlier_life : call_fault::none;
 }
 
+call_fault node_agent::judge(const target_heartbeat &beat, instant now) const {
+    if (m_lease.routes().services.count(beat.service) == 0) {
+        return m_lease.routes_trusted(now) ? call_fault::unknown_service
+                                           : call_fault::unsure_of_service;
+    }
+    return judge(beat.life(), now);
+}
+
 call_fault node_agent::target_leaves(const target_life &life, moment at) {
     const call_fault fault = judge(life, at.now);
     if (fault != call_fault::none) {
