A test of changed heartbeats read a span that was not there

Cause: RC_ASSERT takes an expression apart, so `a || b` evaluates both sides; holds[0] was read where the changed byte had hit the name "holds". Ruled out: the codec; no frame of it is in the trace. Change: every span is checked, not only the first, and its order as well.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -228,7 +228,10 @@
         if (beat) {
             RC_ASSERT(beat->slots > 0);
             RC_ASSERT(beat->cold_left >= duration{});
-            RC_ASSERT(beat->report.holds.empty() || beat->report.holds[0].to <= 65535);
+            for (const held_span &span : beat->report.holds) {
+                RC_ASSERT(span.from <= span.to);
+                RC_ASSERT(span.to <= 65535U);
+            }
         }
     });
 }
