Refused calls of targets are counted and logged within a bound

Cause: each refused heartbeat wrote a line of its own; another writer can send any number of them, and none was counted. Ruled out: the budget for refused requests, which overload uses up. Conclusion: operators see another writer by one counter.

--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -56,6 +56,8 @@
     /// Lines about requests that are told to be wrong. They have a budget of their own: refusals
     /// for load, of which there may be thousands, would leave no room for them.
     request_log &denials() { return m_denials; }
+    /// Lines about calls of targets that were refused: another writer may send any number of them.
+    request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
     std::mt19937_64 &random() { return m_random; }
     void enter(timed_request *request) { m_requests.insert(request); }
@@ -91,6 +93,7 @@
     target_selector m_selector;
     request_log m_log;
     request_log m_denials{{.lines_a_second = 10, .burst = 100}};
+    request_log m_refused_calls{{.lines_a_second = 10, .burst = 100}};
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
     node_agent m_agent;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -25,6 +25,8 @@
     void note_target(duration took);
     void note_retry() { ++m_retries; }
     void note_cancelled() { ++m_cancelled; }
+    /// A call of a target, or of another writer in its name, was refused.
+    void note_refused_call() { ++m_refused_calls; }
     std::uint64_t answers() const { return m_answers; }
 
     /// Text in the Prometheus exposition format.
@@ -44,6 +46,7 @@
     std::uint64_t m_answers = 0;
     std::uint64_t m_retries = 0;
     std::uint64_t m_cancelled = 0;
+    std::uint64_t m_refused_calls = 0;
 };
 
 } // namespace peppertack
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -67,6 +67,7 @@
     }
     out << "peppertack_retries_total " << m_retries << "\n";
     out << "peppertack_cancelled_total " << m_cancelled << "\n";
+    out << "peppertack_target_calls_refused_total " << m_refused_calls << "\n";
     for (const auto &[route, values] : m_by_route) {
         write_histogram("peppertack_answer_ms", "route=\"" + route + "\",", values);
     }
