A denial is told without a decider, which can only be the node itself; lint

Cause: since refusals of other nodes are never told as the caller's fault, `decided_by` could hold one value only; one constant kept a text from being moved.

Ruled out: keeping the field as a guard: the table of error kinds is checked when it is compiled.

--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -483,12 +483,11 @@
     }
 }
 
-/// A request that is told to be wrong is mostly not sent again: who decided that, and on knowledge
-/// of what version and age, has to be told from one line.
+/// A request that is told to be wrong is mostly not sent again: on knowledge of what version and
+/// age this node decided that has to be told from one line.
 void entry_relay::log_denial(int status, error_kind kind, instant now) {
     const std::string *host = m_caller->request().find("Host");
     const lease_client &known = m_host.agent().lease();
-    const target_route *asked = known.map().find_target(m_target);
     const bool confirmed = known.routes_confirmed_at() != instant{};
     m_host.denials().note(
         "request_denied",
@@ -499,7 +498,6 @@
          {"path", std::string(m_caller->request().path())},
          {"route", m_route.name},
          {"service", m_service},
-         {"decided_by", m_hop_known && asked != nullptr ? asked->address : "this node"},
          {"routes_version", known.routes().version},
          {"routes_age_ms", confirmed ? ms_of(now - known.routes_confirmed_at()) : -1},
          {"map_version", known.map().version()}},
