The node under test knows routes before its target reports

Ruled out: load: the cases fail the same way with nothing beside them. Taking in targets before any table is known: a service that no table names would then end the registration of a working target that has the name.

Change: the fixture learns the routes first, by an answer to a first renewal. Nothing that is checked changes.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -384,8 +384,8 @@
         return call_fault::none;
     }
     if (present) {
-        drop_target("new life", true,
-                    at); // the first that is heard of a later life is that it leaves
+        // The first that is heard of a later life is that it leaves.
+        drop_target("new life", true, at);
     }
     if (!m_target) {
         note_farewell(life, at.now);
--- a/tests/transport/misdirected_request_test.cpp
+++ b/tests/transport/misdirected_request_test.cpp
@@ -81,6 +81,7 @@
         REQUIRE_MESSAGE(m_target.start(reason), reason);
         REQUIRE_MESSAGE(m_neighbour.start(reason), reason);
         REQUIRE_MESSAGE(m_host.start(reason), reason);
+        learn_routes();
     }
 
     error_kind neighbour_refuses = error_kind::overloaded;
@@ -177,6 +178,16 @@
         return result;
     }
 
+    /// A node that knows no routes can't tell whether a target's service is one of theirs, and
+    /// takes in none.
+    void learn_routes() {
+        REQUIRE(run_until([&] { return !m_renewals.empty(); }));
+        m_host.receive(voter, renew_reply{.sequence = m_renewals.back().sequence,
+                                          .is_leader = true,
+                                          .routes_version = 1,
+                                          .routes = pack(encode(both_services()))});
+    }
+
     void note(const outgoing &item) {
         if (const auto *renewal = std::get_if<renew_request>(&item.body)) {
             m_renewals.push_back(*renewal);
