--- a/include/peppertack/coordination/hold_keeper.hpp
+++ b/include/peppertack/coordination/hold_keeper.hpp
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peppertack {
@@ -73,12 +75,27 @@
     /// The answer to a heartbeat that came at `received`. The target counts its hold from when it
     /// sent the heartbeat, so the hold is measured from no later than its receipt.
     hold_grant grant(const lease_client &lease, instant received, instant now);
+    /// How long a hold may run that the target counts from no later than `counted_from`, so that it
+    /// ends before the lease does. Zero or less if it can't.
+    duration length(const lease_client &lease, instant counted_from, instant now) const;
+    /// How long a hold of `length` runs by a clock that lags as far as is allowed.
+    duration longest(duration length) const;
+    /// What the target is to hold: its ranges that don't move, neighbours under one token as one.
+    static std::vector<held_span> wanted_spans(const lease_client &lease);
+    static held_span span_of(const lease_client::own_range &range);
+    /// A range that moves is surely no longer held by the target: the leader is told.
+    void note_released(const lease_client::own_range &range, const std::string &handover);
+    /// Forgets the releases of ranges that are not among `moving`: one that is not to move any more
+    /// may be held again, and a later move of it is not released by the earlier report.
+    void keep_released(const std::set<std::pair<std::uint64_t, fencing_token>> &moving);
     /// Whether keys are on their way to the target: an answer a little later could bring them.
     bool expects_keys(const lease_client &lease) const;
     /// Another target, or none: nothing is held.
     void reset();
     /// What a request for the key at `hash` would meet now.
     key_state state_of(std::uint64_t hash, const lease_client &lease, instant now) const;
+    /// The same for a key that the target does not hold yet.
+    key_state awaited_state(std::uint64_t hash, const lease_client &lease) const;
     /// When the last hold given ends for the target.
     instant held_until() const { return m_until; }
     /// Nothing is known to be held, but the target may hold keys until `until`.
--- a/include/peppertack/coordination/planted_defects.hpp
+++ b/include/peppertack/coordination/planted_defects.hpp
@@ -18,6 +18,9 @@
     bool skip_sync = false;
     bool early_release = false;
     bool rerun_forgotten = false;
+    bool forget_late_grant = false;
+    bool hold_from_decision = false;
+    bool release_timeout_frees = false;
 #else
     static constexpr bool lease_from_receipt = false;
     static constexpr bool no_leader_wait = false;
@@ -31,6 +34,9 @@
     static constexpr bool skip_sync = false;
     static constexpr bool early_release = false;
     static constexpr bool rerun_forgotten = false;
+    static constexpr bool forget_late_grant = false;
+    static constexpr bool hold_from_decision = false;
+    static constexpr bool release_timeout_frees = false;
 #endif
 };
 
--- a/include/peppertack/state/routing_sheet.hpp
+++ b/include/peppertack/state/routing_sheet.hpp
@@ -43,10 +43,18 @@
     friend bool operator==(const route &, const route &) = default;
 };
 
+/// How the targets of a keyed service are told which keys they hold.
+enum class hold_delivery : std::uint8_t {
+    by_heartbeat, ///< in the answer to each of their heartbeats
+    by_call,      ///< by calls that the node beside the target makes
+    unknown,      ///< in a way that this program does not know: they are given none
+};
+
 /// A service that routes name.
 struct routed_service {
     std::string name;
     bool keyed = false; ///< each target owns a part of the keys, which are ordered numbers
+    hold_delivery delivery = hold_delivery::by_heartbeat; ///< where `keyed`
     std::uint32_t max_connections = 0; ///< to one target, from all callers; 0: not bounded
     std::string health_path;
     std::string source; ///< as in `route`
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -5,8 +5,10 @@
 #include "peppertack/transport/http/http_reader.hpp"
 
 #include <asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,16 @@
     virtual void on_call_drained() {}
 };
 
+/// A request that is written at once.
+struct whole_call {
+    http_head head;
+    std::string body;
+};
+
+/// Makes a request at the moment at which a connection can take it; nothing if it is not to be made
+/// any more.
+using call_maker = std::function<std::optional<whole_call>()>;
+
 class http_client_pool;
 
 /// One request on its way to a server and its answer back. Whoever wants the answer keeps it: the
@@ -85,6 +97,11 @@
     std::shared_ptr<http_call> start(const std::string &address, const http_head &head,
                                      std::weak_ptr<http_response_handler> handler,
                                      bool fresh = false);
+    /// Begins a call whose request is made directly before it is written, on the event loop: what
+    /// it says of time then holds, however long the connection took. A call that is not made in the
+    /// end fails as `not_connected`.
+    std::shared_ptr<http_call> start_late(const std::string &address, call_maker make,
+                                          std::weak_ptr<http_response_handler> handler);
     /// Connections to `address`, idle ones included.
     std::size_t connections_to(const std::string &address) const;
     std::size_t idle_to(const std::string &address) const;
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/hold_caller.hpp"
 #include "peppertack/coordination/hold_keeper.hpp"
 #include "peppertack/coordination/lease_client.hpp"
 #include "peppertack/coordination/target_life.hpp"
@@ -101,6 +102,22 @@
     target_load load() const;
     void count_request(std::uint32_t key);
 
+    // ---- keys that the target takes by calls ----
+    /// Calls to make now. Where there are any there is a target, to which they go.
+    std::vector<hold_call> due_hold_calls(instant now);
+    /// As in `hold_caller`.
+    std::vector<std::uint64_t> overdue_hold_calls(instant now) const {
+        return m_caller.overdue(now);
+    }
+    bool waits_for_hold_call(std::uint64_t id) const { return m_caller.waits_for(id); }
+    std::optional<duration> hold_call_written(std::uint64_t id, instant now) {
+        return m_caller.write(id, m_lease, now);
+    }
+    void hold_call_ended(std::uint64_t id, const hold_call_end &how, instant now);
+    /// The target ran no request for a key since it does not hold it. Yields whether it is going to
+    /// be granted the key by a call.
+    bool key_refused(std::uint32_t key, instant now);
+
     // ---- the system ----
     const lease_client &lease() const { return m_lease; }
     const route_index &routes() const { return m_index; }
@@ -141,12 +158,18 @@
     std::uint32_t measured_capacity();
     range_load load_of(const lease_client::own_range &range, double seconds) const;
     bool keyed() const;
+    /// How the local target is handed its keys; nothing if it takes none.
+    std::optional<hold_delivery> delivery() const;
+    hold_keeper::key_state state_of(std::uint32_t key, instant now) const;
+    /// When the last hold given has ended for sure.
+    instant may_hold_until() const;
 
     const traffic_options &m_options;
     sender m_send;
     name_probe m_probe;
     lease_client m_lease;
     hold_keeper m_holds;
+    hold_caller m_caller;
     work_queue m_queue;
     route_index m_index;
     std::function<void()> m_on_change;
@@ -163,9 +186,10 @@
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
     instant m_loads_at{};
-    std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
-    heartbeat_answer m_unanswered;         ///< of a heartbeat that waits for the lease
-    instant m_heartbeat_at{};              ///< when that one came
+    std::uint64_t m_finished_reported = 0;        ///< requests that had ended at the last report
+    heartbeat_answer m_unanswered;                ///< of a heartbeat that waits for the lease
+    instant m_heartbeat_at{};                     ///< when that one came
+    std::optional<hold_delivery> m_delivery_told; ///< in the log
     bool m_stopping = false;
     bool m_refusing = false;
 };
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
 #include "peppertack/transport/request_log.hpp"
+#include "peppertack/transport/traffic/hold_call_runner.hpp"
 #include "peppertack/transport/traffic/node_agent.hpp"
 #include "peppertack/transport/traffic/traffic_metrics.hpp"
 
@@ -85,6 +86,7 @@
     void step_stop(instant now);
     void wake_all(instant now);
     void apply_limits();
+    void run_hold_calls(instant now);
     void probe_name(const std::string &address, std::function<void(std::string)> done);
 
     asio::io_context &m_io;
@@ -97,6 +99,7 @@
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
     node_agent m_agent;
+    hold_call_runner m_hold_calls;
     work_queue m_body_turns;
     struct service_retries {
         retry_budget all;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -1,16 +1,21 @@
 #pragma once
 
+#include "peppertack/coordination/hold_caller.hpp"
 #include "peppertack/coordination/hold_keeper.hpp"
 #include "peppertack/coordination/messages.hpp"
 #include "peppertack/coordination/node_options.hpp"
 #include "peppertack/coordination/retry_budget.hpp"
 #include "peppertack/coordination/target_selector.hpp"
+#include "peppertack/state/routing_sheet.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace peppertack {
 
+class hold_call_format;
+
 /// Names of the headers that callers, targets and this system exchange. A deployment has its own.
 struct traffic_headers {
     std::string request_id = "Request-Id";   ///< echoed by targets; tells answers apart
@@ -34,6 +39,11 @@
     traffic_headers headers;
     node_options node;
     hold_keeper::options holds;
+    hold_caller::options hold_calls;
+    /// Writes calls of holds; null: targets that take their keys by calls are given none.
+    std::shared_ptr<const hold_call_format> hold_format;
+    /// What the settings say of the local target's service, until a table is known.
+    hold_delivery expected_delivery = hold_delivery::by_heartbeat;
     target_selector::options selector;
     /// Requests sent to a second target, as a share of this node's requests to a service and a few
     /// more. All nodes' shares together must stay below what the targets are promised:
--- /dev/null
+++ b/src/coordination/hold_caller.cpp
@@ -0,0 +1,318 @@
+#include "peppertack/coordination/hold_caller.hpp"
+
+#include "peppertack/coordination/planted_defects.hpp"
+#include "peppertack/state/key_hash.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace peppertack {
+
+namespace {
+
+/// Two renewals that are lost in a row leave time for a third, also where the hold is short.
+constexpr int renewals_in_hold = 4;
+
+} // namespace
+
+std::vector<hold_call> hold_caller::due(const lease_client &lease, instant alive_at, instant now) {
+    if (m_earlier_until == instant{}) {
+        m_earlier_until = now + m_options.earlier_hold;
+    }
+    forget_ended(now);
+    take_wanted(lease);
+    std::vector<hold_call> calls;
+    add_releases(calls, lease, now);
+    if (lease.lease_valid(now)) {
+        add_grants(calls, alive_at, now);
+    }
+    return calls;
+}
+
+/// Follows the map. A span that was cut, joined or moved is another one; what was granted for the
+/// old one stays in `m_granted`.
+void hold_caller::take_wanted(const lease_client &lease) {
+    std::map<span_key, wanted> next;
+    for (const held_span &span : hold_keeper::wanted_spans(lease)) {
+        const span_key key{span.from, span.token};
+        const auto known = m_wanted.find(key);
+        const bool same = known != m_wanted.end() && known->second.span == span;
+        next.emplace(key, same ? known->second : wanted{.span = span});
+    }
+    m_wanted = std::move(next);
+}
+
+void hold_caller::add_grants(std::vector<hold_call> &calls, instant alive_at, instant now) {
+    const bool silent = m_lost_row > 0 && alive_at + m_options.sign_of_life < now;
+    if (silent || stuck(now)) {
+        return;
+    }
+    std::size_t stuck = 0;
+    for (const auto &[id, item] : m_in_flight) {
+        if (item.call.what == hold_call::kind::grant) {
+            if (now < item.begun + m_options.stuck_after) {
+                return; // one at a time: they share a connection
+            }
+            ++stuck;
+        }
+    }
+    if (stuck >= m_options.most_stuck) {
+        return;
+    }
+    wanted *first = nullptr;
+    for (auto &[key, item] : m_wanted) {
+        const bool ready = item.renew_at <= now && !item.refused_since &&
+                           !grant_in_flight(item.span.from, item.span.to);
+        // Keys that nobody serves go before those that are only renewed.
+        if (ready && (first == nullptr || std::pair(item.given, item.renew_at) <
+                                              std::pair(first->given, first->renew_at))) {
+            first = &item;
+        }
+    }
+    if (first != nullptr) {
+        calls.push_back(begin(hold_call::kind::grant, first->span, now));
+    }
+}
+
+void hold_caller::add_releases(std::vector<hold_call> &calls, const lease_client &lease,
+                               instant now) {
+    std::map<std::pair<std::uint64_t, fencing_token>, releasing> current;
+    for (const lease_client::own_range &range : lease.own_ranges()) {
+        if (range.record.next == no_target) {
+            continue;
+        }
+        const std::pair key{range.record.first, range.record.token};
+        releasing &item = current.emplace(key, releasing{}).first->second;
+        if (const auto known = m_releasing.find(key); known != m_releasing.end()) {
+            item = known->second;
+        }
+        const held_span span = hold_keeper::span_of(range);
+        if (free(span.from, span.to, now)) {
+            m_keeper.note_released(range, item.handover);
+            continue;
+        }
+        // A grant whose answer is awaited may reach the target after the release.
+        const bool must_call = !item.answered && item.call == 0 && item.retry_at <= now &&
+                               !grant_in_flight(span.from, span.to);
+        if (must_call) {
+            calls.push_back(begin(hold_call::kind::release, span, now));
+            item.call = calls.back().id;
+        }
+    }
+    // The end of a release whose range is not to move any more is of no interest.
+    for (const auto &[key, item] : m_releasing) {
+        if (current.count(key) == 0) {
+            m_in_flight.erase(item.call);
+        }
+    }
+    std::set<std::pair<std::uint64_t, fencing_token>> moving;
+    for (const auto &[key, item] : current) {
+        moving.insert(key);
+    }
+    m_keeper.keep_released(moving);
+    m_releasing = std::move(current);
+}
+
+hold_call hold_caller::begin(hold_call::kind what, const held_span &span, instant now) {
+    const hold_call call{.id = ++m_last_id, .what = what, .span = span};
+    m_in_flight[call.id] = {.call = call, .begun = now};
+    return call;
+}
+
+std::optional<duration> hold_caller::write(std::uint64_t id, const lease_client &lease,
+                                           instant now) {
+    const auto found = m_in_flight.find(id);
+    if (found == m_in_flight.end()) {
+        return std::nullopt;
+    }
+    pending &item = found->second;
+    if (item.call.what == hold_call::kind::release) {
+        item.written = now;
+        return duration{};
+    }
+    const auto still = m_wanted.find({item.call.span.from, item.call.span.token});
+    if (still == m_wanted.end() || still->second.span != item.call.span) {
+        return std::nullopt;
+    }
+    const instant from = g_defects.hold_from_decision ? item.begun : now;
+    // Without an answer the hold counts from the end of the wait for one.
+    const duration length =
+        std::min(m_keeper.length(lease, from + m_options.answer_limit, from), m_options.most_hold);
+    if (length < m_options.least_hold) {
+        return std::nullopt;
+    }
+    item.written = now;
+    item.length = length;
+    still->second.renew_at = now + std::min(m_options.renew_after, length / renewals_in_hold);
+    return length;
+}
+
+std::vector<std::uint64_t> hold_caller::overdue(instant now) const {
+    std::vector<std::uint64_t> result;
+    for (const auto &[id, item] : m_in_flight) {
+        const bool grant = item.call.what == hold_call::kind::grant;
+        if (grant && item.written.value_or(item.begun) + m_options.answer_limit <= now) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void hold_caller::end(std::uint64_t id, const hold_call_end &how, instant now) {
+    const auto found = m_in_flight.find(id);
+    if (found == m_in_flight.end()) {
+        return;
+    }
+    const pending item = std::move(found->second);
+    m_in_flight.erase(found);
+    if (item.call.what == hold_call::kind::grant) {
+        end_grant(item, how, now);
+    } else {
+        end_release(item, how, now);
+    }
+}
+
+void hold_caller::end_grant(const pending &item, const hold_call_end &how, instant now) {
+    const held_span &span = item.call.span;
+    const auto known = m_wanted.find({span.from, span.token});
+    wanted *target =
+        known != m_wanted.end() && known->second.span == span ? &known->second : nullptr;
+    const bool done = how.result == hold_call_end::kind::done;
+    if (item.written && (done || how.result == hold_call_end::kind::lost)) {
+        m_granted.push_back({.from = span.from,
+                             .to = span.to,
+                             .written = *item.written,
+                             .answered = done,
+                             .sure_until = *item.written + item.length,
+                             .ends = now + longest(item.length)});
+    }
+    m_lost_row = how.result == hold_call_end::kind::lost ? m_lost_row + 1 : 0;
+    if (target == nullptr) {
+        return;
+    }
+    if (done) {
+        target->given = true;
+    } else if (how.result == hold_call_end::kind::token_refused) {
+        // The same token would be refused again. What is believed here is old: the next map brings
+        // another token, or takes the keys away.
+        target->refused_since = now;
+    } else {
+        target->renew_at = now + m_options.retry_pause;
+    }
+}
+
+void hold_caller::end_release(const pending &item, const hold_call_end &how, instant now) {
+    const auto known = std::find_if(m_releasing.begin(), m_releasing.end(), [&](const auto &entry) {
+        return entry.second.call == item.call.id;
+    });
+    if (known == m_releasing.end()) {
+        return;
+    }
+    known->second.call = 0;
+    const bool timeout_counts =
+        g_defects.release_timeout_frees && how.result == hold_call_end::kind::lost;
+    if (how.result == hold_call_end::kind::done || timeout_counts) {
+        known->second.answered = true;
+        known->second.handover = how.handover;
+        clear_answered(item.call.span.from, item.call.span.to, item.written.value_or(item.begun));
+    } else {
+        known->second.retry_at = now + m_options.retry_pause;
+    }
+}
+
+/// A release that was answered ends what was granted, and answered, before it was written.
+void hold_caller::clear_answered(std::uint32_t from, std::uint32_t to, instant before) {
+    std::vector<granted> left;
+    for (const granted &item : m_granted) {
+        const bool settled =
+            (item.answered || g_defects.forget_late_grant) && item.written <= before;
+        if (!settled || item.to < from || to < item.from) {
+            left.push_back(item);
+            continue;
+        }
+        granted part = item;
+        if (item.from < from) {
+            part.to = from - 1;
+            left.push_back(part);
+        }
+        if (to < item.to) {
+            part.from = to + 1;
+            part.to = item.to;
+            left.push_back(part);
+        }
+    }
+    m_granted = std::move(left);
+}
+
+bool hold_caller::free(std::uint32_t from, std::uint32_t to, instant now) const {
+    const bool granted_still =
+        std::any_of(m_granted.begin(), m_granted.end(), [&](const granted &item) {
+            return item.from <= to && from <= item.to && now < item.ends;
+        });
+    return !granted_still && !grant_in_flight(from, to) && m_earlier_until <= now &&
+           m_keeper.held_until() <= now;
+}
+
+bool hold_caller::grant_in_flight(std::uint32_t from, std::uint32_t to) const {
+    return std::any_of(m_in_flight.begin(), m_in_flight.end(), [&](const auto &entry) {
+        const hold_call &call = entry.second.call;
+        return call.what == hold_call::kind::grant && call.span.from <= to && from <= call.span.to;
+    });
+}
+
+bool hold_caller::holds(std::uint32_t key, instant now) const {
+    return std::any_of(m_granted.begin(), m_granted.end(), [&](const granted &item) {
+        const instant until = item.answered ? item.sure_until : item.ends;
+        return item.from <= key && key <= item.to && now < until && !item.refused;
+    });
+}
+
+instant hold_caller::may_hold_until() const {
+    instant last = m_earlier_until;
+    for (const granted &item : m_granted) {
+        last = std::max(last, item.ends);
+    }
+    for (const auto &[id, item] : m_in_flight) {
+        if (item.written && item.call.what == hold_call::kind::grant) {
+            last = std::max(last, *item.written + m_options.answer_limit + longest(item.length));
+        }
+    }
+    return last;
+}
+
+void hold_caller::note_refused(std::uint32_t key, instant now) {
+    for (granted &item : m_granted) {
+        item.refused = item.refused || (item.from <= key && key <= item.to);
+    }
+    for (auto &[first, item] : m_wanted) {
+        if (item.span.from <= key && key <= item.span.to) {
+            item.renew_at = std::min(item.renew_at, now + m_options.retry_pause);
+        }
+    }
+}
+
+void hold_caller::reset() {
+    m_in_flight.clear();
+    m_granted.clear();
+    m_wanted.clear();
+    m_releasing.clear();
+    m_lost_row = 0;
+}
+
+bool hold_caller::stuck(instant now) const {
+    return std::any_of(m_wanted.begin(), m_wanted.end(), [&](const auto &entry) {
+        const auto &since = entry.second.refused_since;
+        return since && *since + m_options.refused_limit <= now;
+    });
+}
+
+void hold_caller::forget_ended(instant now) {
+    std::erase_if(m_granted, [now](const granted &item) { return item.ends <= now; });
+}
+
+/// How long a hold may run by a clock that lags.
+duration hold_caller::longest(duration length) const {
+    return m_keeper.longest(length);
+}
+
+} // namespace peppertack
--- a/src/coordination/hold_keeper.cpp
+++ b/src/coordination/hold_keeper.cpp
@@ -60,21 +60,70 @@
     m_released = std::move(released);
 }
 
+held_span hold_keeper::span_of(const lease_client::own_range &range) {
+    return {first_key(range), last_key(range), range.record.token, range.record.handover};
+}
+
+std::vector<held_span> hold_keeper::wanted_spans(const lease_client &lease) {
+    std::vector<held_span> spans;
+    for (const lease_client::own_range &range : lease.own_ranges()) {
+        if (range.record.next != no_target) {
+            continue;
+        }
+        const held_span span = span_of(range);
+        const bool joins = !spans.empty() && spans.back().to + 1 == span.from &&
+                           spans.back().token == span.token &&
+                           spans.back().handover == span.handover;
+        if (joins) {
+            spans.back().to = span.to;
+        } else {
+            spans.push_back(span);
+        }
+    }
+    return spans;
+}
+
+duration hold_keeper::length(const lease_client &lease, instant counted_from, instant now) const {
+    if (!lease.lease_valid(now)) {
+        return {};
+    }
+    const auto left = static_cast<double>((lease.lease_until() - counted_from).count());
+    const duration all(static_cast<duration::rep>(left / (1 + m_options.clock_drift)));
+    return std::min(all - m_options.margin, m_options.most_hold);
+}
+
+duration hold_keeper::longest(duration length) const {
+    const double lagging = static_cast<double>(length.count()) * (1 + m_options.clock_drift);
+    return duration(static_cast<duration::rep>(lagging)) + m_options.margin;
+}
+
+void hold_keeper::note_released(const lease_client::own_range &range, const std::string &handover) {
+    const auto known = m_released.find(range.record.first);
+    if (known == m_released.end() || known->second.token != range.record.token) {
+        m_released[range.record.first] = {range.record.token, handover};
+        m_news = true;
+    }
+}
+
+void hold_keeper::keep_released(const std::set<std::pair<std::uint64_t, fencing_token>> &moving) {
+    std::erase_if(m_released, [&](const auto &entry) {
+        return moving.count({entry.first, entry.second.token}) == 0;
+    });
+}
+
 hold_grant hold_keeper::grant(const lease_client &lease, instant received, instant now) {
     m_given.clear();
     if (!lease.lease_valid(now)) {
         return {};
     }
-    const auto left = static_cast<double>((lease.lease_until() - received).count());
-    const duration length(static_cast<duration::rep>(left / (1 + m_options.clock_drift)));
-    hold_grant result{.length = std::min(length - m_options.margin, m_options.most_hold)};
+    hold_grant result{.length = length(lease, received, now)};
     if (received + result.length <= now) {
         return {};
     }
     for (const lease_client::own_range &range : lease.own_ranges()) {
         if (range.record.next == no_target) {
-            result.holds.push_back(
-                {first_key(range), last_key(range), range.record.token, range.record.handover});
+            result.holds.push_back(span_of(range));
+            m_released.erase(range.record.first); // held again from now on
         }
     }
     result.renews = true;
@@ -99,6 +148,11 @@
     if (given && now < m_until - m_options.margin && lease.lease_valid(now)) {
         return key_state::held;
     }
+    return awaited_state(hash, lease);
+}
+
+hold_keeper::key_state hold_keeper::awaited_state(std::uint64_t hash,
+                                                  const lease_client &lease) const {
     if (!lease.announcement() || lease.number() == no_target) {
         return key_state::not_owned;
     }
--- a/src/state/sheet_delta.cpp
+++ b/src/state/sheet_delta.cpp
@@ -69,8 +69,28 @@
                                            {repeat_rule::once, "once"},
                                            {repeat_rule::once_large, "once_large"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(weighted_service, service, weight)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(routed_service, name, keyed, max_connections, health_path,
-                                   source)
+NLOHMANN_JSON_SERIALIZE_ENUM(hold_delivery, {{hold_delivery::unknown, "unknown"},
+                                             {hold_delivery::by_heartbeat, "by_heartbeat"},
+                                             {hold_delivery::by_call, "by_call"}})
+
+static void to_json(nlohmann::json &json, const routed_service &item) {
+    json = {{"name", item.name},
+            {"keyed", item.keyed},
+            {"delivery", item.delivery},
+            {"max_connections", item.max_connections},
+            {"health_path", item.health_path},
+            {"source", item.source}};
+}
+
+static void from_json(const nlohmann::json &json, routed_service &item) {
+    json.at("name").get_to(item.name);
+    json.at("keyed").get_to(item.keyed);
+    // Logs of earlier programs do not have it: they knew one way only.
+    item.delivery = json.value("delivery", hold_delivery::by_heartbeat);
+    json.at("max_connections").get_to(item.max_connections);
+    json.at("health_path").get_to(item.health_path);
+    json.at("source").get_to(item.source);
+}
 
 static void to_json(nlohmann::json &json, const route &item) {
     json = {{"name", item.name},
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -40,6 +40,20 @@
 
     void begin_call(const http_head &head, std::weak_ptr<http_response_handler> handler) {
         m_handler = std::move(handler);
+        begin_request(head);
+    }
+
+    void begin_late_call(call_maker make, std::weak_ptr<http_response_handler> handler) {
+        m_handler = std::move(handler);
+        m_in_call = true;
+        m_make = std::move(make);
+        if (m_stream) {
+            // Not within the call that starts it: the handler may not be ready for events yet.
+            asio::post(m_pool->m_io, [self = shared_from_this()] { self->make_request(); });
+        }
+    }
+
+    void begin_request(const http_head &head) {
         const std::string *id = head.find(m_pool->m_options.id_header);
         m_expected_id = id == nullptr ? std::string() : *id;
         m_request_done = false;
@@ -134,7 +148,26 @@
         // back only while it is open, and this object closes it first.
         m_stream->start();
         m_stream->pause_reading(m_paused);
-        write(std::exchange(m_before_connect, {}));
+        if (m_make) {
+            make_request();
+        } else {
+            write(std::exchange(m_before_connect, {}));
+        }
+    }
+
+    void make_request() {
+        if (m_closed || !m_make) {
+            return;
+        }
+        const std::optional<whole_call> request = std::exchange(m_make, nullptr)();
+        if (!request) {
+            close();
+            fail(call_failure::not_connected, "not to be made any more");
+            return;
+        }
+        begin_request(request->head);
+        write(request->body);
+        request_done();
     }
 
     void on_bytes(std::string_view bytes) override {
@@ -269,6 +302,7 @@
     std::shared_ptr<byte_stream> m_stream;
     std::weak_ptr<http_response_handler> m_handler;
     std::string m_before_connect;
+    call_maker m_make; ///< of a call whose request is not made yet
     std::string m_expected_id;
     bool m_in_call = false;
     bool m_request_done = false;
@@ -340,6 +374,21 @@
     return std::shared_ptr<http_call>(new http_call(std::move(link)));
 }
 
+std::shared_ptr<http_call>
+http_client_pool::start_late(const std::string &address, call_maker make,
+                             std::weak_ptr<http_response_handler> handler) {
+    connection_ptr link = take_idle(address);
+    const bool fresh = !link;
+    if (fresh) {
+        link = std::make_shared<http_call::connection>(*this, address);
+    }
+    link->begin_late_call(std::move(make), std::move(handler));
+    if (fresh) {
+        link->connect();
+    }
+    return std::shared_ptr<http_call>(new http_call(std::move(link)));
+}
+
 http_client_pool::connection_ptr http_client_pool::take_idle(const std::string &address) {
     const auto found = m_idle.find(address);
     if (found == m_idle.end()) {
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -46,7 +46,7 @@
 
 node_agent::node_agent(const traffic_options &options, sender send, name_probe probe)
     : m_options(options), m_send(std::move(send)), m_probe(std::move(probe)), m_lease(options.node),
-      m_holds(options.holds), m_queue({}) {}
+      m_holds(options.holds), m_caller(options.hold_calls, m_holds), m_queue({}) {}
 
 bool node_agent::keyed() const {
     const auto &services = m_lease.routes().services;
@@ -54,6 +54,28 @@
     return found != services.end() && found->second.keyed;
 }
 
+std::optional<hold_delivery> node_agent::delivery() const {
+    const auto &services = m_lease.routes().services;
+    const auto found = m_target ? services.find(m_target->service) : services.end();
+    return found != services.end() && found->second.keyed ? std::optional(found->second.delivery)
+                                                          : std::nullopt;
+}
+
+hold_keeper::key_state node_agent::state_of(std::uint32_t key, instant now) const {
+    const std::uint64_t hash = ordered_key_hash(key);
+    if (delivery() == hold_delivery::by_call && m_lease.lease_valid(now) &&
+        m_caller.holds(key, now)) {
+        return hold_keeper::key_state::held;
+    }
+    return m_holds.state_of(hash, m_lease, now);
+}
+
+instant node_agent::may_hold_until() const {
+    const bool by_call = delivery() == hold_delivery::by_call;
+    return by_call ? std::max(m_holds.held_until(), m_caller.may_hold_until())
+                   : m_holds.held_until();
+}
+
 /// A node that is started again while its target lives on would not know it until its next
 /// heartbeat: one and a half seconds in which keys that the target still holds are not served.
 void node_agent::look_for_target() {
@@ -107,12 +129,15 @@
         const bool silent = m_beat_at + m_options.heartbeat_interval * missed_heartbeats < at.now;
         // A target that is silent, or has said that it leaves, may still hold its keys: the lease
         // is given up only when that has ended, since from then on they may go to another.
-        const bool holds = keyed() && at.now < m_holds.held_until();
+        const bool holds = keyed() && at.now < may_hold_until();
         const bool missed = m_beat_at + m_options.heartbeat_interval * 2 < at.now;
+        // Its keys get higher tokens with its next registration.
+        const bool stuck = m_caller.stuck(at.now);
         if (!holds &&
-            (m_left || silent || (keyed() && missed && m_holds.held_until() != instant{}))) {
+            (m_left || silent || stuck || (keyed() && missed && may_hold_until() != instant{}))) {
             // One that fell silent may only have been cut off or paused, and may report again.
-            drop_target(m_left ? "left" : "silent", m_left, at);
+            const char *why = m_left ? "left" : stuck ? "token refused" : "silent";
+            drop_target(why, m_left, at);
         } else if (!m_lease.announcement()) {
             announce(at); // an earlier registration had to end first
         }
@@ -163,6 +188,7 @@
     }
     if (changed.registration) {
         m_holds.reset(); // what was given under the old number is not this one's
+        m_caller.reset();
         log_event(
             log_level::info, "registration",
             {{"number", m_lease.number()}, {"target", m_target ? m_target->name : std::string()}});
@@ -189,7 +215,7 @@
 // ---- the target ----
 
 void node_agent::heartbeat(const target_heartbeat &beat, moment at, heartbeat_answer answer) {
-    if (!accept_heartbeat(beat, at) || !keyed()) {
+    if (!accept_heartbeat(beat, at) || delivery() != hold_delivery::by_heartbeat) {
         answer({});
         return;
     }
@@ -280,6 +306,7 @@
                {"address", beat.address},
                {"service", beat.service}});
     m_holds.reset();
+    m_caller.reset();
     m_draining_since = {};
     m_left = false;
 }
@@ -324,6 +351,7 @@
     }
     m_assumed = false;
     m_holds.reset();
+    m_caller.reset();
     m_left = false;
     m_draining_since = {};
     m_lease.give_up(at);
@@ -470,7 +498,7 @@
     if (leaving && m_draining_since + leaving_work < now) {
         return error_kind::draining;
     }
-    switch (m_holds.state_of(ordered_key_hash(*request.key), m_lease, now)) {
+    switch (state_of(*request.key, now)) {
     case hold_keeper::key_state::held: return std::nullopt;
     case hold_keeper::key_state::expected:
         // An assumed target was given its keys by an earlier life of this node, and checks itself.
@@ -481,6 +509,37 @@
     return error_kind::not_owner;
 }
 
+std::vector<hold_call> node_agent::due_hold_calls(instant now) {
+    const auto way = delivery();
+    if (way != m_delivery_told) {
+        m_delivery_told = way;
+        if (way == hold_delivery::unknown) {
+            log_event(log_level::error, "hold_delivery_unknown", {{"service", m_target->service}});
+        }
+    }
+    if (way != hold_delivery::by_call || m_options.hold_format == nullptr) {
+        return {};
+    }
+    std::vector<hold_call> calls = m_caller.due(m_lease, m_beat_at, now);
+    if (m_holds.has_news()) {
+        m_holds.news_sent();
+        m_lease.hurry();
+    }
+    return calls;
+}
+
+bool node_agent::key_refused(std::uint32_t key, instant now) {
+    m_caller.note_refused(key, now);
+    return delivery() == hold_delivery::by_call;
+}
+
+void node_agent::hold_call_ended(std::uint64_t id, const hold_call_end &how, instant now) {
+    m_caller.end(id, how, now);
+    if (m_on_change) {
+        m_on_change();
+    }
+}
+
 target_load node_agent::load() const {
     return {.in_flight = m_queue.in_flight(),
             .waiting = static_cast<std::uint32_t>(m_queue.waiting()),
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -12,6 +12,8 @@
 /// The sender gives up at the deadline too, and says so to the caller; ending the work a little
 /// later lets an answer that is ready at the last moment still pass.
 constexpr duration deadline_slack = std::chrono::milliseconds(30);
+/// Of a target: it does not hold the request's key.
+constexpr int misdirected_status = 421;
 constexpr duration usual_retry_after = std::chrono::milliseconds(250);
 
 std::int64_t ms_of(duration value) {
@@ -226,6 +228,11 @@
 void target_relay::on_response_head(http_head head) {
     m_status = head.status;
     m_not_executed = head.find(m_host.options().headers.not_executed) != nullptr;
+    m_key_refused = m_not_executed && head.status == misdirected_status && m_hop.key &&
+                    m_host.agent().key_refused(*m_hop.key, steady_instant());
+    if (m_key_refused) {
+        return;
+    }
     http_head out;
     out.status = head.status;
     out.headers = forwarded_headers(head);
@@ -238,6 +245,9 @@
 }
 
 void target_relay::on_response_body(std::string_view piece) {
+    if (m_key_refused) {
+        return;
+    }
     m_sender->send_body(piece);
     if (m_sender->queued() > m_host.options().held_back) {
         m_call->pause_answer(true);
@@ -258,6 +268,10 @@
     const instant now = steady_instant();
     m_body.detach();
     m_call.reset();
+    if (std::exchange(m_key_refused, false)) {
+        after_key_refused(now);
+        return;
+    }
     m_host.metrics().note_target(now - m_started);
     leave_queue(m_not_executed ? std::nullopt : std::optional(now - m_started));
     m_phase = phase::done;
@@ -265,6 +279,18 @@
     m_host.start_waiting(now);
 }
 
+/// The target does not hold the key yet, or not any more, and is being granted it. A caller would
+/// only come back to the same place.
+void target_relay::after_key_refused(instant now) {
+    leave_queue(std::nullopt);
+    if (now < m_objective && m_body.replayable() && m_host.take_retry(m_hop.service, false)) {
+        m_phase = phase::waiting_for_key;
+    } else {
+        refuse(error_kind::no_owner, now, usual_retry_after);
+    }
+    m_host.start_waiting(now);
+}
+
 void target_relay::on_call_failed(call_failure why, const std::string &reason) {
     if (m_phase == phase::done) {
         return;
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -52,6 +52,7 @@
     void fail(error_kind kind, instant now);
     void answer(error_kind kind, const hop_reply &hop);
     /// Leaves the queue or the target's slots.
+    void after_key_refused(instant now);
     void leave_queue(std::optional<duration> took);
 
     traffic_host &m_host;
@@ -69,6 +70,7 @@
     std::string m_target_name; ///< the local target when the request came
     std::shared_ptr<http_call> m_call;
     int m_status = 0;
+    bool m_key_refused = false; ///< the target does not hold the key, by the answer that comes
     bool m_not_executed = false;
     bool m_counted = false; ///< for the load of its key
 };
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -58,6 +58,17 @@
               [this](const std::string &address, std::function<void(std::string)> done) {
                   probe_name(address, std::move(done));
               }),
+      m_hold_calls(
+          m_pool, m_options.hold_format,
+          {.write =
+               [this](std::uint64_t id) { return m_agent.hold_call_written(id, steady_instant()); },
+           .end =
+               [this](std::uint64_t id, const hold_call_end &how) {
+                   const instant now = steady_instant();
+                   m_agent.hold_call_ended(id, how, now);
+                   wake_all(now);
+               },
+           .refused = [this] { m_agent.target_refused(read_clocks()); }}),
       m_body_turns({.limit = m_options.body_turns}),
       m_callers(
           io,
@@ -142,6 +153,19 @@
         }
     }
     start_waiting(now);
+    run_hold_calls(now);
+}
+
+void traffic_host::run_hold_calls(instant now) {
+    for (const std::uint64_t id : m_agent.overdue_hold_calls(now)) {
+        m_hold_calls.cancel(id);
+        m_agent.hold_call_ended(id, {.result = hold_call_end::kind::lost}, now);
+    }
+    const std::vector<hold_call> due = m_agent.due_hold_calls(now);
+    m_hold_calls.keep_only([this](std::uint64_t id) { return m_agent.waits_for_hold_call(id); });
+    for (const hold_call &call : due) {
+        m_hold_calls.start(call, m_agent.target().address);
+    }
 }
 
 void traffic_host::apply_limits() {
--- /dev/null
+++ b/tests/coordination/hold_fuzz.cpp
@@ -0,0 +1,272 @@
+#include "hold_fuzz.hpp"
+
+#include "held_lease.hpp"
+#include "peppertack/coordination/hold_caller.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <random>
+
+namespace peppertack::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t range_count = 4;
+constexpr std::uint32_t range_keys = 65536 / range_count;
+constexpr double slowest_clock = 1.02; ///< a target's clock, by what is promised
+constexpr int steps = 400;
+constexpr duration rounding = 1ms;
+
+/// The target's side: it counts a grant from its arrival and promises nothing else, in particular
+/// not that it compares tokens when it carries out a grant late.
+class late_target {
+public:
+    struct hold {
+        std::uint32_t from = 0;
+        std::uint32_t to = 0;
+        instant until{};
+    };
+    struct late_grant {
+        instant at{};
+        hold item;
+    };
+
+    void grant(const held_span &span, duration length, instant arrived, instant carried_out) {
+        const auto longest = duration(
+            static_cast<duration::rep>(static_cast<double>(length.count()) * slowest_clock));
+        m_late.push_back({carried_out, {span.from, span.to, arrived + longest}});
+    }
+    /// New work stops; what runs ends at `work_until`.
+    void release(const held_span &span, instant work_until) {
+        std::vector<hold> left;
+        for (const hold &old : m_holds) {
+            if (old.to < span.from || span.to < old.from) {
+                left.push_back(old);
+                continue;
+            }
+            if (old.from < span.from) {
+                left.push_back({old.from, span.from - 1, old.until});
+            }
+            if (span.to < old.to) {
+                left.push_back({span.to + 1, old.to, old.until});
+            }
+            left.push_back({std::max(old.from, span.from), std::min(old.to, span.to),
+                            std::min(old.until, work_until)});
+        }
+        m_holds = std::move(left);
+    }
+    void step(instant now) {
+        for (const late_grant &item : m_late) {
+            if (item.at <= now) {
+                m_holds.push_back(item.item);
+            }
+        }
+        std::erase_if(m_late, [now](const late_grant &item) { return item.at <= now; });
+        std::erase_if(m_holds, [now](const hold &item) { return item.until <= now; });
+    }
+    /// Whether any key from `from` to `to` is held or worked on.
+    bool holds(std::uint32_t from, std::uint32_t to) const {
+        return std::any_of(m_holds.begin(), m_holds.end(),
+                           [&](const hold &item) { return item.from <= to && from <= item.to; });
+    }
+
+private:
+    std::vector<hold> m_holds;
+    std::vector<late_grant> m_late;
+};
+
+class hold_world {
+public:
+    explicit hold_world(std::uint64_t seed) : m_random(seed), m_lease(m_now) {
+        for (std::size_t i = 0; i < range_count; ++i) {
+            m_ranges[i] = {.first = ordered_key_hash(first_key(i)),
+                           .owner = held_lease::own,
+                           .token = ++m_last_token};
+        }
+        tell_ranges();
+    }
+
+    std::string run() {
+        for (int i = 0; i < steps && m_found.empty(); ++i) {
+            step();
+        }
+        return m_found;
+    }
+
+private:
+    struct sent_call {
+        hold_call call;
+        instant write_at{};
+        bool written = false;
+        instant answer_at{}; ///< by the target, if it answers
+        bool answers = false;
+    };
+
+    bool chance(int in_hundred) { return static_cast<int>(m_random() % 100) < in_hundred; }
+    duration up_to(duration most) {
+        return duration(
+            static_cast<duration::rep>(m_random() % static_cast<std::uint64_t>(most.count() + 1)));
+    }
+    static std::uint32_t first_key(std::size_t range) {
+        return static_cast<std::uint32_t>(range) * range_keys;
+    }
+
+    void step() {
+        advance(chance(2) ? up_to(4s) : up_to(60ms)); // now and then the node is paused
+        if (chance(3)) {
+            m_cut_until = m_now + up_to(4s);
+        }
+        if (m_now >= m_cut_until) {
+            m_lease.renew(m_now);
+        }
+        if (chance(10)) {
+            change_range(m_random() % range_count);
+        }
+        for (const std::uint64_t id : m_caller.overdue(m_now)) {
+            m_sent.erase(id);
+            m_caller.end(id, {.result = hold_call_end::kind::lost}, m_now);
+        }
+        std::erase_if(m_sent, [&](const auto &item) { return !m_caller.waits_for(item.first); });
+        write_calls();
+        end_calls();
+        for (const hold_call &call : m_caller.due(m_lease.client, m_now, m_now)) {
+            m_sent[call.id] = {.call = call, .write_at = m_now + (chance(5) ? up_to(100ms) : 0ms)};
+        }
+        write_calls();
+        take_releases();
+    }
+
+    /// Time passes in small parts, in which the target acts and the oracle looks.
+    void advance(duration time) {
+        const instant end = m_now + time;
+        while (m_now < end && m_found.empty()) {
+            m_now = std::min(end, m_now + 10ms);
+            m_target.step(m_now);
+            look();
+        }
+    }
+
+    void look() {
+        for (std::size_t i = 0; i < range_count; ++i) {
+            const bool held = m_target.holds(first_key(i), first_key(i) + range_keys - 1);
+            if (held && m_ranges[i].owner == held_lease::other) {
+                m_found = "keys of range " + std::to_string(i) + " are held after they went on";
+            }
+            // From then on the leader may give them to others without asking.
+            if (held && m_now > m_lease.client.lease_until() + rounding) {
+                m_found = "keys of range " + std::to_string(i) + " are held after the lease ended";
+            }
+        }
+    }
+
+    void write_calls() {
+        for (auto &[id, item] : m_sent) {
+            if (item.written || m_now < item.write_at) {
+                continue;
+            }
+            const auto length = m_caller.write(id, m_lease.client, m_now);
+            if (!length) {
+                m_caller.end(id, {.result = hold_call_end::kind::not_sent}, m_now);
+                continue;
+            }
+            item.written = true;
+            item.answers = !chance(20);
+            if (item.call.what == hold_call::kind::grant) {
+                send_grant(item, *length);
+            } else {
+                send_release(item);
+            }
+        }
+        m_target.step(m_now);
+    }
+
+    void send_grant(sent_call &item, duration length) {
+        if (item.answers) {
+            item.answer_at = m_now + up_to(20ms);
+            m_target.grant(item.call.span, length, m_now, m_now);
+            return;
+        }
+        if (chance(70)) {
+            const instant arrived = m_now + up_to(240ms);
+            m_target.grant(item.call.span, length, arrived, arrived + up_to(3s));
+        }
+    }
+
+    void send_release(sent_call &item) {
+        const instant work_until = m_now + (chance(30) ? up_to(1500ms) : 0ms);
+        item.answer_at = work_until;
+        if (item.answers || chance(50)) {
+            m_target.release(item.call.span, work_until);
+        }
+    }
+
+    void end_calls() {
+        std::vector<std::uint64_t> over;
+        for (const auto &[id, item] : m_sent) {
+            const bool grant = item.call.what == hold_call::kind::grant;
+            if (item.written && item.answers && item.answer_at <= m_now) {
+                m_caller.end(id, {.result = hold_call_end::kind::done, .handover = "h"}, m_now);
+                over.push_back(id);
+            } else if (item.written && !item.answers && !grant && chance(10)) {
+                m_caller.end(id, {.result = hold_call_end::kind::lost}, m_now);
+                over.push_back(id);
+            }
+        }
+        for (const std::uint64_t id : over) {
+            m_sent.erase(id);
+        }
+    }
+
+    /// The leader plans a move, calls one off, or gives a range back.
+    void change_range(std::size_t index) {
+        range_record &range = m_ranges[index];
+        if (range.owner == held_lease::other) {
+            range.owner = held_lease::own;
+            range.token = ++m_last_token;
+            range.handover = chance(50) ? "from-other" : "";
+        } else {
+            range.next = range.next == no_target ? held_lease::other : no_target;
+        }
+        tell_ranges();
+    }
+
+    void take_releases() {
+        for (const range_report &report : m_lease.released(m_keeper)) {
+            for (range_record &range : m_ranges) {
+                if (range.first == report.first && range.token == report.token &&
+                    range.next == held_lease::other) {
+                    range.owner = held_lease::other;
+                    range.next = no_target;
+                    range.token = ++m_last_token;
+                }
+            }
+        }
+        look();
+        tell_ranges();
+    }
+
+    void tell_ranges() { m_lease.set_ranges({m_ranges.begin(), m_ranges.end()}); }
+
+    std::mt19937_64 m_random;
+    instant m_now{1000s};
+    held_lease m_lease;
+    hold_keeper m_keeper{{}};
+    hold_caller m_caller{{.earlier_hold = 0ms}, m_keeper};
+    late_target m_target;
+    std::array<range_record, range_count> m_ranges;
+    fencing_token m_last_token = 0;
+    std::map<std::uint64_t, sent_call> m_sent;
+    instant m_cut_until{};
+    std::string m_found;
+};
+
+} // namespace
+
+std::string run_hold_sequence(std::uint64_t seed) {
+    return hold_world(seed).run();
+}
+
+} // namespace peppertack::testing
--- a/tests/coordination/planted_defects_test.cpp
+++ b/tests/coordination/planted_defects_test.cpp
@@ -1,4 +1,5 @@
 #include "fuzz_actions.hpp"
+#include "hold_fuzz.hpp"
 #include "peppertack/coordination/planted_defects.hpp"
 
 #include <doctest/doctest.h>
@@ -29,6 +30,13 @@
     {"resend run though its memory was lost", &planted_defects::rerun_forgotten},
 }};
 
+/// Of handing keys to targets by calls.
+constexpr std::array<defect, 3> hold_defects{{
+    {"late grant forgotten after a release", &planted_defects::forget_late_grant},
+    {"hold length from the decision instead of the write", &planted_defects::hold_from_decision},
+    {"keys given on when a release gets no answer", &planted_defects::release_timeout_frees},
+}};
+
 constexpr std::uint64_t most_sequences = 3000;
 constexpr int sequence_size = 120;
 
@@ -53,3 +61,22 @@
                   << std::endl;
     }
 }
+
+TEST_CASE("the oracle notices every planted defect of calls of holds") {
+    for (const defect &planted : hold_defects) {
+        CAPTURE(planted.name);
+        g_defects.*planted.flag = true;
+        std::uint64_t seed = 1;
+        std::string found;
+        while (seed <= most_sequences && found.empty()) {
+            found = run_hold_sequence(seed);
+            ++seed;
+        }
+        g_defects.*planted.flag = false;
+        CHECK_FALSE(found.empty());
+        std::cout << "planted: " << planted.name << ": "
+                  << (found.empty() ? "NOT CAUGHT"
+                                    : "seed " + std::to_string(seed - 1) + ", " + found)
+                  << std::endl;
+    }
+}
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -201,6 +201,10 @@
 void stand_in_platform_target::take_request(const std::shared_ptr<http_server_connection> &caller,
                                             const std::string &body) {
     const http_head &head = caller->request();
+    if (head.target.rfind("/peppertack/", 0) == 0) {
+        take_hold_call(caller, body);
+        return;
+    }
     const std::string *id = head.find("X-Request-Id");
     const std::string *expected = head.find("X-Expected-Instance");
     const std::string *key = head.find("X-Shard-Key");
@@ -226,6 +230,82 @@
     });
 }
 
+void stand_in_platform_target::take_hold_call(const std::shared_ptr<http_server_connection> &caller,
+                                              const std::string &body) {
+    const nlohmann::json in = nlohmann::json::parse(body);
+    const instant arrived = steady_instant();
+    const bool grant = caller->request().target == "/peppertack/grant";
+    ++(grant ? m_grants : m_releases);
+    if (!grant && m_faults.crash_on_release) {
+        asio::post(m_cluster.m_io, [this] { crash(); });
+        return;
+    }
+    const auto carry_out = [this, in, arrived, grant] {
+        if (!grant) {
+            apply_release(in);
+            return 200;
+        }
+        return apply_grant(in, arrived);
+    };
+    if (m_faults.late > duration{}) {
+        auto timer = std::make_shared<asio::steady_timer>(m_cluster.m_io, m_faults.late);
+        timer->async_wait([timer, carry_out, life = std::weak_ptr(m_life)](asio::error_code error) {
+            if (!error && !life.expired()) {
+                carry_out();
+            }
+        });
+        return;
+    }
+    const int status = carry_out();
+    if (!m_faults.lose_answers) {
+        std::vector<header_field> headers;
+        if (!grant) {
+            headers.push_back({"X-Handover", "h-" + std::to_string(in.at("fence").get<int>())});
+        }
+        caller->respond(status, headers, {});
+    }
+}
+
+int stand_in_platform_target::apply_grant(const nlohmann::json &call, instant arrived) {
+    stand_in_hold hold{.from = call.at("from"),
+                       .to = call.at("target_version"),
+                       .token = call.at("fence"),
+                       .until = arrived + duration(static_cast<duration::rep>(
+                                              call.at("hold_s").get<double>() * 1e6))};
+    if (hold.token < m_faults.seen_token) {
+        return 409;
+    }
+    if (hold.until <= steady_instant()) {
+        return 200; // over before it was carried out
+    }
+    drop_part(hold.from, hold.to);
+    m_holds.push_back(hold);
+    m_cluster.note_hold(*this, hold);
+    return 200;
+}
+
+void stand_in_platform_target::apply_release(const nlohmann::json &call) {
+    drop_part(call.at("from"), call.at("target_version"));
+}
+
+/// Lets go of keys, also of a part of what was granted by one call.
+void stand_in_platform_target::drop_part(std::uint32_t from, std::uint32_t to) {
+    std::vector<stand_in_hold> left;
+    for (const stand_in_hold &old : m_holds) {
+        stand_in_hold lower = old;
+        stand_in_hold upper = old;
+        lower.to = std::min(old.to, from - 1);
+        upper.from = std::max(old.from, to + 1);
+        if (from > old.from && lower.from <= lower.to) {
+            left.push_back(lower);
+        }
+        if (to < old.to && upper.from <= upper.to) {
+            left.push_back(upper);
+        }
+    }
+    m_holds = std::move(left);
+}
+
 // ---- the cluster ----
 
 platform_cluster::platform_cluster(options settings)
@@ -298,6 +378,7 @@
            "\nfounding = " + (first ? "true" : "false") +
            "\nlosses = " + std::to_string(m_options.losses) +
            "\nheartbeat-interval-s = " + std::to_string(m_options.heartbeat_s) +
+           "\ngrants = " + m_options.grants +
            "\nmost-hold-s = 10\ngrace-s = 6\nlink-mbps = " + std::to_string(m_options.link_mbps) +
            "\n";
 }
@@ -440,8 +521,9 @@
                         {"keyed-once", route("keyed-once", "unsafe", "keyed")},
                         {"plain-safe", route("plain-safe", "safe", "plain")},
                         {"plain-once", route("plain-once", "unsafe", "plain")}};
-    config["services"] = {{"keyed", {{"sharded", true}, {"health_path", "/healthz"}}},
-                          {"plain", {{"health_path", "/healthz"}}}};
+    config["services"] = {
+        {"keyed", {{"sharded", true}, {"health_path", "/healthz"}, {"grants", m_options.grants}}},
+        {"plain", {{"health_path", "/healthz"}}}};
     config["limits"] = {{"max_header_bytes", 16384},
                         {"max_body_bytes", 1000000},
                         {"header_timeout_s", 3},
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -29,6 +29,16 @@
     instant until{};
 };
 
+/// What a stand-in target does with the calls by which it is handed keys.
+struct hold_call_faults {
+    bool lose_answers = false;     ///< they are carried out and not answered
+    duration late{};               ///< they are carried out so much later, and never answered
+    bool crash_on_release = false; ///< the process ends when it is asked for keys back
+    std::uint64_t seen_token = 0;  ///< grants below it are refused
+
+    friend bool operator==(const hold_call_faults &, const hold_call_faults &) = default;
+};
+
 /// A target that speaks the platform's protocol: sends heartbeats, keeps the holds it is given,
 /// runs requests and remembers which.
 class stand_in_platform_target {
@@ -52,6 +62,11 @@
     nlohmann::json heartbeat_body() const;
     const std::vector<stand_in_hold> &holds() const { return m_holds; }
     std::uint64_t heartbeats() const { return m_sequence; }
+    /// How calls of holds go wrong from now on.
+    void set_hold_call_faults(const hold_call_faults &faults) { m_faults = faults; }
+    /// Calls to grant keys that came so far.
+    std::uint64_t grants() const { return m_grants; }
+    std::uint64_t releases() const { return m_releases; }
 
 private:
     void come_up();
@@ -60,6 +75,12 @@
     void take_request(const std::shared_ptr<http_server_connection> &caller,
                       const std::string &body);
     bool holds_key(std::uint32_t key, instant now) const;
+    void take_hold_call(const std::shared_ptr<http_server_connection> &caller,
+                        const std::string &body);
+    /// Status of a grant that is carried out now and counts from `arrived`.
+    int apply_grant(const nlohmann::json &call, instant arrived);
+    void apply_release(const nlohmann::json &call);
+    void drop_part(std::uint32_t from, std::uint32_t to);
 
     platform_cluster &m_cluster;
     std::size_t m_place;
@@ -71,6 +92,9 @@
     std::unique_ptr<http_server> m_server;
     std::vector<stand_in_hold> m_holds;
     nlohmann::json m_freed = nlohmann::json::array();
+    hold_call_faults m_faults;
+    std::uint64_t m_grants = 0;
+    std::uint64_t m_releases = 0;
     std::shared_ptr<bool> m_life;
 };
 
@@ -98,7 +122,8 @@
                                           "plain"}; ///< a node each
         double heartbeat_s = 0.2;
         duration work = std::chrono::milliseconds(5);
-        double link_mbps = 8; ///< as told to the processes
+        double link_mbps = 8;             ///< as told to the processes
+        std::string grants = "heartbeat"; ///< how the keyed service's targets are handed keys
         std::uint64_t seed = 1;
     };
 
@@ -124,6 +149,8 @@
 
     /// Puts a configuration whose version is `version` into force; true once it was acknowledged.
     bool configure(std::uint64_t version, std::uint64_t base);
+    /// The word for how keys are handed over that the next configuration has.
+    void set_grants(const std::string &word) { m_options.grants = word; }
     /// Status and body of an operator's call, following redirections over the voters.
     std::pair<int, std::string> operate(const std::string &method, const std::string &body);
     /// Sends one request to a node; the attempt is filled in as the loop runs.
