A process of the tests is started before its listeners can be missed

Both clusters start processes by one function now, which returns once the child has closed everything. Ruled out: other programs' ports (reserved).

--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -1,5 +1,7 @@
 #include "local_cluster.hpp"
 
+#include "child_process.hpp"
+
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -74,20 +76,7 @@
 }
 
 pid_t local_cluster::spawn(const std::vector<std::string> &words, const std::string &log_file) {
-    std::vector<char *> pointers;
-    for (const std::string &word : words) {
-        pointers.push_back(const_cast<char *>(word.c_str()));
-    }
-    pointers.push_back(nullptr);
-    const pid_t process = ::fork();
-    if (process == 0) {
-        const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(log, 1);
-        ::dup2(log, 2);
-        ::execv(pointers[0], pointers.data());
-        ::_exit(127);
-    }
-    return process;
+    return start_child({.words = words, .log_file = log_file});
 }
 
 void local_cluster::start_node(std::size_t place) {
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -1,5 +1,6 @@
 #include "platform_cluster.hpp"
 
+#include "child_process.hpp"
 #include "local_cluster.hpp"
 #include "peppertack/transport/http/whole_request.hpp"
 #include "wall_clock.hpp"
@@ -389,17 +390,8 @@
     std::ofstream(path) << settings;
     const std::string program = m_options.programs + "/peppertack_platform";
     const std::string log = m_folder + "/" + name + ".log";
-    const pid_t process = ::fork();
-    if (process == 0) {
-        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(out, 1);
-        ::dup2(out, 2);
-        ::close_range(3, ~0U, 0); // listening sockets of this process would stay open in the child
-        ::setenv("PEPPERTACK_BOOT", path.c_str(), 1);
-        ::execl(program.c_str(), program.c_str(), role.c_str(), nullptr);
-        ::_exit(127);
-    }
-    return process;
+    return start_child(
+        {.words = {program, role}, .log_file = log, .environment = {"PEPPERTACK_BOOT=" + path}});
 }
 
 void platform_cluster::start_voter(std::size_t place, bool first) {
