Calls of holds are counted and told when they are lost

Calls that hand keys to targets had no counter and a lost grant no line. Counters by call and result; one line for each that got no answer. Their ends are followed up by the next event, not in the middle of the step that gave them up.

--- a/include/peppertack/transport/traffic/hold_call_runner.hpp
+++ b/include/peppertack/transport/traffic/hold_call_runner.hpp
@@ -29,7 +29,7 @@
     struct callbacks {
         /// Directly before the bytes are written: how long a grant may run; nothing: not any more.
         std::function<std::optional<duration>(std::uint64_t)> write;
-        std::function<void(std::uint64_t, const hold_call_end &)> end;
+        std::function<void(const hold_call &, const hold_call_end &)> end;
         std::function<void()> refused; ///< the target's address takes no connections
     };
 
@@ -39,15 +39,15 @@
 
     /// Begins a call to the target at "IP:port".
     void start(const hold_call &call, const std::string &address);
-    /// Gives up a call without telling of its end.
-    void cancel(std::uint64_t id);
+    /// Gives up a call and tells that it is lost.
+    void lose(std::uint64_t id);
     /// Gives up the calls for which `wanted` is false.
     void keep_only(const std::function<bool(std::uint64_t)> &wanted);
 
 private:
     class exchange;
 
-    void end(std::uint64_t id, const hold_call_end &how, bool refused);
+    void end(const hold_call &call, const hold_call_end &how, bool refused);
 
     http_client_pool &m_pool;
     std::shared_ptr<const hold_call_format> m_format;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -90,6 +90,7 @@
     void wake_all(instant now);
     void apply_limits();
     void run_hold_calls(instant now);
+    void note_hold_call(const hold_call &call, const hold_call_end &how);
     void probe_name(const std::string &address, std::function<void(std::string)> done);
 
     asio::io_context &m_io;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/hold_caller.hpp"
 #include "peppertack/state/error_kind.hpp"
 #include "peppertack/state/time.hpp"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace peppertack {
 
@@ -27,6 +29,8 @@
     void note_cancelled() { ++m_cancelled; }
     /// A call of a target, or of another writer in its name, was refused.
     void note_refused_call() { ++m_refused_calls; }
+    /// A call by which the target is handed keys, or asked for them, is over.
+    void note_hold_call(hold_call::kind what, hold_call_end::kind result);
     std::uint64_t answers() const { return m_answers; }
 
     /// Text in the Prometheus exposition format.
@@ -47,6 +51,7 @@
     std::uint64_t m_retries = 0;
     std::uint64_t m_cancelled = 0;
     std::uint64_t m_refused_calls = 0;
+    std::map<std::pair<hold_call::kind, hold_call_end::kind>, std::uint64_t> m_hold_calls;
 };
 
 } // namespace peppertack
--- a/src/transport/traffic/hold_call_runner.cpp
+++ b/src/transport/traffic/hold_call_runner.cpp
@@ -25,27 +25,37 @@
             m_http->cancel();
         }
     }
+    /// It got no answer in time.
+    void lose() {
+        cancel();
+        log_lost("no answer in time");
+        m_runner.end(m_call, {.result = hold_call_end::kind::lost}, false);
+    }
 
     void on_response_head(http_head head) override { m_head = std::move(head); }
     void on_response_body(std::string_view) override {}
     void on_response_end() override {
-        m_runner.end(m_call.id, m_runner.m_format->read_answer(m_call, m_head), false);
+        m_runner.end(m_call, m_runner.m_format->read_answer(m_call, m_head), false);
     }
     void on_call_failed(call_failure why, const std::string &reason) override {
         const hold_call_end how{.result = m_written ? hold_call_end::kind::lost
                                                     : hold_call_end::kind::not_sent};
         if (m_written) {
-            log_event(log_level::info, "hold_call_lost",
-                      {{"call", m_call.what == hold_call::kind::grant ? "grant" : "release"},
-                       {"from", m_call.span.from},
-                       {"to", m_call.span.to},
-                       {"token", m_call.span.token},
-                       {"reason", reason}});
+            log_lost(reason);
         }
-        m_runner.end(m_call.id, how, why == call_failure::refused);
+        m_runner.end(m_call, how, why == call_failure::refused);
     }
 
 private:
+    void log_lost(const std::string &reason) const {
+        log_event(log_level::info, "hold_call_lost",
+                  {{"call", m_call.what == hold_call::kind::grant ? "grant" : "release"},
+                   {"from", m_call.span.from},
+                   {"to", m_call.span.to},
+                   {"token", m_call.span.token},
+                   {"reason", reason}});
+    }
+
     hold_call_runner &m_runner;
     hold_call m_call;
     http_head m_head;
@@ -72,9 +82,11 @@
         item));
 }
 
-void hold_call_runner::cancel(std::uint64_t id) {
-    if (auto found = m_running.extract(id)) {
-        found.mapped()->cancel();
+void hold_call_runner::lose(std::uint64_t id) {
+    const auto found = m_running.find(id);
+    if (found != m_running.end()) {
+        const auto item = found->second; // lives until this returns
+        item->lose();
     }
 }
 
@@ -89,9 +101,9 @@
     }
 }
 
-void hold_call_runner::end(std::uint64_t id, const hold_call_end &how, bool refused) {
-    const auto kept = m_running.extract(id); // lives until this returns
-    m_callbacks.end(id, how);
+void hold_call_runner::end(const hold_call &call, const hold_call_end &how, bool refused) {
+    const auto kept = m_running.extract(call.id); // lives until this returns
+    m_callbacks.end(call, how);
     if (refused) {
         m_callbacks.refused();
     }
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -5,6 +5,7 @@
 #include "peppertack/transport/json_log.hpp"
 #include "target_relay.hpp"
 
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 namespace peppertack {
@@ -62,12 +63,8 @@
           m_pool, m_options.hold_format,
           {.write =
                [this](std::uint64_t id) { return m_agent.hold_call_written(id, steady_instant()); },
-           .end =
-               [this](std::uint64_t id, const hold_call_end &how) {
-                   const instant now = steady_instant();
-                   m_agent.hold_call_ended(id, how, now);
-                   wake_all(now);
-               },
+           .end = [this](const hold_call &call,
+                         const hold_call_end &how) { note_hold_call(call, how); },
            .refused = [this] { m_agent.target_refused(read_clocks()); }}),
       m_body_turns({.limit = m_options.body_turns}),
       m_callers(
@@ -158,8 +155,7 @@
 
 void traffic_host::run_hold_calls(instant now) {
     for (const std::uint64_t id : m_agent.overdue_hold_calls(now)) {
-        m_hold_calls.cancel(id);
-        m_agent.hold_call_ended(id, {.result = hold_call_end::kind::lost}, now);
+        m_hold_calls.lose(id);
     }
     const std::vector<hold_call> due = m_agent.due_hold_calls(now);
     m_hold_calls.keep_only([this](std::uint64_t id) { return m_agent.waits_for_hold_call(id); });
@@ -168,6 +164,17 @@
     }
 }
 
+/// What follows from it is decided by the next event: this may be in the middle of a step.
+void traffic_host::note_hold_call(const hold_call &call, const hold_call_end &how) {
+    m_metrics.note_hold_call(call.what, how.result);
+    m_agent.hold_call_ended(call.id, how, steady_instant());
+    asio::post(m_io, [this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            wake_all(steady_instant());
+        }
+    });
+}
+
 void traffic_host::apply_limits() {
     const caller_limits &limits = m_agent.lease().routes().limits;
     m_callers.set_limits({limits.header_bytes, limits.body_bytes}, limits.header_timeout,
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -16,6 +16,16 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+const char *name_of(hold_call_end::kind result) {
+    switch (result) {
+    case hold_call_end::kind::done: return "done";
+    case hold_call_end::kind::token_refused: return "token_refused";
+    case hold_call_end::kind::not_sent: return "not_sent";
+    case hold_call_end::kind::lost: break;
+    }
+    return "lost";
+}
+
 } // namespace
 
 traffic_metrics::histogram traffic_metrics::make_latency_histogram() {
@@ -42,6 +52,10 @@
     m_target(milliseconds(took));
 }
 
+void traffic_metrics::note_hold_call(hold_call::kind what, hold_call_end::kind result) {
+    ++m_hold_calls[{what, result}];
+}
+
 std::string traffic_metrics::text() const {
     std::ostringstream out;
     const auto write_histogram = [&out](const std::string &name, const std::string &labels,
@@ -68,6 +82,11 @@
     out << "peppertack_retries_total " << m_retries << "\n";
     out << "peppertack_cancelled_total " << m_cancelled << "\n";
     out << "peppertack_target_calls_refused_total " << m_refused_calls << "\n";
+    for (const auto &[call, count] : m_hold_calls) {
+        out << "peppertack_hold_calls_total{call=\""
+            << (call.first == hold_call::kind::grant ? "grant" : "release") << "\",result=\""
+            << name_of(call.second) << "\"} " << count << "\n";
+    }
     for (const auto &[route, values] : m_by_route) {
         write_histogram("peppertack_answer_ms", "route=\"" + route + "\",", values);
     }
