--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -65,6 +65,10 @@
     /// a moment for the lease if this node has none yet: without it the keys of a target whose node
     /// was restarted would stay unserved until the next heartbeat.
     void heartbeat(const target_heartbeat &beat, moment at, heartbeat_answer answer);
+    /// Decides on a call of a target once the routes are known here, or after a while without them.
+    /// Refused at once, a target would call again only an interval later: after a loss of power
+    /// that was 0.9 s in which its node knew everything but its target.
+    void when_routes_known(instant now, std::function<void()> decide);
     /// This node is about to end. Work that others can do goes to them from now on.
     void begin_stop(moment at);
     /// Nothing more is given to the target; what it runs is finished.
@@ -138,6 +142,13 @@
         instant at{};
     };
 
+    /// A call that waits for the routes.
+    struct waiting_call {
+        instant until{};
+        std::function<void()> decide;
+    };
+
+    void decide_waiting(instant now, bool all);
     void adopt(const target_heartbeat &beat, moment at);
     void leave(moment at);
     void note_ended(const target_life &life, instant now);
@@ -186,7 +197,8 @@
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
     instant m_loads_at{};
-    std::uint64_t m_finished_reported = 0;        ///< requests that had ended at the last report
+    std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
+    std::vector<waiting_call> m_waiting_calls;
     heartbeat_answer m_unanswered;                ///< of a heartbeat that waits for the lease
     instant m_heartbeat_at{};                     ///< when that one came
     std::optional<hold_delivery> m_delivery_told; ///< in the log
--- a/src/coordination/hold_keeper.cpp
+++ b/src/coordination/hold_keeper.cpp
@@ -38,9 +38,13 @@
     const auto &announced = lease.announcement();
     const route_map::service_map *ranges =
         announced ? lease.map().find_service(announced->service) : nullptr;
+    // Keys without an owner go to those that have none before the next heartbeat comes.
+    const bool newcomer = lease.own_ranges().empty();
     return ranges != nullptr && lease.number() != no_target &&
-           std::any_of(ranges->ranges.begin(), ranges->ranges.end(),
-                       [&](const range_record &range) { return range.next == lease.number(); });
+           std::any_of(
+               ranges->ranges.begin(), ranges->ranges.end(), [&](const range_record &range) {
+                   return range.next == lease.number() || (newcomer && range.owner == no_target);
+               });
 }
 
 void hold_keeper::note(const hold_report &report, const lease_client &lease) {
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -19,6 +19,9 @@
 constexpr duration ask_next_voter_after = std::chrono::milliseconds(20);
 /// For so long a leader that did not answer is asked through others; then directly once more.
 constexpr duration relay_time = std::chrono::seconds(3);
+/// The first answer to an announcement has no number yet, and no lease: one of the next brings
+/// both. Renewals come so much closer until then.
+constexpr int registering_renewals = 3;
 constexpr duration least_interval = std::chrono::milliseconds(5);
 
 /// Renewals of different lives of a process are numbered far apart: an answer names nothing but
@@ -161,7 +164,8 @@
         m_sent.erase(m_sent.begin());
     }
     m_sent_last = at.now;
-    m_renew_at = at.now + m_options.renew_interval;
+    const bool registering = m_announcement && m_number == no_target;
+    m_renew_at = at.now + m_options.renew_interval / (registering ? registering_renewals : 1);
     if (!m_waiting) {
         m_waiting = true;
         m_answer_due = at.now + m_options.renew_timeout;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -17,11 +17,13 @@
 /// A target that leaves is given nothing later than this after it was told so: well below the two
 /// seconds that the protocol allows, since a request may be on its way between two nodes.
 constexpr duration leaving_work = std::chrono::milliseconds(1200);
-/// Longest wait of a heartbeat's answer for the lease: targets give up on an answer after a second.
-constexpr duration lease_wait = std::chrono::milliseconds(300);
+/// Longest wait of an answer to a target that says that it leaves.
+constexpr duration leaving_wait = std::chrono::milliseconds(300);
 /// Longest wait for keys that another target is letting go of: the answer still comes within the
 /// second after which a target gives up on it.
 constexpr duration longest_keys_wait = std::chrono::milliseconds(800);
+/// Calls that wait for the routes; a target repeats its own once a heartbeat interval.
+constexpr std::size_t most_waiting_calls = 16;
 /// Beyond a heartbeat interval the wait is no longer than this: two intervals and it stay below
 /// what a target holds, so that a hold never ends for it.
 constexpr duration keys_wait_over_interval = std::chrono::milliseconds(300);
@@ -116,6 +118,7 @@
 }
 
 void node_agent::tick(moment at) {
+    decide_waiting(at.now, ready());
     if (!m_target && !m_looked && ready()) {
         look_for_target();
     }
@@ -239,12 +242,12 @@
     if (!m_unanswered) {
         return;
     }
-    const bool valid = m_lease.lease_valid(now);
-    const bool waits = valid ? m_holds.expects_keys(m_lease) : true;
+    const bool waits = !m_lease.lease_valid(now) || m_holds.expects_keys(m_lease);
     const duration keys_wait =
         std::min(longest_keys_wait, m_options.heartbeat_interval + keys_wait_over_interval);
-    const duration limit = valid ? keys_wait : lease_wait;
-    if (waits && now < m_heartbeat_at + limit) {
+    // One that leaves is given nothing new, and has to hear soon that its word has come.
+    const bool leaves = m_target && m_target->draining;
+    if (waits && now < m_heartbeat_at + (leaves ? leaving_wait : keys_wait)) {
         return;
     }
     answer_heartbeat(now);
@@ -257,6 +260,25 @@
     }
 }
 
+void node_agent::when_routes_known(instant now, std::function<void()> decide) {
+    if (m_waiting_calls.size() >= most_waiting_calls) {
+        decide();
+        return;
+    }
+    m_waiting_calls.push_back({now + longest_keys_wait, std::move(decide)});
+}
+
+void node_agent::decide_waiting(instant now, bool all) {
+    std::vector<waiting_call> waiting = std::exchange(m_waiting_calls, {});
+    for (waiting_call &call : waiting) {
+        if (all || call.until <= now) {
+            call.decide();
+        } else {
+            m_waiting_calls.push_back(std::move(call));
+        }
+    }
+}
+
 void node_agent::begin_stop(moment at) {
     m_stopping = true;
     if (m_target && !keyed()) {
--- a/tests/coordination/hold_keeper_test.cpp
+++ b/tests/coordination/hold_keeper_test.cpp
@@ -1,5 +1,7 @@
 #include "peppertack/coordination/hold_keeper.hpp"
 
+#include "held_lease.hpp"
+
 #include "peppertack/state/key_hash.hpp"
 
 #include <doctest/doctest.h>
@@ -125,3 +127,20 @@
     CHECK(waited.length == at_once.length);
     CHECK_FALSE(holds.grant(node.lease, start - 9s, start + 3s).renews);
 }
+
+TEST_CASE("a target without keys expects those that have no owner") {
+    // Symptom: after a loss of power keys were unserved for one heartbeat interval more than it
+    // took to grant them. Sequence: a target's first heartbeat was answered while its service's
+    // keys had no owner yet; they were granted a moment later. Cause: nothing said that any were to
+    // come.
+    peppertack::testing::held_lease node(start);
+    const hold_keeper holds({});
+    const auto with_owner = [&](target_number first, target_number second) {
+        node.set_ranges({{.first = 0, .owner = first},
+                         {.first = ordered_key_hash(100), .owner = second, .token = 6}});
+        return holds.expects_keys(node.client);
+    };
+    CHECK(with_owner(no_target, 8));
+    CHECK_FALSE(with_owner(8, 8));
+    CHECK_FALSE(with_owner(no_target, peppertack::testing::held_lease::own)); // it has some
+}
--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -118,3 +118,33 @@
     CHECK(after.number() == no_target);
     CHECK(!after.lease_valid(start + 5010ms));
 }
+
+TEST_CASE("a node renews more often until its target has a number") {
+    // The first answer to an announcement can't have one; at the usual pace, 200 targets that came
+    // back together from a loss of power were without a lease for a renewal interval longer.
+    node_options options;
+    options.self = "n:1";
+    options.voters = {"v:1"};
+    options.renew_interval = 300ms;
+    lease_client lease(options);
+    const instant start(1000s);
+    lease.announce({.name = "t", .service = "s"}, {start, 0});
+    std::vector<outgoing> sent;
+    const auto tick = [&](instant now) {
+        lease.tick(
+            {now, 0}, [](renew_request &, instant) {}, sent);
+    };
+    const auto last_sequence = [&] { return std::get<renew_request>(sent.back().body).sequence; };
+    tick(start);
+    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true}, {start, 0});
+    tick(start + 110ms);
+    REQUIRE(sent.size() == 2);
+    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true, .number = 7},
+                  {start + 111ms, 0});
+    tick(start + 220ms);
+    REQUIRE(sent.size() == 3);
+    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true, .number = 7},
+                  {start + 221ms, 0});
+    tick(start + 330ms);
+    CHECK(sent.size() == 3);
+}
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -99,3 +99,26 @@
         one.agent.has_target() && !one.agent.refusal({.service = "s"}, start + 5100ms);
     CHECK(!given_work);
 }
+
+TEST_CASE("a call of a target waits for the routes, and not for ever") {
+    // Symptom: after a loss of power targets were taken in a heartbeat interval later than their
+    // nodes knew the routes. Cause: their first call was refused at once.
+    agent_with_leader one(one_node());
+    const instant start(1000s);
+    one.agent.tick({start, 0});
+    int decided = 0;
+    one.agent.when_routes_known(start, [&] { ++decided; });
+    one.agent.tick({start + 100ms, 0});
+    CHECK(decided == 0);
+    SUBCASE("the routes come") {
+        one.answer(start + 200ms, {}, {.version = 4});
+        one.agent.tick({start + 210ms, 0});
+        CHECK(decided == 1);
+    }
+    SUBCASE("they don't") {
+        one.agent.tick({start + 900ms, 0});
+        CHECK(decided == 1);
+    }
+    one.agent.tick({start + 2s, 0});
+    CHECK(decided == 1);
+}
