--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,9 +16,11 @@
 /// watches callers and targets. Yields whether nothing was violated.
 class soak_run {
 public:
-    soak_run(const std::string &programs, std::uint64_t seed, bool signals_only)
-        : m_random(seed), m_signals_only(signals_only),
-          m_cluster({.programs = programs, .voters = 3, .losses = 1, .seed = seed}) {}
+    /// What is disturbed, and how targets get their keys.
+    enum class mode : std::uint8_t { all, signals_only, hold_calls };
+
+    soak_run(const std::string &programs, std::uint64_t seed, mode what)
+        : m_random(seed), m_mode(what), m_cluster(cluster_options(programs, seed, what)) {}
 
     bool play(int steps) {
         if (!m_cluster.configure(1, 0) || !m_cluster.serves()) {
@@ -46,6 +48,17 @@
     }
 
 private:
+    static platform_cluster::options cluster_options(const std::string &programs,
+                                                     std::uint64_t seed, mode what) {
+        platform_cluster::options result{
+            .programs = programs, .voters = 3, .losses = 1, .seed = seed};
+        if (what == mode::hold_calls) {
+            result.heartbeat_s = 0.5; // holds are as long as a few heartbeats
+            result.grants = "rpc";
+        }
+        return result;
+    }
+
     std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
 
     void send_for(duration time) {
@@ -85,12 +98,16 @@
             disturbance{"target started again under its name", &soak_run::restart_target},
             disturbance{"target started again twice", &soak_run::restart_target_twice},
         };
-        if (m_signals_only || draw(4) != 0) {
+        if (m_mode == mode::signals_only || draw(4) != 0) {
             mend();
         }
         m_node = draw(m_cluster.nodes());
         m_voter = draw(3);
-        const disturbance &kind = kinds.at(draw(m_signals_only ? signals : kinds.size()));
+        if (m_mode == mode::hold_calls && draw(3) == 0) {
+            disturb_hold_calls();
+        }
+        const bool few = m_mode == mode::signals_only;
+        const disturbance &kind = kinds.at(draw(few ? signals : kinds.size()));
         std::cout << kind.name << ", node " << m_node << " voter " << m_voter << "\n";
         (this->*kind.begin)();
     }
@@ -171,9 +188,19 @@
         m_cluster.node_links(m_node).reset_all();
         m_cluster.target_links(m_node).reset_all();
     }
+    /// Calls of a target are carried out late, and all of its answers to them are lost.
+    void disturb_hold_calls() {
+        hold_call_faults faults;
+        faults.lose_answers = draw(2) == 0;
+        faults.late = std::chrono::milliseconds(faults.lose_answers ? 0 : 200 + draw(2000));
+        std::cout << "hold calls disturbed, node " << m_node << "\n";
+        m_cluster.target(m_node).set_hold_call_faults(faults);
+    }
     void disturb_links(fault_proxy::fault kind) {
+        // Between a node and its target there is no network, on which calls of holds rely.
+        const bool both = m_mode != mode::hold_calls;
         fault_proxy &links =
-            draw(2) == 0 ? m_cluster.node_links(m_node) : m_cluster.target_links(m_node);
+            both && draw(2) != 0 ? m_cluster.target_links(m_node) : m_cluster.node_links(m_node);
         links.set_fault(kind);
     }
 
@@ -181,6 +208,7 @@
         for (std::size_t i = 0; i < m_cluster.nodes(); ++i) {
             m_cluster.node_links(i).set_fault(fault_proxy::fault::none);
             m_cluster.target_links(i).set_fault(fault_proxy::fault::none);
+            m_cluster.target(i).set_hold_call_faults({});
         }
         if (m_down_node) {
             m_cluster.end_node(*m_down_node); // one that is still stopping has had its time
@@ -226,7 +254,7 @@
     static constexpr std::size_t signals = 8; ///< disturbances before those of links
 
     std::mt19937_64 m_random;
-    bool m_signals_only;
+    mode m_mode;
     platform_cluster m_cluster;
     std::uint64_t m_version = 1;
     bool m_sound = true;
@@ -241,21 +269,25 @@
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals]: plays seeds and names those that failed. With
-/// `signals` the links are left alone, and seeds mean what they meant before these were disturbed.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls]: plays seeds and names those that
+/// failed. With `signals` the links are left alone, and seeds mean what they meant before these
+/// were disturbed; with `calls` targets get their keys by calls, which go wrong.
 int main(int count, char **words) {
     if (count < 4) {
-        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals]\n";
+        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
     const std::uint64_t runs = std::stoull(words[3]);
     const int steps = count > 4 ? std::stoi(words[4]) : 8;
-    const bool signals_only = count > 5 && words[5] == std::string("signals");
+    const std::string chosen = count > 5 ? words[5] : "";
+    const soak_run::mode what = chosen == "signals" ? soak_run::mode::signals_only
+                                : chosen == "calls" ? soak_run::mode::hold_calls
+                                                    : soak_run::mode::all;
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        const bool good = soak_run(words[1], seed, signals_only).play(steps);
+        const bool good = soak_run(words[1], seed, what).play(steps);
         failed += good ? 0 : 1;
         std::cout << "seed " << seed << (good ? " passed" : " FAILED") << std::endl;
     }
