--- a/tests/platform/hold_calls_test.cpp
+++ b/tests/platform/hold_calls_test.cpp
@@ -1,6 +1,6 @@
+#include "cluster_checks.hpp"
 #include "hold_call_codec.hpp"
 #include "names.hpp"
-#include "platform_cluster.hpp"
 #include "wall_clock.hpp"
 
 #include <algorithm>
@@ -18,13 +18,6 @@
     return {.programs = PEPPERTACK_PROGRAMS, .heartbeat_s = 0.5, .grants = "rpc"};
 }
 
-void check_all(platform_cluster &in) {
-    in.check_requests();
-    for (const std::string &what : in.violations()) {
-        FAIL_CHECK(what);
-    }
-}
-
 const hold_call grant{.id = 1, .what = hold_call::kind::grant, .span = {4096, 8191, 12, "5c0e"}};
 const hold_call release{.id = 2, .what = hold_call::kind::release, .span = {4096, 8191, 12, ""}};
 
@@ -124,13 +117,7 @@
     for (std::uint32_t key = 0; key < 65536; key += 4096) {
         sent.push_back(cluster.send(1, true, false, key));
     }
-    REQUIRE(cluster.run_until([&] {
-        return std::all_of(sent.begin(), sent.end(),
-                           [](const auto &attempt) { return attempt->status != 0; });
-    }));
-    for (const auto &attempt : sent) {
-        CHECK(attempt->status == 200);
-    }
+    check_all_served(cluster, sent);
     check_all(cluster);
 }
 
--- a/tests/platform/rebirth_test.cpp
+++ b/tests/platform/rebirth_test.cpp
@@ -1,4 +1,4 @@
-#include "platform_cluster.hpp"
+#include "cluster_checks.hpp"
 
 #include <doctest/doctest.h>
 
@@ -36,13 +36,6 @@
     cluster.target_links(place).refuse(false);
 }
 
-void check_all(platform_cluster &cluster) {
-    cluster.check_requests();
-    for (const std::string &what : cluster.violations()) {
-        FAIL_CHECK(what);
-    }
-}
-
 /// Whether the target serves what it holds.
 bool serves_own_keys(platform_cluster &cluster, std::size_t place) {
     return cluster.run_until(
--- a/tests/platform/whole_path_test.cpp
+++ b/tests/platform/whole_path_test.cpp
@@ -1,4 +1,4 @@
-#include "platform_cluster.hpp"
+#include "cluster_checks.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -14,13 +14,6 @@
     return {.programs = PEPPERTACK_PROGRAMS, .voters = voters, .losses = losses};
 }
 
-void check_all(platform_cluster &in) {
-    in.check_requests();
-    for (const std::string &what : in.violations()) {
-        FAIL_CHECK(what);
-    }
-}
-
 } // namespace
 
 TEST_CASE("requests with and without keys are served from the first configuration on") {
@@ -135,12 +128,6 @@
     for (std::size_t i = 0; i < 40; ++i) {
         sent.push_back(cluster.send(i % cluster.nodes(), false, true, 0, body));
     }
-    REQUIRE(cluster.run_until([&] {
-        return std::all_of(sent.begin(), sent.end(),
-                           [](const auto &attempt) { return attempt->status != 0; });
-    }));
-    for (const auto &attempt : sent) {
-        CHECK(attempt->status == 200);
-    }
+    check_all_served(cluster, sent);
     check_all(cluster);
 }
