--- a/src/coordination/hold_caller.cpp
+++ b/src/coordination/hold_caller.cpp
@@ -114,7 +114,7 @@
 }
 
 hold_call hold_caller::begin(hold_call::kind what, const held_span &span, instant now) {
-    const hold_call call{.id = ++m_last_id, .what = what, .span = span};
+    hold_call call{.id = ++m_last_id, .what = what, .span = span};
     m_in_flight[call.id] = {.call = call, .begun = now};
     return call;
 }
