--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -171,6 +171,7 @@
     bool keyed() const;
     /// How the local target is handed its keys; nothing if it takes none.
     std::optional<hold_delivery> delivery() const;
+    void tell_delivery(hold_delivery way);
     hold_keeper::key_state state_of(std::uint32_t key, instant now) const;
     /// When the last hold given has ended for sure.
     instant may_hold_until() const;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -531,13 +531,21 @@
     return error_kind::not_owner;
 }
 
+/// The table decides how keys are handed over; that the settings expect another way is told once.
+void node_agent::tell_delivery(hold_delivery way) {
+    m_delivery_told = way;
+    if (way == hold_delivery::unknown) {
+        log_event(log_level::error, "hold_delivery_unknown", {{"service", m_target->service}});
+    } else if (way != m_options.expected_delivery) {
+        log_event(log_level::warning, "hold_delivery_unexpected",
+                  {{"service", m_target->service}, {"by_call", way == hold_delivery::by_call}});
+    }
+}
+
 std::vector<hold_call> node_agent::due_hold_calls(instant now) {
     const auto way = delivery();
-    if (way != m_delivery_told) {
-        m_delivery_told = way;
-        if (way == hold_delivery::unknown) {
-            log_event(log_level::error, "hold_delivery_unknown", {{"service", m_target->service}});
-        }
+    if (way && way != m_delivery_told) {
+        tell_delivery(*way);
     }
     if (way != hold_delivery::by_call || m_options.hold_format == nullptr) {
         return {};
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -39,6 +39,24 @@
 
 } // namespace
 
+TEST_CASE("each service says how its keys are handed over") {
+    const auto delivery_with = [](const nlohmann::json &word) {
+        nlohmann::json config = sample_config();
+        config["services"]["keyed"]["grants"] = word;
+        sheet_problem problem;
+        const auto sheet = sheet_of(config, problem);
+        REQUIRE_MESSAGE(sheet, problem.reason);
+        // What is not understood is read back all the same.
+        CHECK(nlohmann::json::parse(config_text(*sheet))["services"] == config["services"]);
+        CHECK(sheet->services.at("plain").delivery == hold_delivery::by_heartbeat);
+        return sheet->services.at("keyed").delivery;
+    };
+    CHECK(delivery_with("heartbeat") == hold_delivery::by_heartbeat);
+    CHECK(delivery_with("rpc") == hold_delivery::by_call);
+    CHECK(delivery_with("carrier-pigeon") == hold_delivery::unknown);
+    CHECK(delivery_with(7) == hold_delivery::unknown);
+}
+
 TEST_CASE("a configuration becomes a routing sheet, and is read back as it was written") {
     sheet_problem problem;
     const auto sheet = sheet_of(sample_config(), problem);
--- a/tests/state/sheet_delta_test.cpp
+++ b/tests/state/sheet_delta_test.cpp
@@ -14,7 +14,12 @@
     routing_sheet sheet{.version = version};
     for (const std::string name : {"a", "b", "c"}) {
         if (random() % 3 != 0) {
-            sheet.services[name] = {.name = name, .keyed = random() % 2 == 0, .source = "{}"};
+            const bool by_call = random() % 2 == 0;
+            sheet.services[name] = {.name = name,
+                                    .keyed = random() % 2 == 0,
+                                    .delivery = by_call ? hold_delivery::by_call
+                                                        : hold_delivery::by_heartbeat,
+                                    .source = "{}"};
         }
     }
     for (const std::string name : {"1", "2", "3", "4", "5", "6"}) {
@@ -71,6 +76,7 @@
     REQUIRE_MESSAGE(sheet, reason);
     CHECK(sheet->version == 3);
     CHECK(sheet->services.at("a").keyed);
+    CHECK(sheet->services.at("a").delivery == hold_delivery::by_heartbeat); // the one way then
     CHECK(sheet->limits.body_bytes == 2);
 }
 
