--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "peppertack/coordination/ended_lives.hpp"
 #include "peppertack/coordination/hold_caller.hpp"
 #include "peppertack/coordination/hold_keeper.hpp"
+#include "peppertack/coordination/key_load_counter.hpp"
 #include "peppertack/coordination/lease_client.hpp"
 #include "peppertack/coordination/target_life.hpp"
 #include "peppertack/coordination/work_queue.hpp"
 #include "peppertack/protocol/hop_header.hpp"
 #include "peppertack/transport/traffic/traffic_options.hpp"
 
-#include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -104,7 +104,7 @@
     std::optional<error_kind> refusal(const hop_request &request, instant now) const;
     work_queue &queue() { return m_queue; }
     target_load load() const;
-    void count_request(std::uint32_t key);
+    void count_request(std::uint32_t key) { m_key_loads.count(key); }
 
     // ---- keys that the target takes by calls ----
     /// Calls to make now. Where there are any there is a target, to which they go.
@@ -136,12 +136,6 @@
     }
 
 private:
-    /// A life that is known to have ended.
-    struct ended_life {
-        target_life life;
-        instant at{};
-    };
-
     /// A call that waits for the routes.
     struct waiting_call {
         instant until{};
@@ -151,8 +145,6 @@
     void decide_waiting(instant now, bool all);
     void adopt(const target_heartbeat &beat, moment at);
     void leave(moment at);
-    void note_ended(const target_life &life, instant now);
-    bool has_ended(const target_life &life, instant now) const;
     bool lives_told_apart(const std::string &name) const;
     void answer_heartbeat_if_due(instant now);
     void answer_heartbeat(instant now);
@@ -161,13 +153,11 @@
     void look_for_target();
     void assume_target(const std::string &name, moment at);
     void note_farewell(const target_life &life, instant now);
-    bool has_left(const std::string &name, instant now) const;
     void drop_target(const char *why, bool ended, moment at);
     void announce(moment at);
     void follow(const lease_client::change &changed);
     void fill_report(renew_request &request, instant now);
     std::uint32_t measured_capacity();
-    range_load load_of(const lease_client::own_range &range, double seconds) const;
     bool keyed() const;
     /// How the local target is handed its keys; nothing if it takes none.
     std::optional<hold_delivery> delivery() const;
@@ -188,15 +178,15 @@
     std::function<void(const std::string &)> m_on_target_gone;
     std::optional<target_heartbeat> m_target;
     instant m_beat_at{};
-    instant m_draining_since{};     ///< zero while the target is not leaving
-    bool m_left = false;            ///< it says nothing more
-    std::deque<ended_life> m_ended; ///< the latest is the last
-    instant m_reborn_at{};          ///< when a new life followed under the name of the old one
-    std::string m_probing;          ///< name that is being checked
-    bool m_looked = false;          ///< for a target that was here before this process
-    bool m_assumed = false;         ///< known from the map, not by a heartbeat, nor in which life
+    instant m_draining_since{}; ///< zero while the target is not leaving
+    bool m_left = false;        ///< it says nothing more
+    ended_lives m_ended;
+    instant m_reborn_at{};  ///< when a new life followed under the name of the old one
+    std::string m_probing;  ///< name that is being checked
+    bool m_looked = false;  ///< for a target that was here before this process
+    bool m_assumed = false; ///< known from the map, not by a heartbeat, nor in which life
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
-    std::map<std::uint32_t, std::uint32_t> m_key_requests; ///< by key, since the last report
+    key_load_counter m_key_loads;
     instant m_loads_at{};
     std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
     std::vector<waiting_call> m_waiting_calls;
--- /dev/null
+++ b/src/coordination/key_load_counter.cpp
@@ -0,0 +1,67 @@
+#include "peppertack/coordination/key_load_counter.hpp"
+
+#include "peppertack/coordination/load_cuts.hpp"
+#include "peppertack/state/key_hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::size_t most_hot_keys = 8;
+/// A part of a range that is cut is at most one part in so many of what a target can do: small
+/// enough to fit into the room that targets have, large enough to keep ranges few.
+constexpr double parts_of_capacity = 10;
+constexpr std::size_t most_cuts = 31; ///< of one range in one report
+
+std::uint32_t a_second(std::uint64_t requests, double seconds) {
+    return static_cast<std::uint32_t>(static_cast<double>(requests) / seconds);
+}
+
+} // namespace
+
+void key_load_counter::report(renew_request &request,
+                              const std::vector<lease_client::own_range> &ranges, double capacity,
+                              double seconds) {
+    for (const lease_client::own_range &range : ranges) {
+        request.loads.push_back(load_of(range, capacity, seconds));
+    }
+    request.hot_keys = busiest(seconds);
+    clear();
+}
+
+range_load key_load_counter::load_of(const lease_client::own_range &range, double capacity,
+                                     double seconds) const {
+    const auto begin = m_requests.lower_bound(ordered_key_at(range.record.first));
+    const auto end = m_requests.upper_bound(ordered_key_at(range.last));
+    std::uint64_t total = 0;
+    std::vector<key_load> keys;
+    for (auto place = begin; place != end; ++place) {
+        total += place->second;
+        keys.push_back({place->first, place->second});
+    }
+    range_load load{.first = range.record.first, .requests = a_second(total, seconds)};
+    const auto part = static_cast<std::uint64_t>(capacity * seconds / parts_of_capacity) + 1;
+    for (const std::uint32_t key : load_cuts(keys, part, most_cuts)) {
+        load.cuts.push_back(ordered_key_hash(key));
+    }
+    return load;
+}
+
+std::vector<hot_key> key_load_counter::busiest(double seconds) const {
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> by_count; // requests, key
+    for (const auto &[key, count] : m_requests) {
+        by_count.emplace_back(count, key);
+    }
+    std::sort(by_count.rbegin(), by_count.rend());
+    by_count.resize(std::min(by_count.size(), most_hot_keys));
+    std::vector<hot_key> result;
+    for (const auto &[count, key] : by_count) {
+        result.push_back({ordered_key_hash(key), a_second(count, seconds)});
+    }
+    return result;
+}
+
+} // namespace peppertack
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -1,7 +1,6 @@
 #include "peppertack/transport/traffic/node_agent.hpp"
 
 #include "../wall_clock.hpp"
-#include "peppertack/coordination/load_cuts.hpp"
 #include "peppertack/state/key_hash.hpp"
 #include "peppertack/transport/json_log.hpp"
 
@@ -29,15 +28,6 @@
 constexpr duration keys_wait_over_interval = std::chrono::milliseconds(300);
 /// Counts over a longer time than this are no present load.
 constexpr double longest_load_interval = 5;
-constexpr std::size_t most_hot_keys = 8;
-/// A part of a range that is cut is at most one part in so many of what a target can do: small
-/// enough to fit into the room that targets have, large enough to keep ranges few.
-constexpr double parts_of_capacity = 10;
-constexpr std::size_t most_cuts = 31; ///< of one range in one report
-constexpr std::size_t most_ended_lives = 64;
-/// Calls come seconds late, not minutes. A life that still reports so much later has not ended: a
-/// refused connection was its node's or its kernel's fault, and it would be shut out for good.
-constexpr duration ended_life_memory = std::chrono::seconds(30);
 /// An attempt to connect that is refused so soon after a new life was found may have been made at
 /// the old one: attempts are given up after 150 ms.
 constexpr duration refusal_in_flight = std::chrono::milliseconds(200);
@@ -100,7 +90,7 @@
         return item.second.name == name && item.second.address == m_options.node.self &&
                item.second.phase == target_phase::serving;
     });
-    if (m_target || m_stopping || known == targets.end() || has_left(name, at.now)) {
+    if (m_target || m_stopping || known == targets.end() || m_ended.has_left(name, at.now)) {
         return;
     }
     log_event(log_level::info, "target_assumed", {{"target", name}});
@@ -288,7 +278,7 @@
 
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
-    if (judge(beat, at.now) != call_fault::none || has_ended(beat.life(), at.now)) {
+    if (judge(beat, at.now) != call_fault::none || m_ended.has_ended(beat.life(), at.now)) {
         return false;
     }
     if (m_target && m_target->name != beat.name) {
@@ -363,11 +353,11 @@
                {"cause", why},
                {"in_flight", m_queue.in_flight()}});
     if (ended && !m_assumed) {
-        note_ended(m_target->life(), at.now);
+        m_ended.note(m_target->life(), at.now);
     }
     const std::string address = m_target->address;
     m_target.reset();
-    m_key_requests.clear();
+    m_key_loads.clear();
     if (m_unanswered) {
         std::exchange(m_unanswered, nullptr)({}); // what is granted from now on is another's
     }
@@ -382,33 +372,16 @@
     }
 }
 
-void node_agent::note_ended(const target_life &life, instant now) {
-    m_ended.push_back({life, now});
-    if (m_ended.size() > most_ended_lives) {
-        m_ended.pop_front();
-    }
-}
-
-/// A life that tells no start has a name of its own, which is never used again.
-bool node_agent::has_ended(const target_life &life, instant now) const {
-    return std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
-        return ended.life == life && (!life.born || now < ended.at + ended_life_memory);
-    });
-}
-
 bool node_agent::lives_told_apart(const std::string &name) const {
-    const bool present = m_target && m_target->name == name;
-    return (present && m_target->born) ||
-           std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
-               return ended.life.name == name && ended.life.born;
-           });
+    const bool present = m_target && m_target->name == name && m_target->born;
+    return present || m_ended.told_start(name);
 }
 
 call_fault node_agent::judge(const target_life &life, instant now) const {
     if (!life.born) {
         return lives_told_apart(life.name) ? call_fault::born_missing : call_fault::none;
     }
-    if (has_ended(life, now)) {
+    if (m_ended.has_ended(life, now)) {
         return call_fault::ended_life;
     }
     const bool earlier = m_target && m_target->name == life.name && life.born < m_target->born;
@@ -455,15 +428,7 @@
 /// it up later, by the map, would give it work after its farewell was acknowledged.
 void node_agent::note_farewell(const target_life &life, instant now) {
     log_event(log_level::info, "target_leaves", {{"target", life.name}, {"known", false}});
-    note_ended(life, now);
-}
-
-/// Whether a life of this name, whichever, ended or said that it leaves a short while ago.
-bool node_agent::has_left(const std::string &name, instant now) const {
-    return std::any_of(m_ended.begin(), m_ended.end(), [&](const ended_life &ended) {
-        const bool fresh = !ended.life.born || now < ended.at + ended_life_memory;
-        return ended.life.name == name && fresh;
-    });
+    m_ended.note(life, now);
 }
 
 /// Precondition: there is a target.
@@ -577,10 +542,6 @@
             .service_time = m_queue.mean_service_time()};
 }
 
-void node_agent::count_request(std::uint32_t key) {
-    ++m_key_requests[key];
-}
-
 /// What the target can do by the times it takes; nothing while it is cold, or did too little to
 /// tell.
 std::uint32_t node_agent::measured_capacity() {
@@ -593,27 +554,6 @@
     return static_cast<std::uint32_t>(m_queue.limit() / std::max(seconds, 0.0001));
 }
 
-/// Load of one range from the counts of its keys, as requests a second.
-range_load node_agent::load_of(const lease_client::own_range &range, double seconds) const {
-    const auto begin = m_key_requests.lower_bound(ordered_key_at(range.record.first));
-    const auto end = m_key_requests.upper_bound(ordered_key_at(range.last));
-    std::uint64_t total = 0;
-    std::vector<key_load> keys;
-    for (auto place = begin; place != end; ++place) {
-        total += place->second;
-        keys.push_back({place->first, place->second});
-    }
-    range_load load{.first = range.record.first};
-    load.requests = static_cast<std::uint32_t>(static_cast<double>(total) / seconds);
-    const double usual =
-        m_queue.limit() / std::chrono::duration<double>(m_queue.mean_service_time()).count();
-    const auto part = static_cast<std::uint64_t>(usual * seconds / parts_of_capacity) + 1;
-    for (const std::uint32_t key : load_cuts(keys, part, most_cuts)) {
-        load.cuts.push_back(ordered_key_hash(key));
-    }
-    return load;
-}
-
 /// Loads go out once an interval; releases with each renewal until the map shows that they are
 /// known.
 void node_agent::fill_report(renew_request &request, instant now) {
@@ -625,23 +565,11 @@
         std::chrono::duration<double>(now - std::exchange(m_loads_at, now)).count();
     request.capacity = measured_capacity();
     if (seconds > longest_load_interval) {
-        m_key_requests.clear(); // counted before the target was registered
+        m_key_loads.clear(); // counted before the target was registered
         return;
     }
-    for (const lease_client::own_range &range : m_lease.own_ranges()) {
-        request.loads.push_back(load_of(range, seconds));
-    }
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> busiest; // requests, key
-    for (const auto &[key, count] : m_key_requests) {
-        busiest.emplace_back(count, key);
-    }
-    std::sort(busiest.rbegin(), busiest.rend());
-    busiest.resize(std::min(busiest.size(), most_hot_keys));
-    for (const auto &[count, key] : busiest) {
-        const auto rate = static_cast<std::uint32_t>(static_cast<double>(count) / seconds);
-        request.hot_keys.push_back({ordered_key_hash(key), rate});
-    }
-    m_key_requests.clear();
+    const double service_time = std::chrono::duration<double>(m_queue.mean_service_time()).count();
+    m_key_loads.report(request, m_lease.own_ranges(), m_queue.limit() / service_time, seconds);
 }
 
 } // namespace peppertack
