--- a/include/peppertack/transport/request_log.hpp
+++ b/include/peppertack/transport/request_log.hpp
@@ -23,12 +23,15 @@
 
     /// One decision about a request.
     void note(const char *event, const nlohmann::json &fields, instant now);
+    /// Decisions so far, told or left out.
+    std::uint64_t noted() const { return m_noted; }
     std::uint64_t left_out() const { return m_left_out_total; }
 
 private:
     options m_options;
     double m_budget;
     instant m_at{};
+    std::uint64_t m_noted = 0;
     std::uint64_t m_left_out = 0; ///< since the last line
     std::uint64_t m_left_out_total = 0;
 };
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -8,6 +8,7 @@
 namespace peppertack {
 
 void request_log::note(const char *event, const nlohmann::json &fields, instant now) {
+    ++m_noted;
     const double passed = std::chrono::duration<double>(now - m_at).count();
     m_budget =
         std::min(m_options.burst, m_budget + std::max(0.0, passed) * m_options.lines_a_second);
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -164,6 +164,7 @@
         return;
     }
     m_host.metrics().note_cancelled();
+    log_end(answer_for(error_kind::cancelled).status, error_kind::cancelled, steady_instant());
     done();
 }
 
--- a/tests/transport/misdirected_request_test.cpp
+++ b/tests/transport/misdirected_request_test.cpp
@@ -178,6 +178,19 @@
         return call(m_caller_address, std::move(headers));
     }
 
+    /// Makes a request as a caller does, and leaves once the neighbour has it.
+    void ask_and_leave(const std::string &service) {
+        http_head head;
+        head.method = "GET";
+        head.target = "/";
+        head.headers = {{"Host", service}};
+        const auto answer = std::make_shared<seen_answer>();
+        const auto open = m_pool.start(m_caller_address, head, answer, true);
+        open->request_done();
+        REQUIRE(run_until([&] { return neighbour_asked > 0; }));
+        open->cancel();
+    }
+
     /// Makes a request as another node does.
     http_head forward(std::vector<header_field> headers) {
         headers.push_back({"Host", plain});
@@ -386,3 +399,15 @@
     CHECK(node.neighbour_asked == 1);
     CHECK(node.host().selector().ejected(neighbour_number, test_moment().now));
 }
+
+TEST_CASE("a request whose caller left has a line in the log") {
+    // Symptom: of requests that callers gave up at their deadline no log told anything; on a day
+    // with a third of the nodes stopped there were 513. Cause: the end of such a request was
+    // counted, and not told.
+    node_under_test node;
+    node.know_neighbour();
+    node.neighbour_refuses = error_kind::none;
+    const std::uint64_t before = node.host().log().noted();
+    node.ask_and_leave(plain);
+    CHECK(node.run_until([&] { return node.host().log().noted() == before + 1; }));
+}
