Tests of holds and leases share their fixtures; lost answers with short holds too

Cause: the fixture of a lease stood twice, a write with its end eight times, the first configuration with its wait in nearly each platform test. Change: held_lease, carry_out, asking_node and bring_up; no check left out or eased.

--- a/tests/coordination/hold_caller_test.cpp
+++ b/tests/coordination/hold_caller_test.cpp
@@ -30,14 +30,30 @@
         lease.renew(now);
         return caller.due(lease.client, now, now);
     }
+    /// The only call that is due.
+    hold_call only_due(instant now) {
+        const std::vector<hold_call> calls = due(now);
+        REQUIRE(calls.size() == 1);
+        return calls[0];
+    }
+    /// Writes a call, which ends at `ended`.
+    void carry_out(const hold_call &call, instant written, const hold_call_end &how,
+                   instant ended) {
+        REQUIRE(caller.write(call.id, lease.client, written));
+        caller.end(call.id, how, ended);
+    }
     /// Grants all that is due, each call answered at once.
     void grant_all(instant now) {
         for (std::vector<hold_call> calls = due(now); !calls.empty(); calls = due(now)) {
             REQUIRE(calls.size() == 1);
-            REQUIRE(caller.write(calls[0].id, lease.client, now));
-            caller.end(calls[0].id, done, now);
+            carry_out(calls[0], now, done, now);
         }
     }
+    /// Grants all, then lets the first range move.
+    void grant_and_move(instant granted) {
+        grant_all(granted);
+        lease.set_ranges(ranges(other));
+    }
 
     held_lease lease;
     hold_keeper keeper{{}};
@@ -96,8 +112,7 @@
 
 TEST_CASE("a range that moves is released by a call, and its handover goes on") {
     caller_fixture node;
-    node.grant_all(start);
-    node.lease.set_ranges(caller_fixture::ranges(other));
+    node.grant_and_move(start);
     const auto calls = node.due(start + 10ms);
     REQUIRE(calls.size() == 1);
     CHECK(calls[0].what == hold_call::kind::release);
@@ -134,8 +149,7 @@
     node.lease.set_ranges(caller_fixture::ranges(other));
     const auto calls = node.due(given_up + 1ms);
     REQUIRE(calls.at(0).what == hold_call::kind::release);
-    REQUIRE(node.caller.write(calls[0].id, node.lease.client, given_up + 1ms));
-    node.caller.end(calls[0].id, done, given_up + 2ms);
+    node.carry_out(calls[0], given_up + 1ms, done, given_up + 2ms);
     const instant ends = given_up + node.keeper.longest(*length);
     (void)node.due(ends - 1ms);
     CHECK(node.lease.released(node.keeper).empty());
@@ -145,11 +159,9 @@
 
 TEST_CASE("a release without an answer is made again and proves nothing") {
     caller_fixture node;
-    node.grant_all(start);
-    node.lease.set_ranges(caller_fixture::ranges(other));
+    node.grant_and_move(start);
     const auto first = node.due(start + 10ms);
-    REQUIRE(node.caller.write(first.at(0).id, node.lease.client, start + 10ms));
-    node.caller.end(first[0].id, lost, start + 20ms);
+    node.carry_out(first.at(0), start + 10ms, lost, start + 20ms);
     CHECK(node.due(start + 30ms).empty());
     CHECK(node.lease.released(node.keeper).empty());
     const auto again = node.due(start + 80ms);
@@ -163,8 +175,7 @@
     // refused for ever.
     caller_fixture node;
     const auto calls = node.due(start);
-    REQUIRE(node.caller.write(calls.at(0).id, node.lease.client, start));
-    node.caller.end(calls[0].id, {.result = hold_call_end::kind::token_refused}, start + 1ms);
+    node.carry_out(calls.at(0), start, {.result = hold_call_end::kind::token_refused}, start + 1ms);
     for (const duration later : {2ms, 100ms, 1000ms}) {
         for (const hold_call &call : node.due(start + later)) {
             CHECK(call.span.token != 5);
@@ -210,8 +221,7 @@
     node.grant_all(start);
     node.lease.renew(start + 450ms);
     const auto calls = node.caller.due(node.lease.client, start, start + 450ms);
-    REQUIRE(node.caller.write(calls.at(0).id, node.lease.client, start + 450ms));
-    node.caller.end(calls[0].id, lost, start + 700ms);
+    node.carry_out(calls.at(0), start + 450ms, lost, start + 700ms);
     node.lease.renew(start + 1100ms);
     CHECK(node.caller.due(node.lease.client, start, start + 1100ms).empty());
     CHECK_FALSE(node.caller.due(node.lease.client, start + 1100ms, start + 1100ms).empty());
@@ -226,8 +236,7 @@
     CHECK(node.caller.holds(500, start + 100ms));
     const auto again = node.due(start + 160ms);
     REQUIRE(again.size() == 1);
-    REQUIRE(node.caller.write(again[0].id, node.lease.client, start + 160ms));
-    node.caller.end(again[0].id, done, start + 161ms);
+    node.carry_out(again[0], start + 160ms, done, start + 161ms);
     CHECK(node.caller.holds(50, start + 161ms));
 }
 
@@ -235,11 +244,9 @@
     // Symptom: two owners. Sequence: a range was released, its move called off, the range granted
     // again, and moved once more; the report of the first release was sent for the second move.
     caller_fixture node;
-    node.grant_all(start);
-    node.lease.set_ranges(caller_fixture::ranges(other));
+    node.grant_and_move(start);
     const auto calls = node.due(start + 10ms);
-    REQUIRE(node.caller.write(calls.at(0).id, node.lease.client, start + 10ms));
-    node.caller.end(calls[0].id, done, start + 11ms);
+    node.carry_out(calls.at(0), start + 10ms, done, start + 11ms);
     (void)node.due(start + 11ms);
     REQUIRE(node.lease.released(node.keeper).size() == 1);
     node.lease.set_ranges(caller_fixture::ranges());
--- a/tests/coordination/hold_keeper_test.cpp
+++ b/tests/coordination/hold_keeper_test.cpp
@@ -1,12 +1,12 @@
 #include "peppertack/coordination/hold_keeper.hpp"
 
 #include "held_lease.hpp"
-
 #include "peppertack/state/key_hash.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace peppertack;
+using namespace peppertack::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -15,47 +15,12 @@
 
 /// A node's lease with keys 0 to 99 under token 5 and 100 to the last under token 6, of which the
 /// second may be on its way to another target.
-struct lease_fixture {
-    explicit lease_fixture(target_number next = no_target) : lease(options()) {
-        lease.announce({.name = "t", .service = "s"}, {start, 0});
-        std::vector<outgoing> sent;
-        lease.tick(
-            {start, 0}, [](renew_request &, instant) {}, sent);
-        renew_reply reply{.sequence = std::get<renew_request>(sent.back().body).sequence,
-                          .is_leader = true,
-                          .number = 7,
-                          .lease = 2s};
-        reply.map = {.from = 0, .to = 1, .as_of = 1};
-        reply.map.targets = {{.number = 7, .name = "t", .service = "s"}};
-        reply.map.services = {
-            {.service = "s",
-             .whole = true,
-             .ranges = {{.first = 0, .owner = 7, .token = 5, .handover = "from-before"},
-                        {.first = ordered_key_hash(100), .owner = 7, .token = 6, .next = next}}}};
-        lease.receive("v:1", reply, {start, 0});
-        // Registered by the first answer; the second one carries the lease.
-        lease.tick(
-            {start + 10ms, 0}, [](renew_request &, instant) {}, sent);
-        const auto sequence = std::get<renew_request>(sent.back().body).sequence;
-        lease.receive("v:1",
-                      renew_reply{.sequence = sequence,
-                                  .is_leader = true,
-                                  .number = 7,
-                                  .lease = 2s,
-                                  .map = {.from = 1, .to = 1}},
-                      {start + 10ms, 0});
-    }
-    static const node_options &options() {
-        static const node_options value = [] {
-            node_options made;
-            made.self = "n:1";
-            made.voters = {"v:1"};
-            made.lease.length = 2s;
-            return made;
-        }();
-        return value;
+struct lease_fixture : held_lease {
+    explicit lease_fixture(target_number next = no_target) : held_lease(start) {
+        set_ranges({{.first = 0, .owner = own, .token = 5, .handover = "from-before"},
+                    {.first = ordered_key_hash(100), .owner = own, .token = 6, .next = next}});
     }
-    lease_client lease;
+    lease_client &lease = client;
 };
 
 const std::uint64_t key_50 = ordered_key_hash(50);
@@ -133,7 +98,7 @@
     // took to grant them. Sequence: a target's first heartbeat was answered while its service's
     // keys had no owner yet; they were granted a moment later. Cause: nothing said that any were to
     // come.
-    peppertack::testing::held_lease node(start);
+    held_lease node(start);
     const hold_keeper holds({});
     const auto with_owner = [&](target_number first, target_number second) {
         node.set_ranges({{.first = 0, .owner = first},
@@ -142,5 +107,5 @@
     };
     CHECK(with_owner(no_target, 8));
     CHECK_FALSE(with_owner(8, 8));
-    CHECK_FALSE(with_owner(no_target, peppertack::testing::held_lease::own)); // it has some
+    CHECK_FALSE(with_owner(no_target, held_lease::own)); // it has some
 }
--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -7,6 +7,30 @@
 using namespace peppertack;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A node and what it has sent.
+class asking_node {
+public:
+    explicit asking_node(node_options settings) : m_options(std::move(settings)) {}
+
+    /// Number of the last renewal once that time has come.
+    std::uint64_t ask(instant now) {
+        lease.tick(
+            {now, 0}, [](renew_request &, instant) {}, sent);
+        return std::get<renew_request>(sent.back().body).sequence;
+    }
+
+private:
+    node_options m_options;
+
+public:
+    lease_client lease{m_options};
+    std::vector<outgoing> sent;
+};
+
+} // namespace
+
 TEST_CASE("a node that found the leader by its address follows the list of voters") {
     // Symptom: nodes went on asking seeds that they were cut from, while a leader they could reach
     // was at work. Sequence: a node asked a seed by its bare address; the answer listed all voters
@@ -35,16 +59,11 @@
     options.self = "n:1";
     options.voters = {"a:1"};
     options.table_trusted_for = 1s;
-    lease_client lease(options);
+    asking_node node(options);
+    lease_client &lease = node.lease;
     const instant start(1000s);
-    std::vector<outgoing> sent;
-    const auto ask = [&](instant now) {
-        lease.tick(
-            {now, 0}, [](renew_request &, instant) {}, sent);
-        return std::get<renew_request>(sent.back().body).sequence;
-    };
     const routing_sheet sheet{.version = 4};
-    renew_reply reply{.sequence = ask(start), .is_leader = true, .routes_version = 4};
+    renew_reply reply{.sequence = node.ask(start), .is_leader = true, .routes_version = 4};
     reply.routes = pack(encode(sheet));
     CHECK(!lease.routes_trusted(start));
     lease.receive("a:1", reply, {start + 400ms, 0});
@@ -53,16 +72,16 @@
     CHECK(!lease.routes_trusted(start + 1s));
 
     // An answer that names a newer version and does not bring it confirms nothing.
-    renew_reply newer{.sequence = ask(start + 600ms), .is_leader = true, .routes_version = 63};
+    renew_reply newer{.sequence = node.ask(start + 600ms), .is_leader = true, .routes_version = 63};
     lease.receive("a:1", newer, {start + 601ms, 0});
     CHECK(!lease.routes_trusted(start + 1s));
 
     // Nor does one of a voter that does not lead.
-    renew_reply other{.sequence = ask(start + 1200ms), .routes_version = 4};
+    renew_reply other{.sequence = node.ask(start + 1200ms), .routes_version = 4};
     lease.receive("a:1", other, {start + 1201ms, 0});
     CHECK(!lease.routes_trusted(start + 1201ms));
 
-    renew_reply same{.sequence = ask(start + 1500ms), .is_leader = true, .routes_version = 4};
+    renew_reply same{.sequence = node.ask(start + 1500ms), .is_leader = true, .routes_version = 4};
     lease.receive("a:1", same, {start + 1501ms, 0});
     CHECK(lease.routes_trusted(start + 1501ms));
 }
@@ -126,25 +145,18 @@
     options.self = "n:1";
     options.voters = {"v:1"};
     options.renew_interval = 300ms;
-    lease_client lease(options);
+    asking_node node(options);
     const instant start(1000s);
-    lease.announce({.name = "t", .service = "s"}, {start, 0});
-    std::vector<outgoing> sent;
-    const auto tick = [&](instant now) {
-        lease.tick(
-            {now, 0}, [](renew_request &, instant) {}, sent);
+    node.lease.announce({.name = "t", .service = "s"}, {start, 0});
+    const auto answer = [&](instant now, target_number number) {
+        const renew_reply reply{.sequence = node.ask(now), .is_leader = true, .number = number};
+        node.lease.receive("v:1", reply, {now + 1ms, 0});
     };
-    const auto last_sequence = [&] { return std::get<renew_request>(sent.back().body).sequence; };
-    tick(start);
-    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true}, {start, 0});
-    tick(start + 110ms);
-    REQUIRE(sent.size() == 2);
-    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true, .number = 7},
-                  {start + 111ms, 0});
-    tick(start + 220ms);
-    REQUIRE(sent.size() == 3);
-    lease.receive("v:1", renew_reply{.sequence = last_sequence(), .is_leader = true, .number = 7},
-                  {start + 221ms, 0});
-    tick(start + 330ms);
-    CHECK(sent.size() == 3);
+    answer(start, no_target);
+    answer(start + 110ms, 7);
+    REQUIRE(node.sent.size() == 2);
+    answer(start + 220ms, 7);
+    REQUIRE(node.sent.size() == 3);
+    node.ask(start + 330ms);
+    CHECK(node.sent.size() == 3);
 }
--- a/tests/platform/cluster_checks.hpp
+++ b/tests/platform/cluster_checks.hpp
@@ -18,6 +18,12 @@
     }
 }
 
+/// Puts the first configuration into force and waits until requests of each kind are served.
+inline void bring_up(platform_cluster &cluster) {
+    REQUIRE(cluster.configure(1, 0));
+    REQUIRE(cluster.serves());
+}
+
 /// Waits until each attempt has an answer, and checks that it is the target's.
 inline void check_all_served(platform_cluster &cluster,
                              const std::vector<std::shared_ptr<caller_attempt>> &sent) {
--- a/tests/platform/hold_calls_test.cpp
+++ b/tests/platform/hold_calls_test.cpp
@@ -64,8 +64,7 @@
 
 TEST_CASE("targets that take their keys by calls are granted them, moved and killed ones too") {
     platform_cluster cluster(by_call());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     REQUIRE(cluster.run_until([&] { return cluster.target(0).grants() > 0; }));
     SUBCASE("a target crashes and another starts") {
         cluster.target(0).crash();
@@ -95,8 +94,7 @@
     // Symptom: two targets ran requests for one key. Sequence: calls to a target were left without
     // an answer; its keys moved to others since it left; it carried the calls out seconds later.
     platform_cluster cluster(by_call());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     cluster.target(0).set_hold_call_faults({.late = 900ms});
     cluster.run_for(1s);
     cluster.target(0).begin_drain();
@@ -108,9 +106,13 @@
 }
 
 TEST_CASE("answers to grants that are lost leave the keys served") {
-    platform_cluster cluster(by_call());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    platform_cluster::options options = by_call();
+    SUBCASE("holds of a second") {}
+    SUBCASE("holds of a third of a second") {
+        options.heartbeat_s = 0.2;
+    }
+    platform_cluster cluster(options);
+    bring_up(cluster);
     cluster.target(0).set_hold_call_faults({.lose_answers = true});
     cluster.run_for(3s);
     std::vector<std::shared_ptr<caller_attempt>> sent;
@@ -123,8 +125,7 @@
 
 TEST_CASE("a target that ends while it is asked for keys back loses nothing") {
     platform_cluster cluster(by_call());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     cluster.target(0).set_hold_call_faults({.crash_on_release = true});
     cluster.target(0).begin_drain();
     CHECK(cluster.run_until([&] { return !cluster.target(0).up(); }));
@@ -134,8 +135,7 @@
 
 TEST_CASE("a target that has seen a higher token gets keys under a new registration") {
     platform_cluster cluster(by_call());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     cluster.target(0).set_hold_call_faults({.seen_token = 1'000'000});
     const std::uint64_t before = cluster.target(0).grants();
     cluster.run_for(3s);
@@ -149,8 +149,7 @@
 
 TEST_CASE("a service changes the way in which its targets get their keys") {
     platform_cluster cluster({.programs = PEPPERTACK_PROGRAMS});
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     REQUIRE(cluster.target(0).grants() == 0);
     cluster.set_grants("rpc");
     REQUIRE(cluster.configure(2, 1));
--- a/tests/platform/rebirth_test.cpp
+++ b/tests/platform/rebirth_test.cpp
@@ -23,8 +23,7 @@
 }
 
 void serve(platform_cluster &cluster) {
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     REQUIRE(cluster.run_until([&] { return holds_keys(cluster, 0); }));
 }
 
--- a/tests/platform/whole_path_test.cpp
+++ b/tests/platform/whole_path_test.cpp
@@ -31,8 +31,7 @@
 
 TEST_CASE("a target that is started again gets its keys back under higher tokens") {
     platform_cluster cluster(small());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     REQUIRE(cluster.run_until([&] { return !cluster.target(0).holds().empty(); }));
     cluster.target(0).crash();
     cluster.run_for(100ms);
@@ -74,8 +73,7 @@
     // sending after the signal to stop; at the end of the grace time the process ended under them.
     // Cause: it took new requests until its last moment.
     platform_cluster cluster(small());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     cluster.signal_node(3, SIGTERM);
     std::vector<std::shared_ptr<caller_attempt>> sent;
     while (!cluster.node_ended(3)) {
@@ -121,8 +119,7 @@
     // Symptom: calls and bookings failed at targets whose link was full of uploads. Cause: all
     // bodies were sent at once. Here two may come at a time, and forty are sent.
     platform_cluster cluster(small());
-    REQUIRE(cluster.configure(1, 0));
-    REQUIRE(cluster.serves());
+    bring_up(cluster);
     const std::string body(60'000, 'x');
     std::vector<std::shared_ptr<caller_attempt>> sent;
     for (std::size_t i = 0; i < 40; ++i) {
