Revert: without known loads narrow ranges count as much as wide ones by half

Cause of the try: a leader that knows no loads gives ranges by width, so that the emptiest target can get all the narrow ranges of a busy neighbourhood.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -188,16 +188,13 @@
         rates[i] = found == view.loads.end() ? 0 : found->second;
         total += rates[i];
     }
-    // Few requests say little about a range, so its width counts until enough were seen, and as
-    // much that it is one: ranges were cut where much was asked for. By width alone a leader that
-    // knows no loads gave the emptiest target all the narrow ranges of a busy neighbourhood.
+    // Few requests say little about a range, so its width counts until enough were seen.
     const double measured = total > 0 ? total / (total + prior_rate) : 0;
     const double space = std::ldexp(1.0, 64);
     std::vector<double> shares(ranges.size());
     for (std::size_t i = 0; i < ranges.size(); ++i) {
         const double width = static_cast<double>(last_hash(ranges, i) - ranges[i].first) / space;
-        const double prior = (width + 1 / static_cast<double>(ranges.size())) / 2;
-        shares[i] = (1 - measured) * prior + (total > 0 ? measured * rates[i] / total : 0);
+        shares[i] = (1 - measured) * width + (total > 0 ? measured * rates[i] / total : 0);
     }
     return shares;
 }
