--- a/src/coordination/key_load_counter.cpp
+++ b/src/coordination/key_load_counter.cpp
@@ -58,6 +58,7 @@
     std::sort(by_count.rbegin(), by_count.rend());
     by_count.resize(std::min(by_count.size(), most_hot_keys));
     std::vector<hot_key> result;
+    result.reserve(by_count.size());
     for (const auto &[count, key] : by_count) {
         result.push_back({ordered_key_hash(key), a_second(count, seconds)});
     }
