Calls of running requests rank one step above what makes them

Change: call_ranks tells routes of calls by who asks for them; rank = one above the least urgent routes of the calling service, never below the call's own. With the equal parts of the queue, service's own requests and calls share.

--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/call_ranks.hpp"
 #include "peppertack/coordination/returning_callers.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
@@ -64,6 +65,8 @@
     request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
     std::mt19937_64 &random() { return m_random; }
+    /// How requests to the local target rank.
+    call_ranks &ranks() { return m_ranks; }
     /// Callers that were refused here and told when to come back.
     returning_callers &returning() { return m_returning; }
     void enter(timed_request *request) { m_requests.insert(request); }
@@ -105,6 +108,7 @@
     request_log m_refused_calls{{.lines_a_second = 10, .burst = 100}};
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
+    call_ranks m_ranks;
     returning_callers m_returning;
     node_agent m_agent;
     hold_call_runner m_hold_calls;
--- /dev/null
+++ b/src/coordination/call_ranks.cpp
@@ -0,0 +1,101 @@
+#include "peppertack/coordination/call_ranks.hpp"
+
+#include <algorithm>
+
+namespace peppertack {
+
+namespace {
+
+/// Counts are halved so often: a table may give a route to callers, or take it from them.
+constexpr std::chrono::seconds fade_interval(5);
+/// Of fewer requests it may be chance that one service sent them all.
+constexpr double least_requests = 20;
+/// Requests of another service than the caller's among those for other routes, at least: where
+/// only one service sends anything here, calls can't be told.
+constexpr double least_others = 0.2;
+/// A route of calls may be asked for now and then to see which table is in force.
+constexpr double most_strays = 0.02;
+
+double total(const std::map<std::string, double> &counts) {
+    double sum = 0;
+    for (const auto &[service, count] : counts) {
+        sum += count;
+    }
+    return sum;
+}
+
+double count_of(const std::map<std::string, double> &counts, const std::string &service) {
+    const auto found = counts.find(service);
+    return found == counts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void call_ranks::fade(instant now) {
+    if (now < m_faded + fade_interval) {
+        return;
+    }
+    m_faded = now;
+    for (auto &[route, callers] : m_routes) {
+        for (auto &[service, count] : callers) {
+            count /= 2;
+        }
+        std::erase_if(callers, [](const auto &item) { return item.second < 0.5; });
+    }
+    std::erase_if(m_routes, [](const auto &item) { return item.second.empty(); });
+}
+
+void call_ranks::note(const std::string &route, const std::string &caller, instant now) {
+    fade(now);
+    m_routes[route][caller] += 1;
+}
+
+std::optional<std::string> call_ranks::calling_service(const std::string &route) const {
+    const auto own = m_routes.find(route);
+    if (own == m_routes.end()) {
+        return std::nullopt;
+    }
+    const auto most =
+        std::max_element(own->second.begin(), own->second.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
+    const double all = total(own->second);
+    if (all < least_requests || all - most->second > most_strays * all) {
+        return std::nullopt;
+    }
+    double elsewhere = 0;
+    double same_caller = 0;
+    for (const auto &[name, callers] : m_routes) {
+        elsewhere += name == route ? 0 : total(callers);
+        same_caller += name == route ? 0 : count_of(callers, most->first);
+    }
+    const bool others_ask =
+        elsewhere >= least_requests && elsewhere - same_caller >= least_others * elsewhere;
+    return others_ask ? std::optional(most->first) : std::nullopt;
+}
+
+/// The least urgent of what is sent to a service: with a more urgent one its calls would go before
+/// requests of callers that rank above most of what makes them.
+int call_ranks::least_urgent_at(const std::string &service, const routing_sheet &sheet) {
+    if (m_sheet != sheet.version) {
+        m_sheet = sheet.version;
+        m_least_urgent.clear();
+        for (const auto &[name, route] : sheet.routes) {
+            for (const weighted_service &part : route.split) {
+                int &known = m_least_urgent.try_emplace(part.service, 0).first->second;
+                known = std::max(known, route.priority);
+            }
+        }
+    }
+    const auto found = m_least_urgent.find(service);
+    return found == m_least_urgent.end() ? 0 : found->second;
+}
+
+int call_ranks::rank(const std::string &route, int priority, const routing_sheet &sheet) {
+    const std::optional<std::string> caller = calling_service(route);
+    if (!caller) {
+        return priority;
+    }
+    return std::min(priority, std::max(least_urgent_at(*caller, sheet) - 1, 0));
+}
+
+} // namespace peppertack
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -58,6 +58,9 @@
     m_hop = *told;
     m_deadline = m_received + m_hop.time_left;
     m_objective = m_received + m_hop.objective_left;
+    const std::string *caller = head.find(m_host.options().headers.caller_service);
+    m_host.ranks().note(m_hop.route, caller == nullptr ? std::string() : *caller, m_received);
+    m_rank = m_host.ranks().rank(m_hop.route, m_hop.priority, m_host.agent().lease().routes());
     if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
         refuse(*kind, m_received, usual_retry_after);
         return;
@@ -85,7 +88,7 @@
 work_queue::item target_relay::item() const {
     return {.id = m_id,
             .kind = m_hop.route,
-            .priority = m_hop.priority,
+            .priority = m_rank,
             .arrived = m_received,
             .objective = m_objective,
             .deadline = m_deadline};
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -63,6 +63,7 @@
     std::uint64_t m_id;
     std::string m_request_id;
     hop_request m_hop;
+    int m_rank = 0; ///< 0 is the most urgent
     phase m_phase = phase::receiving;
     instant m_received{};
     instant m_deadline{};
