--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -2,7 +2,9 @@
 
 #include "peppertack/coordination/lease_book.hpp"
 #include "peppertack/coordination/load_book.hpp"
+#include "peppertack/coordination/map_updates.hpp"
 #include "peppertack/coordination/messages.hpp"
+#include "peppertack/coordination/node_report.hpp"
 #include "peppertack/coordination/placement.hpp"
 #include "peppertack/coordination/replica.hpp"
 #include "peppertack/coordination/sheet_history.hpp"
@@ -52,30 +54,6 @@
     std::optional<change_answer> change;
 };
 
-/// What the leader last heard from a node.
-struct node_report {
-    node_address address;
-    target_number number = no_target;
-    std::uint64_t table_version = 0;
-    std::uint64_t map_version = 0;
-    instant heard{};
-    // ---- the map that is on its way to it ----
-    std::uint64_t sequence = 0; ///< of its last renewal
-    std::uint64_t map_from = 0; ///< version that it had when `map_at` was set
-    instant map_at{};           ///< when all that it misses was last sent
-    duration map_pause{};       ///< until that is sent once more, if it has not come
-    // ---- the last difference of routing sheets that was sent to it ----
-    std::uint64_t routes_from = 0;
-    std::uint64_t routes_to = 0;
-    instant routes_at{};
-
-    /// From which version on a renewal's answer has to tell the map; what was sent to it and may
-    /// still be on its way counts as known.
-    std::uint64_t map_base(const renew_request &request, moment at);
-    /// Whether it has to be sent the difference between two sheets, which counts as sent then.
-    bool routes_due(std::uint64_t from, std::uint64_t to, moment at);
-};
-
 /// The control part of one voter: replicates decisions and, while it leads, makes them. Grants
 /// leases, gives every range one owner, drives planned stops, records why. Deterministic; not
 /// thread safe: it belongs to the control thread.
@@ -146,10 +124,6 @@
     void register_node(const renew_request &request, const node_address &from, moment at);
     const target_record *registration_of(const renew_request &request,
                                          const node_address &from) const;
-    const map_update &update_since(std::uint64_t version);
-    map_update make_update_since(std::uint64_t version) const;
-    void add_own_ranges(map_update &update, const target_record &record) const;
-    map_update whole_map() const;
     void push_updates();
     void note_stall(instant now);
     void end_leases(moment at);
@@ -200,16 +174,11 @@
     std::unordered_map<std::string, std::uint64_t> m_owner_changes;
     std::unordered_set<std::string> m_granted_once; ///< services whose first grants are over
     std::vector<outgoing> m_outgoing;
-    /// Updates to the present version by the version they start from: most nodes ask for the same.
-    std::map<std::uint64_t, map_update> m_updates;
-    std::uint64_t m_updates_version = 0;
+    map_updates m_updates;
 };
 
 /// Whether a message is meant for the control part of a process; else for its node part. Thread
 /// safe.
 bool is_for_control(const message &body);
 
-/// The part of a target's record that nodes need.
-target_route route_of(const target_record &record);
-
 } // namespace peppertack
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -13,16 +13,9 @@
 namespace {
 
 constexpr const char *placement_actor = "placement";
-constexpr std::size_t kept_updates = 64;
 constexpr std::uint64_t renewals_per_voter_list = 16;
 constexpr const char *lease_actor = "leases";
-/// Three renewals; a sheet that takes longer on its way is sent once more, no harm.
-constexpr duration routes_resend_after = std::chrono::milliseconds(900);
-/// The same for the map.
-constexpr duration map_resend_after = std::chrono::milliseconds(900);
-constexpr duration longest_map_pause = std::chrono::seconds(4);
-/// Renewals of one life of a node are numbered one by one, those of another far apart from them.
-constexpr std::uint64_t same_life_renewals = 1'000'000;
+
 std::string registration_key(const target_record &record) {
     return record.name + '\n' + std::to_string(record.incarnation);
 }
@@ -41,24 +34,11 @@
            std::holds_alternative<join_request>(body);
 }
 
-target_route route_of(const target_record &record) {
-    return {.number = record.number,
-            .name = record.name,
-            .service = record.service,
-            .failure_domain = record.failure_domain,
-            .address = record.node_address,
-            .phase = record.phase,
-            .slots = record.slots,
-            .standby = record.standby,
-            .standby_ready = record.standby_ready,
-            .standby_epoch = record.standby_epoch};
-}
-
 control_core::control_core(control_options options, durable_log &log, audit_sink audit, instant now)
     : m_options(std::move(options)),
       m_replica(std::make_unique<replica>(m_options.replication, log, now)),
       m_audit(std::move(audit)), m_leases(m_options.lease), m_placement(m_options.placement),
-      m_roster(m_options.roster, now) {}
+      m_roster(m_options.roster, now), m_updates(m_state, m_options.items_per_update) {}
 
 std::unique_ptr<control_core> control_core::make(control_options options, durable_log &log,
                                                  audit_sink audit, moment at, std::string &reason) {
@@ -438,7 +418,7 @@
     }
     node_report &node = m_nodes[from];
     node.address = from;
-    reply.map = update_since(node.map_base(request, at));
+    reply.map = m_updates.since(node.map_base(request, at));
     node.number = request.target.number;
     node.table_version = request.table_version;
     node.map_version = reply.map.to;
@@ -454,7 +434,7 @@
             reply.number = record->number;
             node.number = record->number;
             if (reply.map.to < m_state.version()) {
-                add_own_ranges(reply.map, *record);
+                m_updates.add_own_ranges(reply.map, *record);
             }
             take_reports(request, *record, at);
             // Only a node that has the table in force may serve: this bounds the time until a
@@ -473,38 +453,6 @@
     m_outgoing.push_back({waiting.from, std::move(reply)});
 }
 
-/// A whole map of 200 targets and 2,600 ranges takes half a second over a link of 4 Mbit/s, in
-/// which a node renews three times. Answered with the whole map each time, a leader whose 200 nodes
-/// all came back from a loss of power queued more than its memory, and the nodes' links carried
-/// nothing else for seconds.
-std::uint64_t node_report::map_base(const renew_request &request, moment at) {
-    const bool same_life = sequence < request.sequence + same_life_renewals &&
-                           request.sequence < sequence + same_life_renewals;
-    const bool same_base = same_life && request.map_version == map_from;
-    sequence = request.sequence;
-    if (same_base && map_version > map_from && at.now < map_at + map_pause) {
-        return map_version;
-    }
-    // What was lost with its connection is sent again; over a slow link less and less often.
-    map_pause = same_base ? std::min(map_pause * 2, longest_map_pause) : map_resend_after;
-    map_from = request.map_version;
-    map_at = at.now;
-    return map_from;
-}
-
-/// A node renews several times while a large sheet is on its way to it over a slow link: sending it
-/// with each renewal filled the leader's memory until it was killed. What was lost is sent again.
-bool node_report::routes_due(std::uint64_t from, std::uint64_t to, moment at) {
-    const bool sent = from == routes_from && to == routes_to;
-    if (sent && at.now < routes_at + routes_resend_after) {
-        return false;
-    }
-    routes_from = from;
-    routes_to = to;
-    routes_at = at.now;
-    return true;
-}
-
 void control_core::register_node(const renew_request &request, const node_address &from,
                                  moment at) {
     if (request.target.incarnation == any_life || request.draining || request.giving_up ||
@@ -618,99 +566,6 @@
 
 // ---- the map ----
 
-map_update control_core::whole_map() const {
-    map_update update{.from = 0, .to = m_state.version(), .as_of = m_state.version()};
-    for (const auto &[number, record] : m_state.targets()) {
-        if (record.phase != target_phase::gone) {
-            update.targets.push_back(route_of(record));
-        }
-    }
-    for (const auto &[service, ranges] : m_state.ranges()) {
-        update.services.push_back({.service = service, .whole = true, .ranges = ranges});
-    }
-    return update;
-}
-
-const map_update &control_core::update_since(std::uint64_t version) {
-    if (m_updates_version != m_state.version() || m_updates.size() >= kept_updates) {
-        m_updates.clear();
-        m_updates_version = m_state.version();
-    }
-    const auto found = m_updates.find(version);
-    return found != m_updates.end()
-               ? found->second
-               : m_updates.emplace(version, make_update_since(version)).first->second;
-}
-
-map_update control_core::make_update_since(std::uint64_t version) const {
-    auto touched = version == 0 ? std::nullopt : m_state.touched_since(version);
-    if (!touched || version > m_state.version()) {
-        return whole_map();
-    }
-    map_update update{.from = version, .to = m_state.version(), .as_of = m_state.version()};
-    if (touched->size() > m_options.items_per_update) {
-        // Cut where a version ends. Records carry their present values, which is no harm: whatever
-        // is touched after `to` is sent again. The rest comes with the next renewals, so that after
-        // the loss of a failure domain no node takes more than its share of the leader.
-        update.to = (*touched)[m_options.items_per_update].version;
-        std::erase_if(*touched, [&](const touched_item &item) { return item.version > update.to; });
-    }
-    std::set<target_number> targets;
-    std::map<std::string, std::set<std::uint64_t>> ranges;
-    for (const touched_item &item : *touched) {
-        if (item.service.empty()) {
-            targets.insert(item.number);
-        } else {
-            ranges[item.service].insert(item.first);
-        }
-    }
-    for (const target_number number : targets) {
-        if (const target_record *record = m_state.find_target(number)) {
-            update.targets.push_back(route_of(*record));
-        }
-    }
-    for (const auto &[service, firsts] : ranges) {
-        service_ranges part{.service = service};
-        for (const std::uint64_t first : firsts) {
-            const range_record *range = m_state.find_range(service, first);
-            if (range->first == first) {
-                part.ranges.push_back(*range);
-            } else {
-                part.removed.push_back(first);
-            }
-        }
-        update.services.push_back(std::move(part));
-    }
-    return update;
-}
-
-/// What a node owns, or is to hand over, it has to know at once, however much else it has missed.
-void control_core::add_own_ranges(map_update &update, const target_record &record) const {
-    const auto found = m_state.ranges().find(record.service);
-    if (found == m_state.ranges().end()) {
-        return;
-    }
-    auto part =
-        std::find_if(update.services.begin(), update.services.end(),
-                     [&](const service_ranges &known) { return known.service == record.service; });
-    if (part == update.services.end()) {
-        part = update.services.insert(part, service_ranges{.service = record.service});
-    }
-    // With each comes the range behind it: its first hash is where the own one ends, and the node
-    // may not know of that cut. Without it the node would take the rest for its own.
-    const std::vector<range_record> &ranges = found->second;
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-        const bool after_own = i > 0 && ranges[i - 1].owner == record.number;
-        if (ranges[i].owner == record.number || after_own) {
-            part->ranges.push_back(ranges[i]);
-        }
-    }
-    update.targets.push_back(route_of(record));
-    if (const target_record *standby = m_state.find_target(record.standby)) {
-        update.targets.push_back(route_of(*standby));
-    }
-}
-
 /// Sends a change at once to those it concerns, so that a new owner does not wait for its next
 /// renewal. It carries no lease; one that is lost is made good by that renewal.
 void control_core::push_updates() {
@@ -734,7 +589,7 @@
         if (many_nodes && concerned.count(node.number) == 0) {
             continue;
         }
-        const map_update &update = update_since(node.map_version);
+        const map_update &update = m_updates.since(node.map_version);
         if (update.from != 0) {
             node.map_version = update.to;
             m_outgoing.push_back({address, update});
--- /dev/null
+++ b/src/coordination/map_updates.cpp
@@ -0,0 +1,118 @@
+#include "peppertack/coordination/map_updates.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::size_t kept_updates = 64;
+
+} // namespace
+
+target_route route_of(const target_record &record) {
+    return {.number = record.number,
+            .name = record.name,
+            .service = record.service,
+            .failure_domain = record.failure_domain,
+            .address = record.node_address,
+            .phase = record.phase,
+            .slots = record.slots,
+            .standby = record.standby,
+            .standby_ready = record.standby_ready,
+            .standby_epoch = record.standby_epoch};
+}
+
+map_update map_updates::whole() const {
+    map_update update{.from = 0, .to = m_state.version(), .as_of = m_state.version()};
+    for (const auto &[number, record] : m_state.targets()) {
+        if (record.phase != target_phase::gone) {
+            update.targets.push_back(route_of(record));
+        }
+    }
+    for (const auto &[service, ranges] : m_state.ranges()) {
+        update.services.push_back({.service = service, .whole = true, .ranges = ranges});
+    }
+    return update;
+}
+
+const map_update &map_updates::since(std::uint64_t version) {
+    if (m_kept_version != m_state.version() || m_kept.size() >= kept_updates) {
+        m_kept.clear();
+        m_kept_version = m_state.version();
+    }
+    const auto found = m_kept.find(version);
+    return found != m_kept.end() ? found->second
+                                 : m_kept.emplace(version, make_since(version)).first->second;
+}
+
+map_update map_updates::make_since(std::uint64_t version) const {
+    auto touched = version == 0 ? std::nullopt : m_state.touched_since(version);
+    if (!touched || version > m_state.version()) {
+        return whole();
+    }
+    map_update update{.from = version, .to = m_state.version(), .as_of = m_state.version()};
+    if (touched->size() > m_most_items) {
+        // Cut where a version ends. Records carry their present values, which is no harm: whatever
+        // is touched after `to` is sent again. The rest comes with the next renewals, so that after
+        // the loss of a failure domain no node takes more than its share of the leader.
+        update.to = (*touched)[m_most_items].version;
+        std::erase_if(*touched, [&](const touched_item &item) { return item.version > update.to; });
+    }
+    std::set<target_number> targets;
+    std::map<std::string, std::set<std::uint64_t>> ranges;
+    for (const touched_item &item : *touched) {
+        if (item.service.empty()) {
+            targets.insert(item.number);
+        } else {
+            ranges[item.service].insert(item.first);
+        }
+    }
+    for (const target_number number : targets) {
+        if (const target_record *record = m_state.find_target(number)) {
+            update.targets.push_back(route_of(*record));
+        }
+    }
+    for (const auto &[service, firsts] : ranges) {
+        service_ranges part{.service = service};
+        for (const std::uint64_t first : firsts) {
+            const range_record *range = m_state.find_range(service, first);
+            if (range->first == first) {
+                part.ranges.push_back(*range);
+            } else {
+                part.removed.push_back(first);
+            }
+        }
+        update.services.push_back(std::move(part));
+    }
+    return update;
+}
+
+void map_updates::add_own_ranges(map_update &update, const target_record &record) const {
+    const auto found = m_state.ranges().find(record.service);
+    if (found == m_state.ranges().end()) {
+        return;
+    }
+    auto part =
+        std::find_if(update.services.begin(), update.services.end(),
+                     [&](const service_ranges &known) { return known.service == record.service; });
+    if (part == update.services.end()) {
+        part = update.services.insert(part, service_ranges{.service = record.service});
+    }
+    // With each comes the range behind it: its first hash is where the own one ends, and the node
+    // may not know of that cut. Without it the node would take the rest for its own.
+    const std::vector<range_record> &ranges = found->second;
+    for (std::size_t i = 0; i < ranges.size(); ++i) {
+        const bool after_own = i > 0 && ranges[i - 1].owner == record.number;
+        if (ranges[i].owner == record.number || after_own) {
+            part->ranges.push_back(ranges[i]);
+        }
+    }
+    update.targets.push_back(route_of(record));
+    if (const target_record *standby = m_state.find_target(record.standby)) {
+        update.targets.push_back(route_of(*standby));
+    }
+}
+
+} // namespace peppertack
