A new caller right behind a refused one does not take its place

Cause, found by reading: a caller of the same patience that asks up to 60 ms after another was refused waits until up to 60 ms later, which is within what is allowed for a new connection. It was taken for that one coming back, and the real one, when it came, for a new caller. Change: only one that first asked over 60 ms ago can come back.

--- a/include/peppertack/coordination/returning_callers.hpp
+++ b/include/peppertack/coordination/returning_callers.hpp
@@ -20,7 +20,8 @@
     /// A request whose caller first asked at `asked`, and waits until `deadline`, was refused with
     /// a time to come back.
     void note(const std::string &route, instant deadline, instant asked, instant now);
-    /// When the caller of a request first asked, if it was refused before; it is forgotten then.
+    /// When the caller of a request first asked, if it was refused before and that is over 60 ms
+    /// ago; it is forgotten then.
     std::optional<instant> take(const std::string &route, instant deadline, instant now);
 
     std::size_t size() const { return m_size; }
--- a/src/coordination/returning_callers.cpp
+++ b/src/coordination/returning_callers.cpp
@@ -36,9 +36,14 @@
     }
     by_deadline &callers = known->second;
     forget_gone(callers, now);
-    const auto match = callers.lower_bound(deadline - latest_match);
+    // One that asked for the first time a moment ago can't be told from a new caller.
+    auto match = callers.lower_bound(deadline - latest_match);
+    const auto end = callers.upper_bound(deadline + earliest_match);
+    while (match != end && match->second + latest_match >= now) {
+        ++match;
+    }
     std::optional<instant> asked;
-    if (match != callers.end() && match->first <= deadline + earliest_match) {
+    if (match != end) {
         asked = match->second;
         callers.erase(match);
         --m_size;
--- a/tests/coordination/returning_callers_test.cpp
+++ b/tests/coordination/returning_callers_test.cpp
@@ -34,6 +34,15 @@
     CHECK_FALSE(callers.take("bookings", start + 1200ms, start + 1100ms));
 }
 
+TEST_CASE("a new caller right behind a refused one does not take its place") {
+    // A caller of the same patience that asks 20 ms later waits until 20 ms later, as if it were
+    // the first one on a new connection; the first one then came back as a new caller.
+    returning_callers callers;
+    callers.note("bookings", start + patience, start, start);
+    CHECK_FALSE(callers.take("bookings", start + 20ms + patience, start + 20ms));
+    CHECK(callers.take("bookings", start + 5ms + patience, start + 300ms) == start);
+}
+
 TEST_CASE("a caller that is refused again keeps the time at which it first asked") {
     returning_callers callers;
     callers.note("bookings", start + patience, start, start);
