Callers of dropped routes are forgotten before new ones are left out

Cause, found by reading: callers are forgotten when their route is asked for again; those of a route that a table dropped stayed, and 4,096 of them would have kept all later ones from being remembered. Change: when full, all that gave up are forgotten. Test fails before.

--- a/src/coordination/returning_callers.cpp
+++ b/src/coordination/returning_callers.cpp
@@ -20,6 +20,13 @@
 
 void returning_callers::note(const std::string &route, instant deadline, instant asked,
                              instant now) {
+    if (m_size >= most_remembered) {
+        // Also of routes that nobody asks for any more, or no new one would ever be remembered.
+        for (auto &[name, gone] : m_routes) {
+            forget_gone(gone, now);
+        }
+        std::erase_if(m_routes, [](const auto &item) { return item.second.empty(); });
+    }
     by_deadline &callers = m_routes[route];
     forget_gone(callers, now);
     if (deadline > now && m_size < most_remembered) {
--- a/tests/coordination/returning_callers_test.cpp
+++ b/tests/coordination/returning_callers_test.cpp
@@ -63,3 +63,13 @@
     callers.note("bookings", start + 3s, start, start + 4s);
     CHECK(callers.size() == 0);
 }
+
+TEST_CASE("callers of a route that is asked for no more don't keep others from being remembered") {
+    returning_callers callers;
+    for (int i = 0; i < 5'000; ++i) {
+        callers.note("dropped", start + patience, start, start);
+    }
+    callers.note("bookings", start + 10s, start + 5s, start + 5s);
+    CHECK(callers.take("bookings", start + 10s, start + 6s) == start + 5s);
+    CHECK(callers.size() == 0);
+}
