Shed at the entry what a called service can't carry

Change: nested calls go first at the called service; it tells with each answer which share of its direct requests is taken, as measured by the nodes that take them; the node beside the calling target admits that share of its own.

--- a/include/peppertack/coordination/call_ranks.hpp
+++ b/include/peppertack/coordination/call_ranks.hpp
@@ -24,6 +24,8 @@
     /// The service whose running requests ask for the route; nothing if callers ask for it too, or
     /// too little is known.
     std::optional<std::string> calling_service(const std::string &route) const;
+    /// Priority of the requests that make calls on the route; nothing if it is not one of calls.
+    std::optional<int> parent_priority(const std::string &route, const routing_sheet &sheet);
     /// 0 is the most urgent.
     int rank(const std::string &route, int priority, const routing_sheet &sheet);
 
--- a/include/peppertack/coordination/recent_service.hpp
+++ b/include/peppertack/coordination/recent_service.hpp
@@ -17,6 +17,8 @@
 class recent_service {
 public:
     struct request_kind {
+        /// Made by a caller, not a nested call, which goes before all else.
+        bool direct = true;
         /// Its objective had passed when it came: its caller was refused before. What can still be
         /// in time goes first, whatever its priority.
         bool late = false;
--- a/include/peppertack/coordination/target_selector.hpp
+++ b/include/peppertack/coordination/target_selector.hpp
@@ -51,6 +51,8 @@
         /// A target elsewhere counts as so much slower: what goes there crosses a link that is
         /// shared, and paid for. Small against a queue, so that load still evens out.
         double distance_factor = 1.15;
+        bool two_choices = true; ///< off: the first target drawn is taken
+        bool ejection = true;    ///< off: targets that fail are chosen like others
     };
 
     target_selector(options settings, std::uint64_t seed)
--- /dev/null
+++ b/include/peppertack/coordination/traffic_policy.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace peppertack {
+
+/// The mechanisms that decide on load. All are on by default; one is switched off to measure what it
+/// is worth. Immutable once the traffic of a node has started.
+struct traffic_policy {
+    bool dependency_admission = true; ///< see `dependency_admission`
+    bool nested_calls_first = true;   ///< calls of running requests go before all else
+    bool retry_recognition = true;    ///< see `returning_callers`
+    bool equal_shares = true;         ///< see `recent_service`
+    bool two_choices = true;          ///< see `target_selector`
+    bool ejection = true;             ///< see `target_selector`
+
+    friend bool operator==(const traffic_policy &, const traffic_policy &) = default;
+};
+
+/// A mechanism and the name by which settings switch it off.
+struct traffic_mechanism {
+    std::string_view name;
+    bool traffic_policy::*enabled = nullptr;
+};
+
+inline constexpr std::array<traffic_mechanism, 6> traffic_mechanisms{{
+    {"dependency-admission", &traffic_policy::dependency_admission},
+    {"nested-calls-first", &traffic_policy::nested_calls_first},
+    {"retry-recognition", &traffic_policy::retry_recognition},
+    {"equal-shares", &traffic_policy::equal_shares},
+    {"two-choices", &traffic_policy::two_choices},
+    {"ejection", &traffic_policy::ejection},
+}};
+
+} // namespace peppertack
--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -28,11 +28,14 @@
         /// sooner. It matters most for short calls that running requests make: each that is refused
         /// wastes what its parent has done so far.
         duration usual_return = std::chrono::milliseconds(300);
+        bool nested_first = true; ///< nested calls go before all else
+        bool equal_shares = true; ///< of one priority what was rejected more goes first
     };
     struct item {
         std::uint64_t id = 0;
         std::string kind; ///< requests of one kind take alike long
-        int priority = 0; ///< 0 is the most urgent
+        bool nested = false; ///< called by a running request, whose work a rejection would waste
+        int priority = 0;    ///< 0 is the most urgent
         instant arrived{};
         instant objective{}; ///< an answer by then earns its full worth
         instant deadline{};  ///< nobody waits beyond it
--- a/include/peppertack/protocol/hop_header.hpp
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/admission_level.hpp"
 #include "peppertack/coordination/target_selector.hpp"
 #include "peppertack/state/error_kind.hpp"
 #include "peppertack/state/routing_sheet.hpp"
@@ -23,6 +24,8 @@
     std::string route;        ///< requests of one route take alike long
     int priority = 0;
     bool repeat = false; ///< the request may have been at a target before
+    bool first_choice = true; ///< no target has rejected the request before
+    double admitted = 1;      ///< share of such requests that the sender saw taken
     std::optional<std::uint32_t> key;
     duration objective_left{}; ///< until the latency objective
     duration time_left{};      ///< until nobody waits any more
@@ -37,6 +40,8 @@
     error_kind refused = error_kind::none;
     duration retry_after{};    ///< with a refusal: when there will be room
     bool may_have_run = false; ///< the answer is this node's, and the request was with the target
+    /// Given for a nested call: how far requests that make such calls should be admitted.
+    std::optional<admission_level> level;
 
     friend bool operator==(const hop_reply &, const hop_reply &) = default;
 };
--- a/include/peppertack/state/error_kind.hpp
+++ b/include/peppertack/state/error_kind.hpp
@@ -31,6 +31,7 @@
     not_ready,      ///< this process does not know what is in force yet
     draining,       ///< the target is about to stop and takes no new work
     no_target_left, ///< the service has no target at the moment
+    dependency_overloaded, ///< a service that the target calls has no room
     cancelled,
 };
 
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "peppertack/coordination/admission_level.hpp"
 #include "peppertack/coordination/call_ranks.hpp"
+#include "peppertack/coordination/dependency_admission.hpp"
 #include "peppertack/coordination/returning_callers.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
@@ -67,6 +69,12 @@
     std::mt19937_64 &random() { return m_random; }
     /// How requests to the local target rank.
     call_ranks &ranks() { return m_ranks; }
+    /// Which share of callers' requests that came here was taken.
+    admission_meter &meter() { return m_meter; }
+    /// Which share of direct requests to the local target was taken, by all who send them.
+    admission_board &board() { return m_board; }
+    /// What the services that the local target calls leave room for.
+    dependency_admission &dependencies() { return m_dependencies; }
     /// Callers that were refused here and told when to come back.
     returning_callers &returning() { return m_returning; }
     void enter(timed_request *request) { m_requests.insert(request); }
@@ -90,6 +98,7 @@
 
 private:
     void tick();
+    void log_summary(instant now);
     void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
     void tell_end(instant now);
@@ -109,6 +118,9 @@
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
     call_ranks m_ranks;
+    admission_meter m_meter;
+    admission_board m_board;
+    dependency_admission m_dependencies;
     returning_callers m_returning;
     node_agent m_agent;
     hold_call_runner m_hold_calls;
@@ -127,6 +139,7 @@
     http_server m_nodes;
     asio::steady_timer m_timer;
     std::string m_forward_port;
+    instant m_summary_at{};
     bool m_changed = false; ///< what is known of the system has changed since the last step
     bool m_stopping = false;
     bool m_refuses_callers = false;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -32,6 +32,11 @@
     /// A call by which the target is handed keys, or asked for them, is over.
     void note_hold_call(hold_call::kind what, hold_call_end::kind result);
     std::uint64_t answers() const { return m_answers; }
+    /// Answers by route and cause since this was last asked. A cause is the name of an error kind,
+    /// or the status that the target gave.
+    std::map<std::string, std::map<std::string, std::uint64_t>> take_answers_by_cause() {
+        return std::exchange(m_by_cause, {});
+    }
 
     /// Text in the Prometheus exposition format.
     std::string text() const;
@@ -47,6 +52,7 @@
     histogram m_target = make_latency_histogram();
     std::array<std::uint64_t, error_kind_count> m_by_error{};
     std::map<int, std::uint64_t> m_by_status_class;
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_by_cause;
     std::uint64_t m_answers = 0;
     std::uint64_t m_retries = 0;
     std::uint64_t m_cancelled = 0;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -6,6 +6,7 @@
 #include "peppertack/coordination/node_options.hpp"
 #include "peppertack/coordination/retry_budget.hpp"
 #include "peppertack/coordination/target_selector.hpp"
+#include "peppertack/coordination/traffic_policy.hpp"
 #include "peppertack/state/routing_sheet.hpp"
 
 #include <cstdint>
@@ -45,6 +46,7 @@
     /// What the settings say of the local target's service, until a table is known.
     hold_delivery expected_delivery = hold_delivery::by_heartbeat;
     target_selector::options selector;
+    traffic_policy policy;
     /// Requests sent to a second target, as a share of this node's requests to a service and a few
     /// more. All nodes' shares together must stay below what the targets are promised:
     /// `retry_slack` besides the share, for all nodes.
--- /dev/null
+++ b/src/coordination/admission_level.cpp
@@ -0,0 +1,71 @@
+#include "peppertack/coordination/admission_level.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::chrono::seconds memory(1);
+/// Of fewer requests the share that was taken is chance.
+constexpr double least_requests = 2;
+
+} // namespace
+
+void fading_sum::add(double amount, instant now) {
+    m_sum = at_time(now) + amount;
+    m_at = now;
+}
+
+double fading_sum::at_time(instant now) const {
+    const double passed = std::chrono::duration<double>(now - m_at) / memory;
+    return m_sum * std::exp(-std::max(passed, 0.0));
+}
+
+void admission_meter::note_offered(const admission_class &request, instant now) {
+    m_classes[request].offered.add(1, now);
+}
+
+void admission_meter::note_rejected(const admission_class &request, instant now) {
+    m_classes[request].rejected.add(1, now);
+}
+
+double admission_meter::share(const admission_class &request, instant now) const {
+    const auto known = m_classes.find(request);
+    if (known == m_classes.end()) {
+        return 1;
+    }
+    const double offered = known->second.offered.at_time(now);
+    if (offered < least_requests) {
+        return 1;
+    }
+    return std::clamp(1 - known->second.rejected.at_time(now) / offered, 0.0, 1.0);
+}
+
+void admission_board::note(const admission_class &request, int priority, double share,
+                           instant now) {
+    record &known = m_classes[request];
+    known.priority = priority;
+    known.requests.add(1, now);
+    known.shares.add(share, now);
+}
+
+double admission_board::mean_share(bool expired, int priority, instant now) const {
+    double requests = 0;
+    double shares = 0;
+    for (const auto &[request, known] : m_classes) {
+        if (request.expired == expired && known.priority <= priority) {
+            requests += known.requests.at_time(now);
+            shares += known.shares.at_time(now);
+        }
+    }
+    return requests < least_requests ? 1 : shares / requests;
+}
+
+admission_level admission_board::level(int priority, instant now) const {
+    return {.fresh = mean_share(false, priority, now),
+            .expired = mean_share(true, priority, now)};
+}
+
+} // namespace peppertack
--- a/src/coordination/call_ranks.cpp
+++ b/src/coordination/call_ranks.cpp
@@ -90,6 +90,12 @@
     return found == m_least_urgent.end() ? 0 : found->second;
 }
 
+std::optional<int> call_ranks::parent_priority(const std::string &route,
+                                               const routing_sheet &sheet) {
+    const std::optional<std::string> caller = calling_service(route);
+    return caller ? std::optional(least_urgent_at(*caller, sheet)) : std::nullopt;
+}
+
 int call_ranks::rank(const std::string &route, int priority, const routing_sheet &sheet) {
     const std::optional<std::string> caller = calling_service(route);
     if (!caller) {
--- a/src/coordination/recent_service.cpp
+++ b/src/coordination/recent_service.cpp
@@ -20,11 +20,11 @@
 constexpr double forgotten_below = 0.01;
 
 bool same_rank(const recent_service::request_kind &a, const recent_service::request_kind &b) {
-    return a.late == b.late && a.priority == b.priority;
+    return a.direct == b.direct && a.late == b.late && a.priority == b.priority;
 }
 
 bool ranks_before(const recent_service::request_kind &a, const recent_service::request_kind &b) {
-    return std::tie(a.late, a.priority) < std::tie(b.late, b.priority);
+    return std::tie(a.direct, a.late, a.priority) < std::tie(b.direct, b.late, b.priority);
 }
 
 } // namespace
--- a/src/coordination/target_selector.cpp
+++ b/src/coordination/target_selector.cpp
@@ -37,7 +37,7 @@
 
 bool target_selector::ejected(target_number number, instant now) const {
     const auto found = m_targets.find(number);
-    return found != m_targets.end() && now < found->second.ejected_until;
+    return m_options.ejection && found != m_targets.end() && now < found->second.ejected_until;
 }
 
 target_number target_selector::choose(const std::vector<const target_route *> &candidates,
@@ -64,6 +64,9 @@
     }
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
     const std::size_t first = draw(m_random);
+    if (!m_options.two_choices) {
+        return from[first].number;
+    }
     weights[first] = 0;
     std::discrete_distribution<std::size_t> draw_other(weights.begin(), weights.end());
     const std::size_t second = draw_other(m_random);
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -17,8 +17,9 @@
 constexpr double most_taken_before = 0.95;
 constexpr duration least_retry_after = std::chrono::milliseconds(50);
 
-recent_service::request_kind kind_of(const work_queue::item &request) {
-    return {.late = request.objective <= request.arrived,
+recent_service::request_kind kind_of(const work_queue::item &request, bool nested_first) {
+    return {.direct = !(nested_first && request.nested),
+            .late = request.objective <= request.arrived,
             .priority = request.priority,
             .name = request.kind};
 }
@@ -43,13 +44,15 @@
 /// What goes first has the smaller rank.
 auto work_queue::rank(const item &request, instant now) const {
     const bool late = now + service_time(request.kind) > request.objective;
-    return std::tuple(late, request.priority, m_recent.favoured(kind_of(request), now),
+    const recent_service::request_kind kind = kind_of(request, m_options.nested_first);
+    const bool favoured = m_options.equal_shares && m_recent.favoured(kind, now);
+    return std::tuple(kind.direct, kind.direct && late, request.priority, favoured,
                       request.objective);
 }
 
 /// Part of the target that requests which go before this one took of late, and will take on.
 double work_queue::taken_before(const item &request, instant now) const {
-    const double slots = m_recent.slots_before(kind_of(request), now);
+    const double slots = m_recent.slots_before(kind_of(request, m_options.nested_first), now);
     return std::min(slots / m_options.limit, most_taken_before);
 }
 
@@ -79,12 +82,12 @@
 }
 
 work_queue::verdict work_queue::offer(const item &request, instant now) {
-    m_recent.note_asked(kind_of(request), now);
+    m_recent.note_asked(kind_of(request, m_options.nested_first), now);
     if (!would_take(request, now)) {
-        m_recent.note_refused(kind_of(request), now);
+        m_recent.note_refused(kind_of(request, m_options.nested_first), now);
         return verdict::refuse;
     }
-    m_recent.note_taken(kind_of(request), service_time(request.kind), now);
+    m_recent.note_taken(kind_of(request, m_options.nested_first), service_time(request.kind), now);
     if (has_room()) {
         ++m_in_flight;
         return verdict::start;
@@ -99,7 +102,7 @@
         // that rank above it have taken the room since.
         const bool over = !in_time(request, now) || request.deadline <= now;
         if (over) {
-            m_recent.note_refused(kind_of(request), now);
+            m_recent.note_refused(kind_of(request, m_options.nested_first), now);
             hopeless.push_back(request.id);
         }
         return over;
--- a/src/protocol/error_answer.cpp
+++ b/src/protocol/error_answer.cpp
@@ -48,6 +48,8 @@
     {error_kind::draining, blame::system, 503, "draining", "The target is about to stop"},
     {error_kind::no_target_left, blame::system, 503, "no-target",
      "The service has no target at the moment"},
+    {error_kind::dependency_overloaded, blame::system, 503, "dependency-overloaded",
+     "A service that the target calls has no room for the request's calls"},
     {error_kind::cancelled, blame::sender, 499, "cancelled", "The request was cancelled"},
 }};
 
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -4,6 +4,7 @@
 #include "percent_code.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace peppertack {
@@ -11,7 +12,8 @@
 namespace {
 
 constexpr char separator = ';';
-constexpr std::string_view no_key = "-";
+constexpr std::string_view absent = "-";
+constexpr double per_mille = 1000;
 
 template <class Number> void put(std::string &out, Number value) {
     out.append(std::to_string(value)).push_back(separator);
@@ -23,6 +25,14 @@
     out.append(percent_encoded(name)).push_back(separator);
 }
 
+void put_share(std::string &out, std::optional<double> share) {
+    if (share) {
+        put(out, std::lround(*share * per_mille));
+    } else {
+        out.append(absent).push_back(separator);
+    }
+}
+
 std::vector<std::string_view> parts_of(std::string_view text) {
     std::vector<std::string_view> parts;
     while (!text.empty()) {
@@ -50,6 +60,16 @@
         m_good = m_good && decoded;
         return decoded.value_or(std::string());
     }
+    std::optional<double> share() {
+        const std::string_view part = text();
+        if (part == absent) {
+            return std::nullopt;
+        }
+        number_reader one({part});
+        const auto value = one.number<long>();
+        m_good = m_good && one.done() && value >= 0 && value <= std::lround(per_mille);
+        return static_cast<double>(value) / per_mille;
+    }
     std::string_view text() {
         m_good = m_good && m_at < m_parts.size();
         return m_good ? m_parts[m_at++] : std::string_view{};
@@ -71,7 +91,9 @@
     put_name(out, value.route);
     put(out, value.priority);
     put(out, value.repeat ? 1 : 0);
-    out.append(value.key ? std::to_string(*value.key) : std::string(no_key)).push_back(separator);
+    put(out, value.first_choice ? 1 : 0);
+    put_share(out, value.admitted);
+    out.append(value.key ? std::to_string(*value.key) : std::string(absent)).push_back(separator);
     put(out, value.objective_left.count());
     put(out, value.time_left.count());
     return out;
@@ -85,8 +107,10 @@
     value.route = in.name();
     value.priority = in.number<int>();
     value.repeat = in.number<int>() != 0;
+    value.first_choice = in.number<int>() != 0;
+    value.admitted = in.share().value_or(1);
     const std::string_view key = in.text();
-    if (key != no_key) {
+    if (key != absent) {
         number_reader one({key});
         value.key = one.number<std::uint32_t>();
         if (!one.done()) {
@@ -108,6 +132,8 @@
     put(out, static_cast<int>(value.refused));
     put(out, value.retry_after.count());
     put(out, value.may_have_run ? 1 : 0);
+    put_share(out, value.level ? std::optional(value.level->fresh) : std::nullopt);
+    put_share(out, value.level ? std::optional(value.level->expired) : std::nullopt);
     return out;
 }
 
@@ -122,6 +148,11 @@
     const int refused = in.number<int>();
     value.retry_after = duration(in.number<duration::rep>());
     value.may_have_run = in.number<int>() != 0;
+    const std::optional<double> fresh = in.share();
+    const std::optional<double> expired = in.share();
+    if (fresh && expired) {
+        value.level = admission_level{.fresh = *fresh, .expired = *expired};
+    }
     if (!in.done() || refused < 0 || refused >= error_kind_count) {
         return std::nullopt;
     }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -37,6 +37,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// Whether a request was rejected since the service, or one that it calls, can't carry more.
+bool lacks_room(error_kind kind) {
+    return kind == error_kind::overloaded || kind == error_kind::dependency_overloaded ||
+           kind == error_kind::no_target_left;
+}
+
 } // namespace
 
 std::shared_ptr<entry_relay>
@@ -76,6 +82,7 @@
         return;
     }
     m_host.note_request(m_service);
+    m_host.meter().note_offered(admission(), m_received);
 }
 
 bool entry_relay::read_route() {
@@ -103,9 +110,11 @@
         }
         m_caller_deadline = m_received + std::chrono::milliseconds(*patience);
         m_deadline = std::min(m_deadline, m_caller_deadline);
-        m_asked = m_host.returning()
-                      .take(m_route.name, m_caller_deadline, m_received)
-                      .value_or(m_received);
+        const bool recognise = m_host.options().policy.retry_recognition;
+        const auto asked = recognise ? m_host.returning().take(m_route.name, m_caller_deadline,
+                                                               m_received)
+                                     : std::nullopt;
+        m_asked = asked.value_or(m_received);
     }
     return true;
 }
@@ -220,6 +229,8 @@
                           .route = m_route.name,
                           .priority = m_route.priority,
                           .repeat = m_arrivals > 0,
+                          .first_choice = m_tried.empty(),
+                          .admitted = m_host.meter().share(admission(), now),
                           .key = m_key,
                           .objective_left = m_asked + m_route.latency_objective - now,
                           .time_left = m_deadline - now};
@@ -240,6 +251,10 @@
     m_body.attach(m_call, announced);
 }
 
+admission_class entry_relay::admission() const {
+    return {m_route.name, m_asked + m_route.latency_objective <= m_received};
+}
+
 bool entry_relay::large_body() const {
     return m_body.kept() > m_host.options().announced_body;
 }
@@ -304,6 +319,9 @@
     if (m_hop_known) {
         m_host.selector().note(m_target, m_hop.load, now);
     }
+    if (m_hop.level && m_hop.refused == error_kind::none) {
+        m_host.dependencies().note_taken(m_route.name, *m_hop.level, now);
+    }
     m_answer = std::move(head);
     remove_header(m_answer.headers, hop_header);
     const bool ran = m_hop_known && m_hop.refused == error_kind::none && !m_hop.may_have_run;
@@ -435,7 +453,7 @@
 void entry_relay::after_not_run(error_kind kind, duration retry_after, instant now) {
     m_tried.insert(m_target);
     m_parked_for = kind;
-    if (!m_body.replayable()) {
+    if (!m_body.replayable() || kind == error_kind::dependency_overloaded) {
         refuse(kind, outcome::not_run, retry_after);
     } else if (!m_key && m_tried.size() < most_refusals && now < m_objective) {
         dispatch(now);
@@ -468,6 +486,11 @@
         result = outcome::unknown;
         kind = error_kind::target_lost;
     }
+    if (lacks_room(kind)) {
+        m_host.meter().note_rejected(admission(), now);
+        m_host.dependencies().note_rejected(m_route.name, m_hop.level, now);
+        retry_after = std::max(retry_after, m_route.latency_objective);
+    }
     const error_answer &answer = answer_for(kind);
     const bool promise = result == outcome::not_run;
     // What has not run is told by a status that promises it, so that the caller may send it again.
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -40,6 +40,7 @@
     std::string pick_service() const;
     void dispatch(instant now);
     target_number choose(instant now);
+    admission_class admission() const;
     bool large_body() const;
     void send_to(const target_route &target, instant now);
     void after_not_run(error_kind kind, duration retry_after, instant now);
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -60,7 +60,9 @@
     m_objective = m_received + m_hop.objective_left;
     const std::string *caller = head.find(m_host.options().headers.caller_service);
     m_host.ranks().note(m_hop.route, caller == nullptr ? std::string() : *caller, m_received);
-    m_rank = m_host.ranks().rank(m_hop.route, m_hop.priority, m_host.agent().lease().routes());
+    const routing_sheet &sheet = m_host.agent().lease().routes();
+    m_rank = m_host.ranks().rank(m_hop.route, m_hop.priority, sheet);
+    m_parent_priority = m_host.ranks().parent_priority(m_hop.route, sheet);
     if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
         refuse(*kind, m_received, usual_retry_after);
         return;
@@ -88,12 +90,31 @@
 work_queue::item target_relay::item() const {
     return {.id = m_id,
             .kind = m_hop.route,
+            .nested = m_parent_priority.has_value(),
             .priority = m_rank,
             .arrived = m_received,
             .objective = m_objective,
             .deadline = m_deadline};
 }
 
+/// Whether the services that the target calls can carry the calls of one more request.
+bool target_relay::admitted(instant now) {
+    if (m_parent_priority) {
+        return true; // a request that is under way depends on it
+    }
+    if (!std::exchange(m_offered, true) && m_hop.first_choice) {
+        m_host.board().note({m_hop.route, expired()}, m_hop.priority, m_hop.admitted, now);
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_host.random());
+    return !m_host.options().policy.dependency_admission ||
+           m_host.dependencies().admits(expired(), draw, now);
+}
+
+std::optional<admission_level> target_relay::level(instant now) const {
+    return m_parent_priority ? std::optional(m_host.board().level(*m_parent_priority, now))
+                             : std::nullopt;
+}
+
 /// Decides on a request by its head: what would be refused once its body is here is refused now,
 /// and the link is left to others.
 void target_relay::offer_body(instant now) {
@@ -103,6 +124,11 @@
         refuse(*kind, now, usual_retry_after);
         return;
     }
+    m_admitted = admitted(now);
+    if (!m_admitted) {
+        refuse(error_kind::dependency_overloaded, now, queue.retry_after());
+        return;
+    }
     if (!queue.would_take(item(), now)) {
         refuse(error_kind::overloaded, now, queue.retry_after());
         return;
@@ -180,6 +206,11 @@
     }
     count_key();
     work_queue &queue = m_host.agent().queue();
+    if (!m_admitted && !admitted(now)) {
+        refuse(error_kind::dependency_overloaded, now, queue.retry_after());
+        return;
+    }
+    m_admitted = true;
     const work_queue::verdict verdict = queue.offer(item(), now);
     if (verdict == work_queue::verdict::start) {
         start(now);
@@ -246,7 +277,7 @@
     out.status = head.status;
     out.headers = forwarded_headers(head);
     remove_header(out.headers, hop_header);
-    out.headers.push_back({std::string(hop_header), encode(hop_reply{.load = m_host.load()})});
+    out.headers.push_back({std::string(hop_header), encode(hop_reply{.load = m_host.load(), .level = level(steady_instant())})});
     const bool sized = head.framing == body_framing::length || head.framing == body_framing::none;
     out.framing = sized ? body_framing::length : body_framing::chunked;
     out.content_length = head.content_length;
@@ -430,8 +461,11 @@
     m_phase = phase::receiving;
 }
 
-void target_relay::refuse(error_kind kind, instant, duration retry_after) {
-    answer(kind, {.load = m_host.load(), .refused = kind, .retry_after = retry_after});
+void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
+    answer(kind, {.load = m_host.load(),
+                  .refused = kind,
+                  .retry_after = retry_after,
+                  .level = level(now)});
 }
 
 void target_relay::fail(error_kind kind, instant) {
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -42,6 +42,9 @@
 
     void begin();
     std::optional<error_kind> refusal(instant now) const;
+    bool admitted(instant now);
+    bool expired() const { return m_objective <= m_received; }
+    std::optional<admission_level> level(instant now) const;
     void offer_body(instant now);
     void take_body(instant now);
     void end_turn(std::optional<duration> took);
@@ -64,6 +67,8 @@
     std::string m_request_id;
     hop_request m_hop;
     int m_rank = 0; ///< 0 is the most urgent
+    /// Of the requests that make such calls; nothing if this is a direct request.
+    std::optional<int> m_parent_priority;
     phase m_phase = phase::receiving;
     instant m_received{};
     instant m_deadline{};
@@ -76,6 +81,8 @@
     bool m_key_refused = false; ///< the target does not hold the key, by the answer that comes
     bool m_not_executed = false;
     bool m_counted = false; ///< for the load of its key
+    bool m_admitted = false;
+    bool m_offered = false; ///< noted by the meter of admission
 };
 
 } // namespace peppertack
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration busy_tick = std::chrono::milliseconds(10);
+constexpr duration summary_interval = std::chrono::seconds(1);
 constexpr duration idle_tick = std::chrono::milliseconds(40);
 /// Requests that other nodes forward have been checked against the callers' limits already.
 constexpr http_reader::limits forwarded_limits{.header_bytes = 128U << 10U,
@@ -191,10 +192,35 @@
         m_agent.tick(at);
         wake_all(at.now);
         step_stop(at.now);
+        log_summary(at.now);
         tick();
     });
 }
 
+/// Single requests have lines within a budget only: the causes of all are told by their counts.
+void traffic_host::log_summary(instant now) {
+    if (now < m_summary_at + summary_interval) {
+        return;
+    }
+    m_summary_at = now;
+    const auto causes = m_metrics.take_answers_by_cause();
+    if (causes.empty()) {
+        return;
+    }
+    const admission_level admitted = m_dependencies.level(now);
+    const work_queue &queue = m_agent.queue();
+    log_event(log_level::info, "traffic_summary",
+              {{"answers", causes},
+               {"in_flight", queue.in_flight()},
+               {"waiting", queue.waiting()},
+               {"slots", queue.limit()},
+               {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  queue.mean_service_time())
+                                  .count()},
+               {"admitted_fresh", admitted.fresh},
+               {"admitted_expired", admitted.expired}});
+}
+
 void traffic_host::expect_start(std::uint64_t id, std::function<void(bool)> decide) {
     m_starts[id] = std::move(decide);
 }
