Admit all where little is left of a called service

Change: with a level below 0.4 all are admitted for half a second, their calls marked expendable, and while more of these runs end well than the level would admit, that goes on.

--- a/include/peppertack/coordination/dependency_admission.hpp
+++ b/include/peppertack/coordination/dependency_admission.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/coordination/admission_level.hpp"
 #include "peppertack/state/time.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,8 +16,12 @@
 /// target has done for the request that made it, and its caller sends that again, which sustains
 /// the overload after its cause has gone. So whatever the called service can't carry is shed here,
 /// before the target works on it: in the share in which that service sheds its own direct requests,
-/// and by multiplicative decrease while nested calls are rejected all the same. Not thread safe: it
-/// belongs to the traffic thread.
+/// and by multiplicative decrease while nested calls are rejected all the same.
+///
+/// Where the called service has lost nearly all it had, shedding would also reject requests that
+/// make no calls. So with a low level all requests are admitted for a moment, their calls marked
+/// expendable, and if a larger share of these runs ends well than the level would admit, that is
+/// how requests are admitted for a while. Not thread safe: it belongs to the traffic thread.
 class dependency_admission {
 public:
     /// A nested call of the local target on `route` was taken; `told` is the admission level that
@@ -29,7 +34,11 @@
     /// Shares of requests to admit: the least that any called service leaves.
     admission_level level(instant now) const;
     /// Whether to admit a request. `draw` is uniform in [0, 1).
-    bool admits(bool expired, double draw, instant now) const;
+    bool admits(bool expired, double draw, instant now);
+    /// Whether nested calls made now should give way to all else where they go.
+    bool calls_expendable() const { return m_mode == mode::open; }
+    /// A run of the local target that was admitted at `started` has ended.
+    void note_run(instant started, bool succeeded, instant now);
 
 private:
     void note(const std::string &route, const std::optional<admission_level> &told, bool rejected,
@@ -44,7 +53,20 @@
         instant heard{};
     };
 
+    enum class mode : std::uint8_t {
+        shedding, ///< admits the share that called services leave
+        open      ///< admits all requests; their calls are expendable
+    };
+    void choose_mode(instant now);
+    void enter(mode next, duration length, instant now);
+
     std::map<std::string, dependency> m_routes;
+    mode m_mode = mode::shedding;
+    instant m_entered{};
+    instant m_review_at{};
+    double m_level = 1;           ///< fresh, when it was last shedding
+    unsigned int m_runs = 0;      ///< that began since all requests are admitted, and have ended
+    unsigned int m_succeeded = 0; ///< of `m_runs`
 };
 
 } // namespace peppertack
--- a/include/peppertack/coordination/traffic_policy.hpp
+++ b/include/peppertack/coordination/traffic_policy.hpp
@@ -5,8 +5,8 @@
 
 namespace peppertack {
 
-/// The mechanisms that decide on load. All are on by default; one is switched off to measure what it
-/// is worth. Immutable once the traffic of a node has started.
+/// The mechanisms that decide on load. All are on by default; one is switched off to measure what
+/// it is worth. Immutable once the traffic of a node has started.
 struct traffic_policy {
     bool dependency_admission = true; ///< see `dependency_admission`
     bool nested_calls_first = true;   ///< calls of running requests go before all else
--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -33,7 +33,7 @@
     };
     struct item {
         std::uint64_t id = 0;
-        std::string kind; ///< requests of one kind take alike long
+        std::string kind;    ///< requests of one kind take alike long
         bool nested = false; ///< called by a running request, whose work a rejection would waste
         int priority = 0;    ///< 0 is the most urgent
         instant arrived{};
--- a/include/peppertack/protocol/hop_header.hpp
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -23,8 +23,9 @@
     std::string service;      ///< that the sender's routes lead the request to
     std::string route;        ///< requests of one route take alike long
     int priority = 0;
-    bool repeat = false; ///< the request may have been at a target before
+    bool repeat = false;      ///< the request may have been at a target before
     bool first_choice = true; ///< no target has rejected the request before
+    bool expendable = false;  ///< a nested call that gives way to all else
     double admitted = 1;      ///< share of such requests that the sender saw taken
     std::optional<std::uint32_t> key;
     duration objective_left{}; ///< until the latency objective
--- a/include/peppertack/state/error_kind.hpp
+++ b/include/peppertack/state/error_kind.hpp
@@ -27,10 +27,10 @@
     bad_table,
     not_leader,
     not_found,
-    no_route,       ///< no route of the sheet in force takes the request
-    not_ready,      ///< this process does not know what is in force yet
-    draining,       ///< the target is about to stop and takes no new work
-    no_target_left, ///< the service has no target at the moment
+    no_route,              ///< no route of the sheet in force takes the request
+    not_ready,             ///< this process does not know what is in force yet
+    draining,              ///< the target is about to stop and takes no new work
+    no_target_left,        ///< the service has no target at the moment
     dependency_overloaded, ///< a service that the target calls has no room
     cancelled,
 };
--- a/src/coordination/admission_level.cpp
+++ b/src/coordination/admission_level.cpp
@@ -64,8 +64,7 @@
 }
 
 admission_level admission_board::level(int priority, instant now) const {
-    return {.fresh = mean_share(false, priority, now),
-            .expired = mean_share(true, priority, now)};
+    return {.fresh = mean_share(false, priority, now), .expired = mean_share(true, priority, now)};
 }
 
 } // namespace peppertack
--- a/src/coordination/dependency_admission.cpp
+++ b/src/coordination/dependency_admission.cpp
@@ -17,6 +17,16 @@
 /// Without calls the level says less and less, and is forgotten after so long.
 constexpr std::chrono::seconds forgotten_after(2);
 
+/// With a higher level than this hardly any workload gains by admitting all.
+constexpr double open_below = 0.4;
+/// All requests are admitted for so long before their outcome is compared.
+constexpr duration trial = std::chrono::milliseconds(500);
+constexpr unsigned int least_runs = 10;
+constexpr std::chrono::seconds review_interval(4);
+/// After a stretch of open admission shedding goes on for so long, to tell the level anew: calls
+/// that are expendable leave more to direct requests.
+constexpr duration shedding_trial = std::chrono::milliseconds(1500);
+
 void follow(double &known, double told) {
     known += (told - known) / smoothing;
 }
@@ -73,7 +83,49 @@
     return least;
 }
 
-bool dependency_admission::admits(bool expired, double draw, instant now) const {
+void dependency_admission::enter(mode next, duration length, instant now) {
+    m_mode = next;
+    m_entered = now;
+    m_review_at = now + length;
+    m_runs = 0;
+    m_succeeded = 0;
+}
+
+void dependency_admission::choose_mode(instant now) {
+    if (now < m_review_at) {
+        return;
+    }
+    if (m_mode == mode::shedding) {
+        m_level = level(now).fresh;
+        if (m_level < open_below) {
+            enter(mode::open, trial, now);
+        }
+        return;
+    }
+    if (m_runs < least_runs && now < m_entered + review_interval) {
+        return;
+    }
+    const bool better = m_runs >= least_runs && m_succeeded > m_level * m_runs;
+    if (better && now < m_entered + review_interval) {
+        m_review_at = m_entered + review_interval;
+    } else {
+        enter(mode::shedding, better ? shedding_trial : duration(review_interval), now);
+    }
+}
+
+void dependency_admission::note_run(instant started, bool succeeded, instant now) {
+    choose_mode(now);
+    if (m_mode == mode::open && started >= m_entered) {
+        ++m_runs;
+        m_succeeded += succeeded ? 1 : 0;
+    }
+}
+
+bool dependency_admission::admits(bool expired, double draw, instant now) {
+    choose_mode(now);
+    if (m_mode == mode::open) {
+        return true;
+    }
     const admission_level known = level(now);
     return draw < (expired ? known.expired : known.fresh);
 }
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -92,6 +92,7 @@
     put(out, value.priority);
     put(out, value.repeat ? 1 : 0);
     put(out, value.first_choice ? 1 : 0);
+    put(out, value.expendable ? 1 : 0);
     put_share(out, value.admitted);
     out.append(value.key ? std::to_string(*value.key) : std::string(absent)).push_back(separator);
     put(out, value.objective_left.count());
@@ -108,6 +109,7 @@
     value.priority = in.number<int>();
     value.repeat = in.number<int>() != 0;
     value.first_choice = in.number<int>() != 0;
+    value.expendable = in.number<int>() != 0;
     value.admitted = in.share().value_or(1);
     const std::string_view key = in.text();
     if (key != absent) {
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -111,9 +111,9 @@
         m_caller_deadline = m_received + std::chrono::milliseconds(*patience);
         m_deadline = std::min(m_deadline, m_caller_deadline);
         const bool recognise = m_host.options().policy.retry_recognition;
-        const auto asked = recognise ? m_host.returning().take(m_route.name, m_caller_deadline,
-                                                               m_received)
-                                     : std::nullopt;
+        const auto asked =
+            recognise ? m_host.returning().take(m_route.name, m_caller_deadline, m_received)
+                      : std::nullopt;
         m_asked = asked.value_or(m_received);
     }
     return true;
@@ -230,6 +230,7 @@
                           .priority = m_route.priority,
                           .repeat = m_arrivals > 0,
                           .first_choice = m_tried.empty(),
+                          .expendable = m_host.dependencies().calls_expendable(),
                           .admitted = m_host.meter().share(admission(), now),
                           .key = m_key,
                           .objective_left = m_asked + m_route.latency_objective - now,
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -14,6 +14,7 @@
 constexpr duration deadline_slack = std::chrono::milliseconds(30);
 /// Of a target: it does not hold the request's key.
 constexpr int misdirected_status = 421;
+constexpr int first_failure_status = 500;
 constexpr duration usual_retry_after = std::chrono::milliseconds(250);
 
 std::int64_t ms_of(duration value) {
@@ -63,6 +64,9 @@
     const routing_sheet &sheet = m_host.agent().lease().routes();
     m_rank = m_host.ranks().rank(m_hop.route, m_hop.priority, sheet);
     m_parent_priority = m_host.ranks().parent_priority(m_hop.route, sheet);
+    if (m_parent_priority && m_hop.expendable) {
+        m_rank = *m_parent_priority + 1;
+    }
     if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
         refuse(*kind, m_received, usual_retry_after);
         return;
@@ -90,7 +94,7 @@
 work_queue::item target_relay::item() const {
     return {.id = m_id,
             .kind = m_hop.route,
-            .nested = m_parent_priority.has_value(),
+            .nested = m_parent_priority && !m_hop.expendable,
             .priority = m_rank,
             .arrived = m_received,
             .objective = m_objective,
@@ -277,7 +281,9 @@
     out.status = head.status;
     out.headers = forwarded_headers(head);
     remove_header(out.headers, hop_header);
-    out.headers.push_back({std::string(hop_header), encode(hop_reply{.load = m_host.load(), .level = level(steady_instant())})});
+    out.headers.push_back(
+        {std::string(hop_header),
+         encode(hop_reply{.load = m_host.load(), .level = level(steady_instant())})});
     const bool sized = head.framing == body_framing::length || head.framing == body_framing::none;
     out.framing = sized ? body_framing::length : body_framing::chunked;
     out.content_length = head.content_length;
@@ -313,6 +319,9 @@
         return;
     }
     m_host.metrics().note_target(now - m_started);
+    if (!m_parent_priority) {
+        m_host.dependencies().note_run(m_started, m_status < first_failure_status, now);
+    }
     leave_queue(m_not_executed ? std::nullopt : std::optional(now - m_started));
     m_phase = phase::done;
     m_sender->finish();
@@ -462,10 +471,9 @@
 }
 
 void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
-    answer(kind, {.load = m_host.load(),
-                  .refused = kind,
-                  .retry_after = retry_after,
-                  .level = level(now)});
+    answer(
+        kind,
+        {.load = m_host.load(), .refused = kind, .retry_after = retry_after, .level = level(now)});
 }
 
 void target_relay::fail(error_kind kind, instant) {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -209,16 +209,17 @@
     }
     const admission_level admitted = m_dependencies.level(now);
     const work_queue &queue = m_agent.queue();
-    log_event(log_level::info, "traffic_summary",
-              {{"answers", causes},
-               {"in_flight", queue.in_flight()},
-               {"waiting", queue.waiting()},
-               {"slots", queue.limit()},
-               {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  queue.mean_service_time())
-                                  .count()},
-               {"admitted_fresh", admitted.fresh},
-               {"admitted_expired", admitted.expired}});
+    log_event(
+        log_level::info, "traffic_summary",
+        {{"answers", causes},
+         {"in_flight", queue.in_flight()},
+         {"waiting", queue.waiting()},
+         {"slots", queue.limit()},
+         {"service_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(queue.mean_service_time()).count()},
+         {"admitted_fresh", admitted.fresh},
+         {"admitted_expired", admitted.expired},
+         {"calls_expendable", m_dependencies.calls_expendable()}});
 }
 
 void traffic_host::expect_start(std::uint64_t id, std::function<void(bool)> decide) {
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -37,8 +37,8 @@
     ++m_answers;
     ++m_by_error.at(static_cast<std::size_t>(error));
     ++m_by_status_class[status / 100];
-    ++m_by_cause[route][error == error_kind::none ? std::to_string(status)
-                                                  : answer_for(error).name];
+    ++m_by_cause[route]
+                [error == error_kind::none ? std::to_string(status) : answer_for(error).name];
     m_by_route.try_emplace(route, make_latency_histogram()).first->second(milliseconds(took));
 }
 
--- a/tests/protocol/hop_header_test.cpp
+++ b/tests/protocol/hop_header_test.cpp
@@ -12,6 +12,9 @@
                               .route = "r-1",
                               .priority = 2,
                               .repeat = true,
+                              .first_choice = false,
+                              .expendable = true,
+                              .admitted = 0.125,
                               .key = 65535,
                               .objective_left = -3ms,
                               .time_left = 1200ms};
@@ -24,6 +27,19 @@
                           .retry_after = 250ms,
                           .may_have_run = true};
     CHECK(decode_hop_reply(encode(reply)) == reply);
+    hop_reply nested = reply;
+    nested.level = admission_level{.fresh = 0.5, .expired = 0};
+    CHECK(decode_hop_reply(encode(nested)) == nested);
+}
+
+TEST_CASE("a share beyond the whole is no share") {
+    const std::string text = encode(hop_reply{.level = admission_level{.fresh = 1, .expired = 1}});
+    const std::size_t place = text.rfind("1000");
+    REQUIRE(place != std::string::npos);
+    CHECK(decode_hop_reply(text));
+    for (const char *wrong : {"1001", "-1", "x", ""}) {
+        CHECK_FALSE(decode_hop_reply(std::string(text).replace(place, 4, wrong)));
+    }
 }
 
 TEST_CASE("a name can't change how the rest is read") {
