Shorten a standing queue at an overloaded target

Change: a queue that has not been short for 300 ms is shortened, by a share of the wait that is allowed; late answers are counted in the traffic summary.

--- a/include/peppertack/coordination/traffic_policy.hpp
+++ b/include/peppertack/coordination/traffic_policy.hpp
@@ -12,6 +12,7 @@
     bool nested_calls_first = true;   ///< calls of running requests go before all else
     bool retry_recognition = true;    ///< see `returning_callers`
     bool equal_shares = true;         ///< see `recent_service`
+    bool drain_standing = true;       ///< see `work_queue`
     bool two_choices = true;          ///< see `target_selector`
     bool ejection = true;             ///< see `target_selector`
 
@@ -24,11 +25,12 @@
     bool traffic_policy::*enabled = nullptr;
 };
 
-inline constexpr std::array<traffic_mechanism, 6> traffic_mechanisms{{
+inline constexpr std::array<traffic_mechanism, 7> traffic_mechanisms{{
     {"dependency-admission", &traffic_policy::dependency_admission},
     {"nested-calls-first", &traffic_policy::nested_calls_first},
     {"retry-recognition", &traffic_policy::retry_recognition},
     {"equal-shares", &traffic_policy::equal_shares},
+    {"drain-standing", &traffic_policy::drain_standing},
     {"two-choices", &traffic_policy::two_choices},
     {"ejection", &traffic_policy::ejection},
 }};
--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -28,8 +28,12 @@
         /// sooner. It matters most for short calls that running requests make: each that is refused
         /// wastes what its parent has done so far.
         duration usual_return = std::chrono::milliseconds(300);
-        bool nested_first = true; ///< nested calls go before all else
-        bool equal_shares = true; ///< of one priority what was rejected more goes first
+        /// A queue that has not become shorter than a part of the slots for so long is a standing
+        /// one: it makes every answer later and none more.
+        duration standing_after = std::chrono::milliseconds(300);
+        bool drain_standing = true; ///< a standing queue is made shorter
+        bool nested_first = true;   ///< nested calls go before all else
+        bool equal_shares = true;   ///< of one priority what was rejected more goes first
     };
     struct item {
         std::uint64_t id = 0;
@@ -78,13 +82,17 @@
     bool in_time(const item &request, instant now) const;
     auto rank(const item &request, instant now) const;
 
+    void watch_length(instant now);
     double taken_before(const item &request, instant now) const;
 
     options m_options;
     recent_service m_recent;
     std::uint32_t m_in_flight = 0;
     std::uint64_t m_finished = 0;
-    std::vector<item> m_waiting; ///< in order of arrival
+    std::vector<item> m_waiting;     ///< in order of arrival
+    std::size_t m_least_waiting = 0; ///< since the present interval began
+    instant m_interval_end{};
+    double m_wait_share = 1; ///< part of the time to spare that a request may be made to wait
     std::unordered_map<std::string, duration> m_by_kind;
     duration m_mean = std::chrono::milliseconds(50);
 };
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -19,6 +19,9 @@
 public:
     /// A caller has its answer: the target's (`status`), or a refusal of this system (`error`).
     void note_answer(const std::string &route, int status, error_kind error, duration took);
+    /// An answer of the target came after the latency objective; `returned`: its caller had been
+    /// rejected before.
+    void note_late(const std::string &route, bool returned);
     /// A request left the queue beside the target.
     void note_queue(duration waited);
     /// A large body was asked for by the node that is to take it in.
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -15,6 +15,11 @@
 constexpr int smoothing = 16;
 /// Some work of the least urgent is always hoped for: what is more urgent may end any moment.
 constexpr double most_taken_before = 0.95;
+/// A standing queue is shortened to this part of the slots, which keeps them busy.
+constexpr double kept_waiting = 0.3;
+constexpr double shortened = 0.85; ///< factor of the allowed wait with each interval
+constexpr double lengthened = 0.05;
+constexpr double least_wait_share = 0.15;
 constexpr duration least_retry_after = std::chrono::milliseconds(50);
 
 recent_service::request_kind kind_of(const work_queue::item &request, bool nested_first) {
@@ -77,8 +82,25 @@
         return now < request.deadline;
     }
     // One that would start too late to meet its objective only pushes those behind it past theirs.
-    const instant done = now + expected_wait(request, now) + service_time(request.kind);
-    return m_waiting.size() < m_options.most_waiting && done <= useful_until(request);
+    const duration to_spare = useful_until(request) - now - service_time(request.kind);
+    const double share = request.nested && m_options.nested_first ? 1 : m_wait_share;
+    const auto longest = static_cast<double>(to_spare.count()) * share;
+    return m_waiting.size() < m_options.most_waiting &&
+           static_cast<double>(expected_wait(request, now).count()) <= longest;
+}
+
+/// Shortens a standing queue. It is as long as the objective allows while more is asked for than
+/// the target can do, so that all that is served ends just before its objective, or just after it.
+void work_queue::watch_length(instant now) {
+    m_least_waiting = std::min(m_least_waiting, m_waiting.size());
+    if (!m_options.drain_standing || now < m_interval_end) {
+        return;
+    }
+    const bool standing = static_cast<double>(m_least_waiting) > kept_waiting * m_options.limit;
+    m_wait_share = standing ? std::max(m_wait_share * shortened, least_wait_share)
+                            : std::min(m_wait_share + lengthened, 1.0);
+    m_interval_end = now + m_options.standing_after;
+    m_least_waiting = m_waiting.size();
 }
 
 work_queue::verdict work_queue::offer(const item &request, instant now) {
@@ -107,6 +129,7 @@
         }
         return over;
     });
+    watch_length(now);
     if (m_waiting.empty() || m_in_flight >= m_options.limit) {
         return std::nullopt;
     }
@@ -116,6 +139,7 @@
     }
     const std::uint64_t id = best->id;
     m_waiting.erase(best);
+    m_least_waiting = std::min(m_least_waiting, m_waiting.size());
     ++m_in_flight;
     return id;
 }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -417,6 +417,9 @@
     }
     log_end(m_answer.status, error_kind::none, now);
     m_host.metrics().note_answer(m_route.name, m_answer.status, error_kind::none, now - m_received);
+    if (m_answer.status < 400 && now > m_asked + m_route.latency_objective) {
+        m_host.metrics().note_late(m_route.name, m_asked != m_received);
+    }
     if (m_passing_on) {
         m_caller->finish();
     } else {
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -39,7 +39,8 @@
 node_agent::node_agent(const traffic_options &options, sender send, name_probe probe)
     : m_options(options), m_send(std::move(send)), m_probe(std::move(probe)), m_lease(options.node),
       m_holds(options.holds), m_caller(options.hold_calls, m_holds),
-      m_queue({.nested_first = options.policy.nested_calls_first,
+      m_queue({.drain_standing = options.policy.drain_standing,
+               .nested_first = options.policy.nested_calls_first,
                .equal_shares = options.policy.equal_shares}) {}
 
 bool node_agent::keyed() const {
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -42,6 +42,10 @@
     m_by_route.try_emplace(route, make_latency_histogram()).first->second(milliseconds(took));
 }
 
+void traffic_metrics::note_late(const std::string &route, bool returned) {
+    ++m_by_cause[route][returned ? "late-returned" : "late"];
+}
+
 void traffic_metrics::note_queue(duration waited) {
     m_queue(milliseconds(waited));
 }
--- a/tests/coordination/work_queue_test.cpp
+++ b/tests/coordination/work_queue_test.cpp
@@ -27,6 +27,7 @@
     work_queue queue{{.limit = 4}};
     duration service = 100ms;
     double spread = 0; ///< of the logarithm of the service time
+    std::uint64_t priorities = 2;
     std::size_t offered = 0;
     std::size_t in_time = 0;
     std::size_t late = 0;
@@ -82,7 +83,7 @@
             next_arrival += duration(static_cast<duration::rep>(gap(random) * 1e6));
             work_queue::item one{.id = ++id,
                                  .kind = "r",
-                                 .priority = static_cast<int>(id % 2),
+                                 .priority = static_cast<int>(id % priorities),
                                  .arrived = now,
                                  .objective = now + objective,
                                  .deadline = now + objective * 2};
@@ -240,6 +241,27 @@
     CHECK(load.refused_late <= load.refused / 10);
 }
 
+// Guards against answers that come just after their objective while the target is overloaded: the
+// queue stands at the longest wait that still seems to be in time, for all who are served.
+TEST_CASE("a standing queue is shortened until what is served is in time") {
+    replay load;
+    load.queue = work_queue({.limit = 17});
+    load.service = 97ms;
+    load.spread = 0.4;
+    load.priorities = 1;
+    load.run(260, 60s, 300ms); // capacity is 175 a second
+    CHECK(load.late <= load.in_time / 20);
+    CHECK(load.in_time >= 0.93 * 175 * 60);
+    replay standing = {.queue = work_queue({.limit = 17, .drain_standing = false}),
+                       .service = load.service,
+                       .spread = load.spread,
+                       .priorities = 1};
+    standing.run(260, 60s, 300ms);
+    MESSAGE("in time " << standing.in_time << " -> " << load.in_time << ", late " << standing.late
+                       << " -> " << load.late);
+    CHECK(standing.late >= 4 * load.late);
+}
+
 TEST_CASE("of one priority no kind starves beside another with a shorter objective") {
     // Symptom: most targets of a service were lost; the calls of lookups were served whole, and
     // three in ten of the bookings, which have the same priority. Sequence: both kinds together ask
