Choose targets by their times for the route, and look at a near one always

Cause: targets were compared by the mean time of all their requests. Change: a node tells its target's usual time for the route that it answers, and the work that waits; of targets in the own failure domain one is always among the choices (two draws of many are mostly far, and bytes between domains are paid for).

--- a/include/peppertack/coordination/target_selector.hpp
+++ b/include/peppertack/coordination/target_selector.hpp
@@ -4,6 +4,7 @@
 #include "peppertack/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -20,6 +21,8 @@
     std::uint32_t limit = 0; ///< requests that the target runs at a time; 0: not known
     duration service_time{}; ///< usual time of a request
     duration body_wait{};    ///< until the node could take in a large body that is offered now
+    duration backlog{};      ///< until the slots have done the work that waits now
+    duration route_time{};   ///< usual time of a request on the route that the answer is for
 
     friend bool operator==(const target_load &, const target_load &) = default;
 };
@@ -32,7 +35,7 @@
 };
 
 /// Chooses among the targets of a service without keys: of two drawn at random, in proportion to
-/// what they can do, and the one beside this node, the one that will be done first, by the load
+/// what they can do, one drawn in this failure domain, and the one beside this node, the one that will be done first, by the load
 /// that answers of its node last told and what this node has sent since. Two draws keep many nodes
 /// with the same news from all choosing the same target. Targets that fail again and again are left
 /// out for a while, but never all of them. Not thread safe.
@@ -52,6 +55,8 @@
         /// shared, and paid for. Small against a queue, so that load still evens out.
         double distance_factor = 1.15;
         bool two_choices = true; ///< off: the first target drawn is taken
+        bool times_by_route = true; ///< off: by the mean time of all requests
+        bool near_choice = true; ///< a target in this failure domain is always among the choices
         bool ejection = true;    ///< off: targets that fail are chosen like others
     };
 
@@ -61,6 +66,7 @@
     /// What a request needs of a target.
     struct request_shape {
         bool large_body = false; ///< it has to wait for its turn to be taken in
+        std::string route;       ///< requests of one route take alike long
     };
 
     /// One of `candidates` that is not in `tried`; `no_target` if there is none.
@@ -71,9 +77,11 @@
     /// A call has ended. A target that can't be reached is left out at once: of a third of the
     /// targets that fell silent together, each node lost three requests a target until it knew.
     void ended(target_number number, call_end how, instant now);
-    void note(target_number number, const target_load &load, instant now);
-    /// Time until an answer, as far as can be told.
-    duration estimate(target_number number, instant now) const;
+    /// `route` is that of the request that was answered.
+    void note(target_number number, const target_load &load, instant now,
+              const std::string &route = {});
+    /// Time until an answer to a request on `route`, as far as can be told.
+    duration estimate(target_number number, const std::string &route, instant now) const;
     bool ejected(target_number number, instant now) const;
     /// Forgets targets that are not in the map any more.
     void keep_only(const std::unordered_map<target_number, target_route> &known);
@@ -81,6 +89,7 @@
 private:
     struct state {
         target_load load;
+        std::unordered_map<std::string, duration> by_route; ///< usual times, as last told
         instant reported{};
         std::uint32_t outstanding = 0;
         std::uint32_t at_report = 0; ///< outstanding when the report came
@@ -93,9 +102,12 @@
         bool near = false;
         bool own = false; ///< beside this very node
     };
+    std::optional<std::size_t> draw_near(const std::vector<candidate> &from,
+                                         const std::string &route);
     double cost(const candidate &item, const request_shape &shape, instant now) const;
 
-    double capacity(const state *known) const;
+    duration usual_time(const state *known, const std::string &route) const;
+    double capacity(const state *known, const std::string &route) const;
 
     options m_options;
     std::mt19937_64 m_random;
--- a/include/peppertack/coordination/traffic_policy.hpp
+++ b/include/peppertack/coordination/traffic_policy.hpp
@@ -14,6 +14,8 @@
     bool equal_shares = true;         ///< see `recent_service`
     bool drain_standing = true;       ///< see `work_queue`
     bool two_choices = true;          ///< see `target_selector`
+    bool times_by_route = true;       ///< see `target_selector`
+    bool near_choice = true;          ///< see `target_selector`
     bool ejection = true;             ///< see `target_selector`
 
     friend bool operator==(const traffic_policy &, const traffic_policy &) = default;
@@ -25,13 +27,15 @@
     bool traffic_policy::*enabled = nullptr;
 };
 
-inline constexpr std::array<traffic_mechanism, 7> traffic_mechanisms{{
+inline constexpr std::array<traffic_mechanism, 9> traffic_mechanisms{{
     {"dependency-admission", &traffic_policy::dependency_admission},
     {"nested-calls-first", &traffic_policy::nested_calls_first},
     {"retry-recognition", &traffic_policy::retry_recognition},
     {"equal-shares", &traffic_policy::equal_shares},
     {"drain-standing", &traffic_policy::drain_standing},
     {"two-choices", &traffic_policy::two_choices},
+    {"times-by-route", &traffic_policy::times_by_route},
+    {"near-choice", &traffic_policy::near_choice},
     {"ejection", &traffic_policy::ejection},
 }};
 
--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -70,6 +70,10 @@
     std::uint64_t finished() const { return m_finished; }
     /// Usual time of a request of `kind` at the target, once it has started.
     duration service_time(const std::string &kind) const;
+    /// The same, if one has ended.
+    std::optional<duration> known_time(const std::string &kind) const;
+    /// Until the slots have done what waits now.
+    duration backlog() const;
     duration mean_service_time() const { return m_mean; }
     /// How long a request that came now would wait.
     duration expected_wait(const item &request, instant now) const;
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -108,6 +108,7 @@
     /// where they differ from those here it has to look again.
     std::optional<error_kind> refusal(const hop_request &request, instant now) const;
     work_queue &queue() { return m_queue; }
+    const work_queue &queue() const { return m_queue; }
     target_load load() const;
     void count_request(std::uint32_t key) { m_key_loads.count(key); }
 
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -85,8 +85,8 @@
     work_queue &body_turns() { return m_body_turns; }
     /// Gives the target, and the link, whatever may start now.
     void start_waiting(instant now);
-    /// What this node tells others of its target's load.
-    target_load load() const;
+    /// What this node tells others of its target's load, with the answer to a request on `route`.
+    target_load load(const std::string &route) const;
     void expect_start(std::uint64_t id, std::function<void(bool start)> decide);
     void forget_start(std::uint64_t id) { m_starts.erase(id); }
     std::uint64_t next_id() { return ++m_last_id; }
--- a/src/coordination/target_selector.cpp
+++ b/src/coordination/target_selector.cpp
@@ -5,34 +5,51 @@
 
 namespace peppertack {
 
-double target_selector::capacity(const state *known) const {
+/// By route where that is known: a target that is given short requests would look quick, and be
+/// given more of all kinds than one whose requests are long.
+duration target_selector::usual_time(const state *known, const std::string &route) const {
+    if (known == nullptr) {
+        return m_options.prior_service_time;
+    }
+    const auto told = m_options.times_by_route ? known->by_route.find(route) : known->by_route.end();
+    if (told != known->by_route.end()) {
+        return told->second;
+    }
+    const duration mean = known->load.service_time;
+    return mean > duration{} ? mean : m_options.prior_service_time;
+}
+
+double target_selector::capacity(const state *known, const std::string &route) const {
     const bool told = known != nullptr && known->load.limit > 0;
     const double limit = told ? known->load.limit : m_options.prior_limit;
-    const duration time = told && known->load.service_time > duration{}
-                              ? known->load.service_time
-                              : m_options.prior_service_time;
-    return limit / static_cast<double>(time.count());
+    return limit / static_cast<double>(usual_time(known, route).count());
 }
 
-duration target_selector::estimate(target_number number, instant now) const {
+duration target_selector::estimate(target_number number, const std::string &route,
+                                   instant now) const {
     const auto found = m_targets.find(number);
     const state none;
     const state &known = found == m_targets.end() ? none : found->second;
     const bool fresh = known.load.limit > 0 && known.reported + m_options.report_lifetime > now;
     const std::uint32_t limit = known.load.limit > 0 ? known.load.limit : m_options.prior_limit;
-    const duration time = known.load.service_time > duration{} ? known.load.service_time
-                                                               : m_options.prior_service_time;
+    const duration time = usual_time(&known, route);
+    const duration mean =
+        known.load.service_time > duration{} ? known.load.service_time : time;
     std::uint32_t busy = known.outstanding;
+    duration backlog{};
     if (fresh) {
         const std::uint32_t since =
             known.outstanding - std::min(known.outstanding, known.at_report);
-        busy = known.load.in_flight + known.load.waiting + since;
+        busy = known.load.in_flight + since;
+        const bool told = m_options.times_by_route && known.load.route_time > duration{};
+        backlog = told ? known.load.backlog : mean * known.load.waiting / limit;
     }
     const double fill = static_cast<double>(busy + 1) / limit;
     // Below its limit a target is as quick as ever, but the fuller one is the sooner overtaken by
     // what other nodes send meanwhile.
-    const double factor = fill <= 1 ? 1 + 0.2 * fill : 0.2 + fill;
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+    const double own = static_cast<double>(time.count()) * (1 + 0.2 * std::min(fill, 1.0));
+    const double wait = static_cast<double>(mean.count()) * std::max(fill - 1, 0.0);
+    return backlog + duration(static_cast<duration::rep>(own + wait));
 }
 
 bool target_selector::ejected(target_number number, instant now) const {
@@ -60,7 +77,7 @@
     std::vector<double> weights;
     for (const candidate &item : from) {
         const auto found = m_targets.find(item.number);
-        weights.push_back(capacity(found == m_targets.end() ? nullptr : &found->second));
+        weights.push_back(capacity(found == m_targets.end() ? nullptr : &found->second, shape.route));
     }
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
     const std::size_t first = draw(m_random);
@@ -73,14 +90,34 @@
     const auto cheaper = [&](const candidate &a, const candidate &b) {
         return cost(a, shape, now) < cost(b, shape, now);
     };
-    const candidate &drawn = cheaper(from[second], from[first]) ? from[second] : from[first];
+    std::size_t best = cheaper(from[second], from[first]) ? second : first;
+    // Of many targets the two drawn are mostly far: what is near is looked at in any case.
+    const std::optional<std::size_t> near = m_options.near_choice ? draw_near(from, shape.route) : std::nullopt;
+    best = near && cheaper(from[*near], from[best]) ? *near : best;
     const auto own =
         std::find_if(from.begin(), from.end(), [](const candidate &item) { return item.own; });
-    return own != from.end() && cheaper(*own, drawn) ? own->number : drawn.number;
+    return own != from.end() && cheaper(*own, from[best]) ? own->number : from[best].number;
+}
+
+/// One of the targets in this failure domain, in proportion to what they can do.
+std::optional<std::size_t> target_selector::draw_near(const std::vector<candidate> &from,
+                                                      const std::string &route) {
+    std::vector<double> weights;
+    bool any = false;
+    for (const candidate &item : from) {
+        const auto found = m_targets.find(item.number);
+        weights.push_back(
+            item.near ? capacity(found == m_targets.end() ? nullptr : &found->second, route) : 0);
+        any = any || item.near;
+    }
+    if (!any) {
+        return std::nullopt;
+    }
+    return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(m_random);
 }
 
 double target_selector::cost(const candidate &item, const request_shape &shape, instant now) const {
-    duration time = estimate(item.number, now);
+    duration time = estimate(item.number, shape.route, now);
     const auto found = m_targets.find(item.number);
     if (shape.large_body && !item.own && found != m_targets.end()) {
         time += found->second.load.body_wait;
@@ -116,9 +153,13 @@
     known.failures = m_options.failures_until_ejected - 1; // the next failure ejects it again
 }
 
-void target_selector::note(target_number number, const target_load &load, instant now) {
+void target_selector::note(target_number number, const target_load &load, instant now,
+                           const std::string &route) {
     state &known = m_targets[number];
     known.load = load;
+    if (load.route_time > duration{}) {
+        known.by_route[route] = load.route_time;
+    }
     known.reported = now;
     known.at_report = known.outstanding;
 }
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -36,6 +36,19 @@
     return found == m_by_kind.end() ? m_mean : found->second;
 }
 
+std::optional<duration> work_queue::known_time(const std::string &kind) const {
+    const auto found = m_by_kind.find(kind);
+    return found == m_by_kind.end() ? std::nullopt : std::optional(found->second);
+}
+
+duration work_queue::backlog() const {
+    duration work{};
+    for (const item &request : m_waiting) {
+        work += service_time(request.kind);
+    }
+    return work / std::max<duration::rep>(m_options.limit, 1);
+}
+
 /// By when an answer is worth having.
 instant work_queue::useful_until(const item &request) const {
     const instant patience = request.arrived + m_options.usual_return;
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -131,6 +131,8 @@
     put(out, value.load.limit);
     put(out, value.load.service_time.count());
     put(out, value.load.body_wait.count());
+    put(out, value.load.backlog.count());
+    put(out, value.load.route_time.count());
     put(out, static_cast<int>(value.refused));
     put(out, value.retry_after.count());
     put(out, value.may_have_run ? 1 : 0);
@@ -147,6 +149,8 @@
     value.load.limit = in.number<std::uint32_t>();
     value.load.service_time = duration(in.number<duration::rep>());
     value.load.body_wait = duration(in.number<duration::rep>());
+    value.load.backlog = duration(in.number<duration::rep>());
+    value.load.route_time = duration(in.number<duration::rep>());
     const int refused = in.number<int>();
     value.retry_after = duration(in.number<duration::rep>());
     value.may_have_run = in.number<int>() != 0;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -196,7 +196,7 @@
             m_host.agent().lease().map().find_range(m_service, ordered_key_hash(*m_key));
         return range == nullptr ? no_target : range->owner;
     }
-    const target_selector::request_shape shape{.large_body = large_body()};
+    const target_selector::request_shape shape{.large_body = large_body(), .route = m_route.name};
     return m_host.selector().choose(m_host.agent().serving(m_service), shape, m_tried, now);
 }
 
@@ -318,7 +318,7 @@
     m_hop_known = told.has_value();
     m_hop = told.value_or(hop_reply{});
     if (m_hop_known) {
-        m_host.selector().note(m_target, m_hop.load, now);
+        m_host.selector().note(m_target, m_hop.load, now, m_route.name);
     }
     if (m_hop.level && m_hop.refused == error_kind::none) {
         m_host.dependencies().note_taken(m_route.name, *m_hop.level, now);
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -563,7 +563,8 @@
     return {.in_flight = m_queue.in_flight(),
             .waiting = static_cast<std::uint32_t>(m_queue.waiting()),
             .limit = m_queue.limit(),
-            .service_time = m_queue.mean_service_time()};
+            .service_time = m_queue.mean_service_time(),
+            .backlog = m_queue.backlog()};
 }
 
 /// What the target can do by the times it takes; nothing while it is cold, or did too little to
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -283,7 +283,7 @@
     remove_header(out.headers, hop_header);
     out.headers.push_back(
         {std::string(hop_header),
-         encode(hop_reply{.load = m_host.load(), .level = level(steady_instant())})});
+         encode(hop_reply{.load = m_host.load(m_hop.route), .level = level(steady_instant())})});
     const bool sized = head.framing == body_framing::length || head.framing == body_framing::none;
     out.framing = sized ? body_framing::length : body_framing::chunked;
     out.content_length = head.content_length;
@@ -473,11 +473,11 @@
 void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
     answer(
         kind,
-        {.load = m_host.load(), .refused = kind, .retry_after = retry_after, .level = level(now)});
+        {.load = m_host.load(m_hop.route), .refused = kind, .retry_after = retry_after, .level = level(now)});
 }
 
 void target_relay::fail(error_kind kind, instant) {
-    answer(kind, {.load = m_host.load(), .may_have_run = true});
+    answer(kind, {.load = m_host.load(m_hop.route), .may_have_run = true});
 }
 
 void target_relay::answer(error_kind kind, const hop_reply &hop) {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -231,8 +231,9 @@
     start_from(m_body_turns, now);
 }
 
-target_load traffic_host::load() const {
+target_load traffic_host::load(const std::string &route) const {
     target_load result = m_agent.load();
+    result.route_time = m_agent.queue().known_time(route).value_or(duration{});
     result.body_wait = m_body_turns.retry_after();
     return result;
 }
--- a/tests/coordination/target_selector_test.cpp
+++ b/tests/coordination/target_selector_test.cpp
@@ -89,6 +89,48 @@
     CHECK(world.choose(900, start).at(2) > 550); // whenever it is drawn
 }
 
+// Guards against a target that is given short requests being taken for a quick one.
+TEST_CASE("a target is judged by its times for the route that is asked for") {
+    three_targets world;
+    const auto tell = [&](target_number number, duration mean, duration backlog) {
+        target_load load{.in_flight = 18, .limit = 18, .service_time = mean, .backlog = backlog};
+        load.route_time = 150ms;
+        world.selector.note(number, load, start, "booking");
+        load.route_time = 22ms;
+        world.selector.note(number, load, start, "call");
+    };
+    tell(1, 40ms, 90ms); // many calls, and a queue of bookings
+    tell(2, 150ms, 0ms);
+    tell(3, 150ms, 0ms);
+    for (const char *route : {"booking", "call"}) {
+        world.shape.route = route;
+        CHECK(world.choose(300, start)[1] == 0);
+    }
+}
+
+TEST_CASE("a target in the same failure domain is looked at with each choice") {
+    target_selector selector({.failure_domain = "a"}, 5);
+    std::vector<target_route> routes(20);
+    std::vector<const target_route *> list;
+    for (target_number number = 1; number <= routes.size(); ++number) {
+        target_route &route = routes[number - 1];
+        route.number = number;
+        route.failure_domain = number <= 4 ? "a" : "b";
+        selector.note(number, {.in_flight = 9, .limit = 18, .service_time = 100ms}, start);
+        list.push_back(&route);
+    }
+    int near = 0;
+    for (int i = 0; i < 300; ++i) {
+        near += selector.choose(list, {}, {}, start) <= 4 ? 1 : 0;
+    }
+    CHECK(near == 300);
+    for (target_number number = 1; number <= 4; ++number) {
+        selector.note(number, {.in_flight = 18, .waiting = 9, .limit = 18, .service_time = 100ms},
+                      start);
+    }
+    CHECK(selector.choose(list, {}, {}, start) > 4);
+}
+
 TEST_CASE("the target beside the node is always looked at, and costs no way over a link") {
     three_targets world;
     world.routes[2].address = "own";
--- a/tests/protocol/hop_header_test.cpp
+++ b/tests/protocol/hop_header_test.cpp
@@ -22,7 +22,7 @@
     hop_request plain = request;
     plain.key.reset();
     CHECK(decode_hop_request(encode(plain)) == plain);
-    const hop_reply reply{.load = {3, 4, 18, 160ms, 70ms},
+    const hop_reply reply{.load = {3, 4, 18, 160ms, 70ms, 40ms, 22ms},
                           .refused = error_kind::overloaded,
                           .retry_after = 250ms,
                           .may_have_run = true};
