--- a/include/peppertack/coordination/target_selector.hpp
+++ b/include/peppertack/coordination/target_selector.hpp
@@ -35,10 +35,10 @@
 };
 
 /// Chooses among the targets of a service without keys: of two drawn at random, in proportion to
-/// what they can do, one drawn in this failure domain, and the one beside this node, the one that will be done first, by the load
-/// that answers of its node last told and what this node has sent since. Two draws keep many nodes
-/// with the same news from all choosing the same target. Targets that fail again and again are left
-/// out for a while, but never all of them. Not thread safe.
+/// what they can do, one drawn in this failure domain, and the one beside this node, the one that
+/// will be done first, by the load that answers of its node last told and what this node has sent
+/// since. Two draws keep many nodes with the same news from all choosing the same target. Targets
+/// that fail again and again are left out for a while, but never all of them. Not thread safe.
 class target_selector {
 public:
     struct options {
@@ -54,10 +54,10 @@
         /// A target elsewhere counts as so much slower: what goes there crosses a link that is
         /// shared, and paid for. Small against a queue, so that load still evens out.
         double distance_factor = 1.15;
-        bool two_choices = true; ///< off: the first target drawn is taken
+        bool two_choices = true;    ///< off: the first target drawn is taken
         bool times_by_route = true; ///< off: by the mean time of all requests
-        bool near_choice = true; ///< a target in this failure domain is always among the choices
-        bool ejection = true;    ///< off: targets that fail are chosen like others
+        bool near_choice = true;    ///< a target in this failure domain is always among the choices
+        bool ejection = true;       ///< off: targets that fail are chosen like others
     };
 
     target_selector(options settings, std::uint64_t seed)
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "peppertack/coordination/admission_level.hpp"
-#include "peppertack/coordination/call_ranks.hpp"
 #include "peppertack/coordination/dependency_admission.hpp"
+#include "peppertack/coordination/nested_call_detector.hpp"
 #include "peppertack/coordination/returning_callers.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
@@ -67,8 +67,8 @@
     request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
     std::mt19937_64 &random() { return m_random; }
-    /// How requests to the local target rank.
-    call_ranks &ranks() { return m_ranks; }
+    /// Which requests to the local target are nested calls.
+    nested_call_detector &nested_calls() { return m_nested_calls; }
     /// Which share of callers' requests that came here was taken.
     admission_meter &meter() { return m_meter; }
     /// Which share of direct requests to the local target was taken, by all who send them.
@@ -117,7 +117,7 @@
     request_log m_refused_calls{{.lines_a_second = 10, .burst = 100}};
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
-    call_ranks m_ranks;
+    nested_call_detector m_nested_calls;
     admission_meter m_meter;
     admission_board m_board;
     dependency_admission m_dependencies;
--- a/src/coordination/call_ranks.cpp
+++ b/src/coordination/nested_call_detector.cpp
@@ -1,4 +1,4 @@
-#include "peppertack/coordination/call_ranks.hpp"
+#include "peppertack/coordination/nested_call_detector.hpp"
 
 #include <algorithm>
 
@@ -31,7 +31,7 @@
 
 } // namespace
 
-void call_ranks::fade(instant now) {
+void nested_call_detector::fade(instant now) {
     if (now < m_faded + fade_interval) {
         return;
     }
@@ -45,12 +45,12 @@
     std::erase_if(m_routes, [](const auto &item) { return item.second.empty(); });
 }
 
-void call_ranks::note(const std::string &route, const std::string &caller, instant now) {
+void nested_call_detector::note(const std::string &route, const std::string &caller, instant now) {
     fade(now);
     m_routes[route][caller] += 1;
 }
 
-std::optional<std::string> call_ranks::calling_service(const std::string &route) const {
+std::optional<std::string> nested_call_detector::calling_service(const std::string &route) const {
     const auto own = m_routes.find(route);
     if (own == m_routes.end()) {
         return std::nullopt;
@@ -73,9 +73,7 @@
     return others_ask ? std::optional(most->first) : std::nullopt;
 }
 
-/// The least urgent of what is sent to a service: with a more urgent one its calls would go before
-/// requests of callers that rank above most of what makes them.
-int call_ranks::least_urgent_at(const std::string &service, const routing_sheet &sheet) {
+int nested_call_detector::least_urgent_at(const std::string &service, const routing_sheet &sheet) {
     if (m_sheet != sheet.version) {
         m_sheet = sheet.version;
         m_least_urgent.clear();
@@ -90,18 +88,10 @@
     return found == m_least_urgent.end() ? 0 : found->second;
 }
 
-std::optional<int> call_ranks::parent_priority(const std::string &route,
-                                               const routing_sheet &sheet) {
+std::optional<int> nested_call_detector::parent_priority(const std::string &route,
+                                                         const routing_sheet &sheet) {
     const std::optional<std::string> caller = calling_service(route);
     return caller ? std::optional(least_urgent_at(*caller, sheet)) : std::nullopt;
 }
 
-int call_ranks::rank(const std::string &route, int priority, const routing_sheet &sheet) {
-    const std::optional<std::string> caller = calling_service(route);
-    if (!caller) {
-        return priority;
-    }
-    return std::min(priority, std::max(least_urgent_at(*caller, sheet) - 1, 0));
-}
-
 } // namespace peppertack
--- a/src/coordination/target_selector.cpp
+++ b/src/coordination/target_selector.cpp
@@ -11,7 +11,8 @@
     if (known == nullptr) {
         return m_options.prior_service_time;
     }
-    const auto told = m_options.times_by_route ? known->by_route.find(route) : known->by_route.end();
+    const auto told =
+        m_options.times_by_route ? known->by_route.find(route) : known->by_route.end();
     if (told != known->by_route.end()) {
         return told->second;
     }
@@ -33,8 +34,7 @@
     const bool fresh = known.load.limit > 0 && known.reported + m_options.report_lifetime > now;
     const std::uint32_t limit = known.load.limit > 0 ? known.load.limit : m_options.prior_limit;
     const duration time = usual_time(&known, route);
-    const duration mean =
-        known.load.service_time > duration{} ? known.load.service_time : time;
+    const duration mean = known.load.service_time > duration{} ? known.load.service_time : time;
     std::uint32_t busy = known.outstanding;
     duration backlog{};
     if (fresh) {
@@ -77,7 +77,8 @@
     std::vector<double> weights;
     for (const candidate &item : from) {
         const auto found = m_targets.find(item.number);
-        weights.push_back(capacity(found == m_targets.end() ? nullptr : &found->second, shape.route));
+        weights.push_back(
+            capacity(found == m_targets.end() ? nullptr : &found->second, shape.route));
     }
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
     const std::size_t first = draw(m_random);
@@ -92,7 +93,8 @@
     };
     std::size_t best = cheaper(from[second], from[first]) ? second : first;
     // Of many targets the two drawn are mostly far: what is near is looked at in any case.
-    const std::optional<std::size_t> near = m_options.near_choice ? draw_near(from, shape.route) : std::nullopt;
+    const std::optional<std::size_t> near =
+        m_options.near_choice ? draw_near(from, shape.route) : std::nullopt;
     best = near && cheaper(from[*near], from[best]) ? *near : best;
     const auto own =
         std::find_if(from.begin(), from.end(), [](const candidate &item) { return item.own; });
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -60,13 +60,11 @@
     m_deadline = m_received + m_hop.time_left;
     m_objective = m_received + m_hop.objective_left;
     const std::string *caller = head.find(m_host.options().headers.caller_service);
-    m_host.ranks().note(m_hop.route, caller == nullptr ? std::string() : *caller, m_received);
+    m_host.nested_calls().note(m_hop.route, caller == nullptr ? std::string() : *caller,
+                               m_received);
     const routing_sheet &sheet = m_host.agent().lease().routes();
-    m_rank = m_host.ranks().rank(m_hop.route, m_hop.priority, sheet);
-    m_parent_priority = m_host.ranks().parent_priority(m_hop.route, sheet);
-    if (m_parent_priority && m_hop.expendable) {
-        m_rank = *m_parent_priority + 1;
-    }
+    m_parent_priority = m_host.nested_calls().parent_priority(m_hop.route, sheet);
+    m_priority = m_parent_priority && m_hop.expendable ? *m_parent_priority + 1 : m_hop.priority;
     if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
         refuse(*kind, m_received, usual_retry_after);
         return;
@@ -95,7 +93,7 @@
     return {.id = m_id,
             .kind = m_hop.route,
             .nested = m_parent_priority && !m_hop.expendable,
-            .priority = m_rank,
+            .priority = m_priority,
             .arrived = m_received,
             .objective = m_objective,
             .deadline = m_deadline};
@@ -471,9 +469,10 @@
 }
 
 void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
-    answer(
-        kind,
-        {.load = m_host.load(m_hop.route), .refused = kind, .retry_after = retry_after, .level = level(now)});
+    answer(kind, {.load = m_host.load(m_hop.route),
+                  .refused = kind,
+                  .retry_after = retry_after,
+                  .level = level(now)});
 }
 
 void target_relay::fail(error_kind kind, instant) {
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -66,7 +66,7 @@
     std::uint64_t m_id;
     std::string m_request_id;
     hop_request m_hop;
-    int m_rank = 0; ///< 0 is the most urgent
+    int m_priority = 0; ///< 0 is the most urgent
     /// Of the requests that make such calls; nothing if this is a direct request.
     std::optional<int> m_parent_priority;
     phase m_phase = phase::receiving;
--- a/tests/coordination/work_queue_test.cpp
+++ b/tests/coordination/work_queue_test.cpp
@@ -170,6 +170,27 @@
     CHECK(hopeless.empty());
 }
 
+// Guards against the work of a running request being thrown away for a direct request.
+TEST_CASE("a nested call goes before direct requests, an expendable one by its priority") {
+    for (const bool first : {true, false}) {
+        work_queue queue({.limit = 1, .nested_first = first});
+        queue.offer(item(1), start);
+        queue.offer(item(2, 0), start);
+        work_queue::item call = item(3, 1);
+        call.nested = true;
+        queue.offer(call, start);
+        queue.offer(item(4, 3), start); // expendable: below what calls it
+        std::vector<std::uint64_t> hopeless;
+        std::vector<std::uint64_t> order;
+        for (int i = 0; i < 3; ++i) {
+            queue.finish("r", 10ms);
+            order.push_back(queue.next(start, hopeless).value_or(0));
+        }
+        CHECK(order ==
+              (first ? std::vector<std::uint64_t>{3, 2, 4} : std::vector<std::uint64_t>{2, 3, 4}));
+    }
+}
+
 TEST_CASE("what can't be answered in time is refused at once") {
     work_queue queue({.limit = 1});
     queue.offer(item(1), start);
--- a/tests/transport/rank_of_request_test.cpp
+++ b/tests/transport/rank_of_request_test.cpp
@@ -53,7 +53,7 @@
         forward("asked-by-callers", i % 2 == 0 ? keyed : plain);
         forward("asked-by-keyed", keyed);
     }
-    CHECK(node.host().ranks().calling_service("asked-by-keyed") == keyed);
-    CHECK_FALSE(node.host().ranks().calling_service("asked-by-callers"));
+    CHECK(node.host().nested_calls().calling_service("asked-by-keyed") == keyed);
+    CHECK_FALSE(node.host().nested_calls().calling_service("asked-by-callers"));
     CHECK(node.runs == 50);
 }
