--- a/include/peppertack/coordination/admission_level.hpp
+++ b/include/peppertack/coordination/admission_level.hpp
@@ -40,9 +40,11 @@
 class admission_meter {
 public:
     void note_offered(const admission_class &request, instant now);
+    /// Precondition: the request was noted as offered.
     void note_rejected(const admission_class &request, instant now);
     /// Share of such requests that was taken over the last seconds.
     double share(const admission_class &request, instant now) const;
+    std::size_t size() const { return m_classes.size(); }
 
 private:
     struct counts {
@@ -62,6 +64,7 @@
     /// that priority at another service whose nested calls come here are to be shed alike: less
     /// urgent ones here have given way already.
     admission_level level(int priority, instant now) const;
+    std::size_t size() const { return m_classes.size(); }
 
 private:
     struct record {
--- a/src/coordination/admission_level.cpp
+++ b/src/coordination/admission_level.cpp
@@ -10,6 +10,10 @@
 constexpr std::chrono::seconds memory(1);
 /// Of fewer requests the share that was taken is chance.
 constexpr double least_requests = 2;
+/// Beyond so many classes, those that nobody asks for any more are forgotten: each change of the
+/// table may name new routes.
+constexpr std::size_t most_classes = 64;
+constexpr double forgotten_below = 0.01;
 
 } // namespace
 
@@ -24,11 +28,19 @@
 }
 
 void admission_meter::note_offered(const admission_class &request, instant now) {
+    if (m_classes.size() >= most_classes) {
+        std::erase_if(m_classes, [now](const auto &known) {
+            return known.second.offered.at_time(now) < forgotten_below;
+        });
+    }
     m_classes[request].offered.add(1, now);
 }
 
 void admission_meter::note_rejected(const admission_class &request, instant now) {
-    m_classes[request].rejected.add(1, now);
+    const auto known = m_classes.find(request);
+    if (known != m_classes.end()) {
+        known->second.rejected.add(1, now);
+    }
 }
 
 double admission_meter::share(const admission_class &request, instant now) const {
@@ -45,6 +57,11 @@
 
 void admission_board::note(const admission_class &request, int priority, double share,
                            instant now) {
+    if (m_classes.size() >= most_classes) {
+        std::erase_if(m_classes, [now](const auto &known) {
+            return known.second.requests.at_time(now) < forgotten_below;
+        });
+    }
     record &known = m_classes[request];
     known.priority = priority;
     known.requests.add(1, now);
--- a/src/coordination/target_selector.cpp
+++ b/src/coordination/target_selector.cpp
@@ -5,6 +5,13 @@
 
 namespace peppertack {
 
+namespace {
+
+/// Usual times kept for each target.
+constexpr std::size_t most_routes = 256;
+
+} // namespace
+
 /// By route where that is known: a target that is given short requests would look quick, and be
 /// given more of all kinds than one whose requests are long.
 duration target_selector::usual_time(const state *known, const std::string &route) const {
@@ -160,6 +167,9 @@
     state &known = m_targets[number];
     known.load = load;
     if (load.route_time > duration{}) {
+        if (known.by_route.size() >= most_routes) {
+            known.by_route.clear(); // also of routes that a table has dropped since
+        }
         known.by_route[route] = load.route_time;
     }
     known.reported = now;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -493,6 +493,7 @@
     if (lacks_room(kind)) {
         m_host.meter().note_rejected(admission(), now);
         m_host.dependencies().note_rejected(m_route.name, m_hop.level, now);
+        // Sooner there is hardly room, and one that comes back can't be in time any more.
         retry_after = std::max(retry_after, m_route.latency_objective);
     }
     const error_answer &answer = answer_for(kind);
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -80,9 +80,9 @@
     int m_status = 0;
     bool m_key_refused = false; ///< the target does not hold the key, by the answer that comes
     bool m_not_executed = false;
-    bool m_counted = false; ///< for the load of its key
-    bool m_admitted = false;
-    bool m_offered = false; ///< noted by the meter of admission
+    bool m_counted = false;  ///< for the load of its key
+    bool m_admitted = false; ///< the services that the target calls leave room for it
+    bool m_offered = false;  ///< noted by the board of admission
 };
 
 } // namespace peppertack
--- a/tests/coordination/dependency_admission_test.cpp
+++ b/tests/coordination/dependency_admission_test.cpp
@@ -320,6 +320,20 @@
     CHECK(admission.level(start + 3s) == admission_level{});
 }
 
+// Guards against memory that grows with each change of the table.
+TEST_CASE("routes that nobody asks for any more are forgotten") {
+    admission_meter meter;
+    admission_board board;
+    instant now = start;
+    for (int i = 0; i < 2000; ++i, now += 100ms) {
+        const admission_class request{"r-" + std::to_string(i), false};
+        meter.note_offered(request, now);
+        board.note(request, 1, 1, now);
+    }
+    CHECK(meter.size() <= 100);
+    CHECK(board.size() <= 100);
+}
+
 TEST_CASE("the share taken is the mean of what all senders measured") {
     admission_meter meter;
     const admission_class fresh{"booking", false};
