--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -7,7 +7,7 @@
 #include "peppertack/coordination/node_report.hpp"
 #include "peppertack/coordination/placement.hpp"
 #include "peppertack/coordination/replica.hpp"
-#include "peppertack/coordination/sheet_history.hpp"
+#include "peppertack/coordination/routing_history.hpp"
 #include "peppertack/coordination/voter_roster.hpp"
 #include "peppertack/state/control_state.hpp"
 
@@ -149,7 +149,7 @@
     greedy_placement m_placement;
     voter_roster m_roster;
     std::deque<std::pair<std::uint64_t, std::uint64_t>> m_proofs; ///< round, ticket
-    sheet_history m_routes;
+    routing_history m_routes;
     bool m_established = false;
     std::uint64_t m_last_proposed = 0;
     std::uint64_t m_last_compacted = 0;
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -2,7 +2,7 @@
 
 #include "peppertack/coordination/node_options.hpp"
 #include "peppertack/coordination/route_map.hpp"
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 #include "peppertack/state/table.hpp"
 
 #include <functional>
@@ -34,7 +34,8 @@
         bool registration = false; ///< a new number, or none any more
         bool table = false;
         bool routes = false;
-        std::string unreadable_routes; ///< why a sheet that came was not taken; empty: none was
+        std::string
+            unreadable_routes; ///< why a routing table that came was not taken; empty: none was
     };
     change receive(const node_address &from, const renew_reply &reply, moment at);
     change receive(const map_update &update);
@@ -51,13 +52,13 @@
     const route_map &map() const { return m_map; }
     const table &current_table() const { return m_table; }
     std::uint64_t table_version() const { return m_table_version; }
-    /// The routing sheet in force here; version 0 before the first.
-    const routing_sheet &routes() const { return m_routes; }
-    /// When a leader that was proved to lead last said that this sheet is the one in force, by the
-    /// time at which it was asked; zero before the first time.
+    /// The routing table in force here; version 0 before the first.
+    const routing_table &routes() const { return m_routes; }
+    /// When a leader that was proved to lead last said that this routing table is the one in force,
+    /// by the time at which it was asked; zero before the first time.
     instant routes_confirmed_at() const { return m_routes_confirmed_at; }
-    /// Whether a request may be told to be wrong by the routing sheet here. A caller does not send
-    /// such a request again, so a sheet that may have been replaced must not decide it.
+    /// Whether a request may be told to be wrong by the routing table here. A caller does not send
+    /// such a request again, so a routing table that may have been replaced must not decide it.
     bool routes_trusted(instant now) const { return trusted(m_routes_confirmed_at, now); }
     /// The same for the table of services.
     bool table_trusted(instant now) const { return trusted(m_table_confirmed_at, now); }
@@ -113,7 +114,7 @@
     route_map m_map;
     table m_table;
     std::uint64_t m_table_version = 0;
-    routing_sheet m_routes;
+    routing_table m_routes;
     instant m_routes_confirmed_at{};
     instant m_table_confirmed_at{};
     std::uint64_t m_sequence; ///< of the last renewal
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -174,7 +174,7 @@
     std::uint64_t table_version = 0;
     std::string table_csv; ///< only if newer than the node's
     std::uint64_t routes_version = 0;
-    std::string routes; ///< packed delta from the node's routing sheet, only if that is older
+    std::string routes; ///< packed delta from the node's routing table, only if that is older
     map_update map;
     std::vector<node_address> voters;
     node_address origin; ///< the node, where a voter is to pass the answer on; else empty
--- a/include/peppertack/coordination/nested_call_detector.hpp
+++ b/include/peppertack/coordination/nested_call_detector.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 #include "peppertack/state/time.hpp"
 
 #include <map>
@@ -24,17 +24,18 @@
     std::optional<std::string> calling_service(const std::string &route) const;
     /// Priority of the least urgent requests that make calls on the route, 0 for the most urgent;
     /// nothing if it is not one of nested calls.
-    std::optional<int> parent_priority(const std::string &route, const routing_sheet &sheet);
+    std::optional<int> parent_priority(const std::string &route, const routing_table &routing);
 
 private:
     using counts = std::map<std::string, double>; ///< by service of the caller
     void fade(instant now);
-    int least_urgent_at(const std::string &service, const routing_sheet &sheet);
+    int least_urgent_at(const std::string &service, const routing_table &routing);
 
     std::map<std::string, counts> m_routes;
     instant m_faded{};
-    std::map<std::string, int> m_least_urgent; ///< of a service's routes, in the sheet below
-    std::uint64_t m_sheet = 0;
+    std::map<std::string, int>
+        m_least_urgent; ///< of a service's routes, in the routing table below
+    std::uint64_t m_routing = 0;
 };
 
 } // namespace peppertack
--- a/include/peppertack/coordination/node_report.hpp
+++ b/include/peppertack/coordination/node_report.hpp
@@ -19,7 +19,7 @@
     std::uint64_t map_from = 0; ///< version that it had when `map_at` was set
     instant map_at{};           ///< when all that it misses was last sent
     duration map_pause{};       ///< until that is sent once more, if it has not come
-    // ---- the last difference of routing sheets that was sent to it ----
+    // ---- the last difference of routing tables that was sent to it ----
     std::uint64_t routes_from = 0;
     std::uint64_t routes_to = 0;
     instant routes_at{};
@@ -27,7 +27,8 @@
     /// From which version on a renewal's answer has to tell the map; what was sent to it and may
     /// still be on its way counts as known.
     std::uint64_t map_base(const renew_request &request, moment at);
-    /// Whether it has to be sent the difference between two sheets, which counts as sent then.
+    /// Whether it has to be sent the difference between two routing tables, which counts as sent
+    /// then.
     bool routes_due(std::uint64_t from, std::uint64_t to, moment at);
 };
 
--- a/include/peppertack/coordination/recent_service.hpp
+++ b/include/peppertack/coordination/recent_service.hpp
@@ -37,9 +37,9 @@
 
     /// Whether `kind` was served a clearly larger part of what it asked for than another kind of
     /// the same priority.
-    bool favoured(const request_kind &kind, instant now) const;
+    bool over_served(const request_kind &kind, instant now) const;
     /// Slots that are kept busy by kinds that go before `kind`: those in time if it is late, more
-    /// urgent ones, and where it is favoured those of its priority that are not.
+    /// urgent ones, and where it is over_served those of its priority that are not.
     double slots_before(const request_kind &kind, instant now) const;
 
 private:
--- a/include/peppertack/protocol/hop_header.hpp
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -3,7 +3,7 @@
 #include "peppertack/coordination/admission_level.hpp"
 #include "peppertack/coordination/target_selector.hpp"
 #include "peppertack/state/error_kind.hpp"
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 #include "peppertack/state/time.hpp"
 
 #include <cstdint>
--- a/include/peppertack/state/control_state.hpp
+++ b/include/peppertack/state/control_state.hpp
@@ -4,7 +4,7 @@
 #include "peppertack/state/command.hpp"
 #include "peppertack/state/error_kind.hpp"
 #include "peppertack/state/records.hpp"
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 #include "peppertack/state/table.hpp"
 
 #include <cstdint>
@@ -60,9 +60,9 @@
     const table &current_table() const { return m_table; }
     const std::string &table_change_id() const { return m_table_change_id; }
     const std::string &table_actor() const { return m_table_actor; }
-    /// The operators' routing sheet; version 0 if there is none yet.
-    const routing_sheet &routes() const { return m_routes; }
-    /// Whether targets of the service are taken on: the table or the routing sheet names it.
+    /// The operators' routing table; version 0 if there is none yet.
+    const routing_table &routes() const { return m_routes; }
+    /// Whether targets of the service are taken on: the table or the routing table names it.
     bool has_service(const std::string &service) const;
     /// Whether the service's keys are ordered numbers: its ranges are cut only between two keys.
     bool ordered_keys(const std::string &service) const;
@@ -127,7 +127,7 @@
     std::uint64_t m_table_version = 0;
     std::string m_table_change_id;
     std::string m_table_actor;
-    routing_sheet m_routes;
+    routing_table m_routes;
     std::map<target_number, target_record> m_targets;
     std::map<std::string, std::set<target_number>> m_live; ///< by service
     target_number m_last_number = 0;
--- a/include/peppertack/state/error_kind.hpp
+++ b/include/peppertack/state/error_kind.hpp
@@ -27,7 +27,7 @@
     bad_table,
     not_leader,
     not_found,
-    no_route,              ///< no route of the sheet in force takes the request
+    no_route,              ///< no route of the routing table in force takes the request
     not_ready,             ///< this process does not know what is in force yet
     draining,              ///< the target is about to stop and takes no new work
     no_target_left,        ///< the service has no target at the moment
--- a/include/peppertack/state/packed_text.hpp
+++ b/include/peppertack/state/packed_text.hpp
@@ -7,7 +7,7 @@
 
 namespace peppertack {
 
-/// Deflates text. A routing sheet of 1,400 rows shrinks to a tenth, which decides whether a leader
+/// Deflates text. A routing table of 1,400 rows shrinks to a tenth, which decides whether a leader
 /// behind a link of 170 Mbit/s can tell a hundred nodes of it within a second. Thread safe.
 std::string pack(std::string_view text);
 /// Inflates what `pack` made. Yields nothing for anything else, and for text of more than `most`
--- a/include/peppertack/state/routing_sheet.hpp
+++ b/include/peppertack/state/routing_table.hpp
@@ -37,7 +37,8 @@
     int priority = 0;                ///< 0 is the most urgent
     std::uint32_t most_attempts = 1; ///< most targets to which one request is sent
     std::vector<weighted_service> split;
-    /// The operator's own text of this row, returned as it was given when the sheet is read back.
+    /// The operator's own text of this row, returned as it was given when the routing table is read
+    /// back.
     std::string source;
 
     friend bool operator==(const route &, const route &) = default;
@@ -73,33 +74,33 @@
     friend bool operator==(const caller_limits &, const caller_limits &) = default;
 };
 
-/// The second sheet of the operators' table: routes, the services they name, limits of requests.
-/// An immutable value once made.
-struct routing_sheet {
+/// The second sheet of the operators' table: routes, the services they name, limits of
+/// requests. An immutable value once made.
+struct routing_table {
     std::uint64_t version = 0; ///< chosen by operators; grows in uneven steps; 0: none yet
     std::map<std::string, route> routes;            ///< by name
     std::map<std::string, routed_service> services; ///< by name
     caller_limits limits;
 
-    friend bool operator==(const routing_sheet &, const routing_sheet &) = default;
+    friend bool operator==(const routing_table &, const routing_table &) = default;
 };
 
-/// Why a sheet can't be taken: the place in it and what is wrong there.
-struct sheet_problem {
+/// Why a routing table can't be taken: the place in it and what is wrong there.
+struct routing_problem {
     std::string place;
     std::string reason;
 
-    friend bool operator==(const sheet_problem &, const sheet_problem &) = default;
+    friend bool operator==(const routing_problem &, const routing_problem &) = default;
 };
 
-/// First fault of a sheet; nothing if it may be put in force. Thread safe.
-std::optional<sheet_problem> check_sheet(const routing_sheet &sheet);
+/// First fault of a routing table; nothing if it may be put in force. Thread safe.
+std::optional<routing_problem> check_routing_table(const routing_table &routing);
 
-/// Answers which route takes a request; made once for each sheet. Immutable, thread safe.
+/// Answers which route takes a request; made once for each routing table. Immutable, thread safe.
 class route_index {
 public:
     route_index() = default;
-    explicit route_index(const routing_sheet &sheet);
+    explicit route_index(const routing_table &routing);
 
     /// The route of `host` (a port is ignored) with the longest prefix that begins `path`; null if
     /// there is none. Valid as long as this index.
--- a/include/peppertack/transport/control_host.hpp
+++ b/include/peppertack/transport/control_host.hpp
@@ -15,24 +15,24 @@
 
 namespace peppertack {
 
-/// A change of the routing sheet by an operator.
+/// A change of the routing table by an operator.
 struct routes_change {
     std::string change_id; ///< the same for a resend
     std::uint64_t base_version = 0;
     std::string actor;
     std::string cause;
-    /// Makes the new sheet from the one in force; nothing, with the place and reason, if it can't
-    /// be. Runs on the control thread.
-    std::function<std::optional<routing_sheet>(const routing_sheet &, sheet_problem &)> edit;
+    /// Makes the new routing table from the one in force; nothing, with the place and reason, if it
+    /// can't be. Runs on the control thread.
+    std::function<std::optional<routing_table>(const routing_table &, routing_problem &)> edit;
 };
 
-/// Answer to a change, or to a reading, of the routing sheet.
+/// Answer to a change, or to a reading, of the routing table.
 struct routes_answer {
     error_kind error = error_kind::none;
     std::uint64_t version = 0;
-    sheet_problem problem;              ///< for `bad_table`
-    node_address leader;                ///< for `not_leader`: who leads, if that is known
-    std::optional<routing_sheet> sheet; ///< for a reading
+    routing_problem problem;              ///< for `bad_table`
+    node_address leader;                  ///< for `not_leader`: who leads, if that is known
+    std::optional<routing_table> routing; ///< for a reading
 };
 
 /// Runs the control part of a voter on a thread of its own, with its files. All public methods are
@@ -56,7 +56,8 @@
     std::optional<submit_answer> submit(command value, duration patience);
     /// Judges a change and puts it into force. The answer comes on the control thread.
     void change_routes(routes_change change, std::function<void(routes_answer)> done);
-    /// The sheet in force, read with proof that this voter leads. The answer comes as above.
+    /// The routing table in force, read with proof that this voter leads. The answer comes as
+    /// above.
     void read_routes(std::function<void(routes_answer)> done);
     /// Counters and states in the Prometheus exposition format. The text comes on the control
     /// thread.
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -7,7 +7,7 @@
 #include "peppertack/coordination/retry_budget.hpp"
 #include "peppertack/coordination/target_selector.hpp"
 #include "peppertack/coordination/traffic_policy.hpp"
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 
 #include <cstdint>
 #include <memory>
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -678,7 +678,7 @@
             view.churn_price = row->churn_price;
             view.unavailable_price = row->unavailable_price;
         } else if (serving && m_state.ordered_keys(service)) {
-            target.weight = 1; // only the routing sheet names it: all targets count alike
+            target.weight = 1; // only the routing table names it: all targets count alike
         }
         view.targets.push_back(std::move(target));
     }
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -4,7 +4,7 @@
 #include "peppertack/coordination/target_life.hpp"
 #include "peppertack/coordination/voter_roster.hpp"
 #include "peppertack/state/packed_text.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -15,7 +15,7 @@
 
 constexpr std::size_t remembered_renewals = 64;
 constexpr std::size_t most_voters = 16;
-constexpr std::size_t most_sheet_bytes = 64U << 20U; ///< beyond what operators may send
+constexpr std::size_t most_routing_bytes = 64U << 20U; ///< beyond what operators may send
 constexpr duration ask_next_voter_after = std::chrono::milliseconds(20);
 /// For so long a leader that did not answer is asked through others; then directly once more.
 constexpr duration relay_time = std::chrono::seconds(3);
@@ -287,10 +287,10 @@
     if (reply.routes_version <= m_routes.version || reply.routes.empty()) {
         return;
     }
-    const std::optional<std::string> text = unpack(reply.routes, most_sheet_bytes);
+    const std::optional<std::string> text = unpack(reply.routes, most_routing_bytes);
     std::string reason = text ? "made for another version" : "damaged or too large";
-    const std::optional<sheet_delta> delta = text ? decode_delta(*text, reason) : std::nullopt;
-    std::optional<routing_sheet> next = delta ? apply(m_routes, *delta) : std::nullopt;
+    const std::optional<routing_delta> delta = text ? decode_delta(*text, reason) : std::nullopt;
+    std::optional<routing_table> next = delta ? apply(m_routes, *delta) : std::nullopt;
     if (!next) {
         changed.unreadable_routes = std::move(reason);
         return;
--- a/src/coordination/nested_call_detector.cpp
+++ b/src/coordination/nested_call_detector.cpp
@@ -73,11 +73,12 @@
     return others_ask ? std::optional(most->first) : std::nullopt;
 }
 
-int nested_call_detector::least_urgent_at(const std::string &service, const routing_sheet &sheet) {
-    if (m_sheet != sheet.version) {
-        m_sheet = sheet.version;
+int nested_call_detector::least_urgent_at(const std::string &service,
+                                          const routing_table &routing) {
+    if (m_routing != routing.version) {
+        m_routing = routing.version;
         m_least_urgent.clear();
-        for (const auto &[name, route] : sheet.routes) {
+        for (const auto &[name, route] : routing.routes) {
             for (const weighted_service &part : route.split) {
                 int &known = m_least_urgent.try_emplace(part.service, 0).first->second;
                 known = std::max(known, route.priority);
@@ -89,9 +90,9 @@
 }
 
 std::optional<int> nested_call_detector::parent_priority(const std::string &route,
-                                                         const routing_sheet &sheet) {
+                                                         const routing_table &routing) {
     const std::optional<std::string> caller = calling_service(route);
-    return caller ? std::optional(least_urgent_at(*caller, sheet)) : std::nullopt;
+    return caller ? std::optional(least_urgent_at(*caller, routing)) : std::nullopt;
 }
 
 } // namespace peppertack
--- a/src/coordination/node_report.cpp
+++ b/src/coordination/node_report.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Three renewals; a sheet that takes longer on its way is sent once more, no harm.
+/// Three renewals; a routing table that takes longer on its way is sent once more, no harm.
 constexpr duration routes_resend_after = std::chrono::milliseconds(900);
 /// The same for the map.
 constexpr duration map_resend_after = std::chrono::milliseconds(900);
@@ -35,8 +35,9 @@
     return map_from;
 }
 
-/// A node renews several times while a large sheet is on its way to it over a slow link: sending it
-/// with each renewal filled the leader's memory until it was killed. What was lost is sent again.
+/// A node renews several times while a large routing table is on its way to it over a slow link:
+/// sending it with each renewal filled the leader's memory until it was killed. What was lost is
+/// sent again.
 bool node_report::routes_due(std::uint64_t from, std::uint64_t to, moment at) {
     const bool sent = from == routes_from && to == routes_to;
     if (sent && at.now < routes_at + routes_resend_after) {
--- a/src/coordination/recent_service.cpp
+++ b/src/coordination/recent_service.cpp
@@ -70,7 +70,7 @@
     return least;
 }
 
-bool recent_service::favoured(const request_kind &kind, instant now) const {
+bool recent_service::over_served(const request_kind &kind, instant now) const {
     const auto own = m_kinds.find(kind);
     if (own == m_kinds.end()) {
         return false;
@@ -80,7 +80,7 @@
 
 double recent_service::slots_before(const request_kind &kind, instant now) const {
     const double fair_part = least_part_served(kind, now) + fair_margin;
-    const bool yields = favoured(kind, now);
+    const bool yields = over_served(kind, now);
     double work = 0;
     for (const auto &[other, known] : m_kinds) {
         const bool peer = same_rank(other, kind) && yields;
--- a/src/coordination/sheet_history.cpp
+++ b/src/coordination/routing_history.cpp
@@ -1,4 +1,4 @@
-#include "peppertack/coordination/sheet_history.hpp"
+#include "peppertack/coordination/routing_history.hpp"
 
 #include "peppertack/state/packed_text.hpp"
 
@@ -8,22 +8,22 @@
 
 namespace {
 
-/// Changes that a node may miss before it is sent the whole sheet: more than come within the second
-/// or two that a node takes to be heard again.
+/// Changes that a node may miss before it is sent the whole routing table: more than come within
+/// the second or two that a node takes to be heard again.
 constexpr std::size_t most_deltas = 32;
 constexpr std::size_t most_packed = 32;
 
 } // namespace
 
-void sheet_history::note(const std::string &delta) {
+void routing_history::note(const std::string &delta) {
     std::string reason;
-    std::optional<sheet_delta> read = decode_delta(delta, reason);
+    std::optional<routing_delta> read = decode_delta(delta, reason);
     const bool follows = read && !m_deltas.empty() && m_deltas.back().version == read->base_version;
     if (!follows) {
         m_deltas.clear();
     }
     if (!read || read->base_version == 0) {
-        return; // a whole sheet; nodes are sent the same
+        return; // a whole routing table; nodes are sent the same
     }
     m_deltas.push_back(without_sources(std::move(*read)));
     if (m_deltas.size() > most_deltas) {
@@ -31,8 +31,8 @@
     }
 }
 
-const std::string &sheet_history::packed_since(std::uint64_t version,
-                                               const routing_sheet &current) {
+const std::string &routing_history::packed_since(std::uint64_t version,
+                                                 const routing_table &current) {
     if (m_packed_to != current.version || m_packed.size() >= most_packed) {
         m_packed.clear();
         m_packed_to = current.version;
@@ -44,14 +44,15 @@
                      .first->second;
 }
 
-sheet_delta sheet_history::delta_since(std::uint64_t version, const routing_sheet &current) const {
-    auto place = std::find_if(m_deltas.begin(), m_deltas.end(), [version](const sheet_delta &item) {
-        return item.base_version == version;
-    });
+routing_delta routing_history::delta_since(std::uint64_t version,
+                                           const routing_table &current) const {
+    auto place =
+        std::find_if(m_deltas.begin(), m_deltas.end(),
+                     [version](const routing_delta &item) { return item.base_version == version; });
     if (version == 0 || place == m_deltas.end() || m_deltas.back().version != current.version) {
         return without_sources(difference({}, current));
     }
-    sheet_delta result = *place;
+    routing_delta result = *place;
     while (++place != m_deltas.end()) {
         result = join(result, *place);
     }
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -63,8 +63,8 @@
 auto work_queue::rank(const item &request, instant now) const {
     const bool late = now + service_time(request.kind) > request.objective;
     const recent_service::request_kind kind = kind_of(request, m_options.nested_first);
-    const bool favoured = m_options.equal_shares && m_recent.favoured(kind, now);
-    return std::tuple(kind.direct, kind.direct && late, request.priority, favoured,
+    const bool over_served = m_options.equal_shares && m_recent.over_served(kind, now);
+    return std::tuple(kind.direct, kind.direct && late, request.priority, over_served,
                       request.objective);
 }
 
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -1,6 +1,6 @@
 #include "peppertack/state/control_state.hpp"
 
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include "json_fields.hpp"
 
@@ -241,8 +241,8 @@
     }
     change_answer answer{.version = m_routes.version, .winner_actor = value.actor};
     std::string reason;
-    const std::optional<sheet_delta> delta = decode_delta(body.sheet, reason);
-    std::optional<routing_sheet> next = delta ? peppertack::apply(m_routes, *delta) : std::nullopt;
+    const std::optional<routing_delta> delta = decode_delta(body.sheet, reason);
+    std::optional<routing_table> next = delta ? peppertack::apply(m_routes, *delta) : std::nullopt;
     written.subject = "routes";
     written.before = "version " + std::to_string(m_routes.version);
     const bool conflict = delta && (!next || body.base_version != m_routes.version ||
@@ -251,7 +251,7 @@
         answer.error = error_kind::version_conflict;
         written.after = "refused: version " + std::to_string(delta->version) + " based on " +
                         std::to_string(body.base_version);
-    } else if (!next || check_sheet(*next)) {
+    } else if (!next || check_routing_table(*next)) {
         answer.error = error_kind::bad_table;
     } else {
         m_routes = std::move(*next);
@@ -666,11 +666,11 @@
         json.at("table_version").get_to(state.m_table_version);
         json.at("table_change_id").get_to(state.m_table_change_id);
         json.at("table_actor").get_to(state.m_table_actor);
-        // Snapshots written before there was a routing sheet hold none.
-        if (const std::string sheet = json.value("routes", ""); !sheet.empty()) {
-            std::optional<routing_sheet> read = decode_sheet(sheet, reason);
+        // Snapshots written before there was a routing table hold none.
+        if (const std::string routing = json.value("routes", ""); !routing.empty()) {
+            std::optional<routing_table> read = decode_routing_table(routing, reason);
             if (!read) {
-                reason = "routing sheet in the snapshot: " + reason;
+                reason = "routing table in the snapshot: " + reason;
                 return std::nullopt;
             }
             state.m_routes = std::move(*read);
--- a/src/state/sheet_delta.cpp
+++ b/src/state/routing_delta.cpp
@@ -1,4 +1,4 @@
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int sheet_version = 1;
+constexpr int routing_version = 1;
 
 /// Rows of `to` that `from` lacks or has otherwise.
 template <class Row>
@@ -134,8 +134,8 @@
     json.at("source").get_to(limits.source);
 }
 
-sheet_delta difference(const routing_sheet &from, const routing_sheet &to) {
-    sheet_delta delta{.base_version = from.version, .version = to.version};
+routing_delta difference(const routing_table &from, const routing_table &to) {
+    routing_delta delta{.base_version = from.version, .version = to.version};
     delta.routes = changed_rows(from.routes, to.routes);
     delta.services = changed_rows(from.services, to.services);
     delta.removed_routes = removed_rows(from.routes, to.routes);
@@ -146,11 +146,11 @@
     return delta;
 }
 
-std::optional<routing_sheet> apply(const routing_sheet &sheet, const sheet_delta &delta) {
-    if (delta.base_version != 0 && delta.base_version != sheet.version) {
+std::optional<routing_table> apply(const routing_table &routing, const routing_delta &delta) {
+    if (delta.base_version != 0 && delta.base_version != routing.version) {
         return std::nullopt;
     }
-    routing_sheet next = delta.base_version == 0 ? routing_sheet{} : sheet;
+    routing_table next = delta.base_version == 0 ? routing_table{} : routing;
     next.version = delta.version;
     replace_rows(next.routes, delta.removed_routes, delta.routes);
     replace_rows(next.services, delta.removed_services, delta.services);
@@ -158,8 +158,8 @@
     return next;
 }
 
-sheet_delta join(const sheet_delta &first, const sheet_delta &second) {
-    sheet_delta both = first;
+routing_delta join(const routing_delta &first, const routing_delta &second) {
+    routing_delta both = first;
     both.version = second.version;
     replace_rows(both.routes, second.removed_routes, second.routes);
     replace_rows(both.services, second.removed_services, second.services);
@@ -170,7 +170,7 @@
     return both;
 }
 
-sheet_delta without_sources(sheet_delta delta) {
+routing_delta without_sources(routing_delta delta) {
     for (auto &[name, row] : delta.routes) {
         row.source.clear();
     }
@@ -183,8 +183,8 @@
     return delta;
 }
 
-std::string encode(const sheet_delta &delta) {
-    nlohmann::json json{{"v", sheet_version},
+std::string encode(const routing_delta &delta) {
+    nlohmann::json json{{"v", routing_version},
                         {"base", delta.base_version},
                         {"version", delta.version},
                         {"routes", list_of(delta.routes)},
@@ -197,15 +197,15 @@
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::optional<sheet_delta> decode_delta(std::string_view text, std::string &reason) {
+std::optional<routing_delta> decode_delta(std::string_view text, std::string &reason) {
     try {
         const nlohmann::json json = nlohmann::json::parse(text);
-        if (json.at("v").get<int>() != sheet_version) {
-            reason = "sheet version " + json.at("v").dump() + " is not supported";
+        if (json.at("v").get<int>() != routing_version) {
+            reason = "routing table version " + json.at("v").dump() + " is not supported";
             return std::nullopt;
         }
-        // Whole sheets that were written before there were deltas have no base.
-        sheet_delta delta{.base_version = json.value("base", std::uint64_t{0})};
+        // Whole routing tables that were written before there were deltas have no base.
+        routing_delta delta{.base_version = json.value("base", std::uint64_t{0})};
         json.at("version").get_to(delta.version);
         delta.routes = rows_of<route>(json.at("routes"));
         delta.services = rows_of<routed_service>(json.at("services"));
@@ -221,12 +221,12 @@
     }
 }
 
-std::string encode(const routing_sheet &sheet) {
-    return encode(difference({}, sheet));
+std::string encode(const routing_table &routing) {
+    return encode(difference({}, routing));
 }
 
-std::optional<routing_sheet> decode_sheet(std::string_view text, std::string &reason) {
-    const std::optional<sheet_delta> delta = decode_delta(text, reason);
+std::optional<routing_table> decode_routing_table(std::string_view text, std::string &reason) {
+    const std::optional<routing_delta> delta = decode_delta(text, reason);
     return delta ? apply({}, *delta) : std::nullopt;
 }
 
--- a/src/state/routing_sheet.cpp
+++ b/src/state/routing_table.cpp
@@ -1,4 +1,4 @@
-#include "peppertack/state/routing_sheet.hpp"
+#include "peppertack/state/routing_table.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -23,7 +23,7 @@
     return colon == std::string_view::npos || address_in_brackets ? host : host.substr(0, colon);
 }
 
-std::optional<std::string> fault_of(const route &item, const routing_sheet &sheet) {
+std::optional<std::string> fault_of(const route &item, const routing_table &routing) {
     const std::string &prefix = item.path_prefix;
     if (item.host.empty()) {
         return "has no host";
@@ -39,7 +39,7 @@
     }
     double weight = 0;
     for (const weighted_service &part : item.split) {
-        if (sheet.services.count(part.service) == 0) {
+        if (routing.services.count(part.service) == 0) {
             return "names the unknown service \"" + part.service + "\"";
         }
         if (part.weight < 0) {
@@ -55,17 +55,17 @@
 
 } // namespace
 
-std::optional<sheet_problem> check_sheet(const routing_sheet &sheet) {
-    for (const auto &[name, item] : sheet.routes) {
-        if (const auto fault = fault_of(item, sheet)) {
-            return sheet_problem{"route " + name, *fault};
+std::optional<routing_problem> check_routing_table(const routing_table &routing) {
+    for (const auto &[name, item] : routing.routes) {
+        if (const auto fault = fault_of(item, routing)) {
+            return routing_problem{"route " + name, *fault};
         }
     }
     return std::nullopt;
 }
 
-route_index::route_index(const routing_sheet &sheet) {
-    for (const auto &[name, item] : sheet.routes) {
+route_index::route_index(const routing_table &routing) {
+    for (const auto &[name, item] : routing.routes) {
         m_by_host[lower(item.host)].push_back(item);
     }
     for (auto &[host, routes] : m_by_host) {
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -1,7 +1,7 @@
 #include "peppertack/transport/control_host.hpp"
 
 #include "peppertack/coordination/durable_voter.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include "peppertack/state/posix_storage.hpp"
 #include "peppertack/transport/json_log.hpp"
@@ -120,7 +120,7 @@
             m_waiting[ticket] = [this, done = std::move(done)](const submit_answer &proof) {
                 routes_answer answer{.error = proof.error, .leader = part().replication().leader()};
                 if (proof.error == error_kind::none) {
-                    answer.sheet = part().state().routes();
+                    answer.routing = part().state().routes();
                 }
                 done(std::move(answer));
             };
@@ -147,13 +147,13 @@
             done(refusal);
             return;
         }
-        const std::optional<routing_sheet> next = change.edit(state.routes(), refusal.problem);
+        const std::optional<routing_table> next = change.edit(state.routes(), refusal.problem);
         if (!next) {
             refusal.error = error_kind::bad_table;
             done(refusal);
             return;
         }
-        if (const auto problem = check_sheet(*next)) {
+        if (const auto problem = check_routing_table(*next)) {
             refusal.error = error_kind::bad_table;
             refusal.problem = *problem;
             done(refusal);
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -59,7 +59,7 @@
     std::shared_ptr<http_server_connection> m_caller;
     request_body m_body;
     std::string m_id;
-    route m_route; ///< a copy: the sheet may change meanwhile
+    route m_route; ///< a copy: the routing table may change meanwhile
     std::string m_service;
     std::optional<std::uint32_t> m_key;
     instant m_received{};
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -62,8 +62,8 @@
     const std::string *caller = head.find(m_host.options().headers.caller_service);
     m_host.nested_calls().note(m_hop.route, caller == nullptr ? std::string() : *caller,
                                m_received);
-    const routing_sheet &sheet = m_host.agent().lease().routes();
-    m_parent_priority = m_host.nested_calls().parent_priority(m_hop.route, sheet);
+    const routing_table &routing = m_host.agent().lease().routes();
+    m_parent_priority = m_host.nested_calls().parent_priority(m_hop.route, routing);
     m_priority = m_parent_priority && m_hop.expendable ? *m_parent_priority + 1 : m_hop.priority;
     if (const auto kind = m_host.agent().misdirected(m_hop.target)) {
         refuse(*kind, m_received, usual_retry_after);
--- a/tests/coordination/lease_client_test.cpp
+++ b/tests/coordination/lease_client_test.cpp
@@ -1,6 +1,6 @@
 #include "peppertack/coordination/lease_client.hpp"
 #include "peppertack/state/packed_text.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include <doctest/doctest.h>
 
@@ -62,9 +62,9 @@
     asking_node node(options);
     lease_client &lease = node.lease;
     const instant start(1000s);
-    const routing_sheet sheet{.version = 4};
+    const routing_table routing{.version = 4};
     renew_reply reply{.sequence = node.ask(start), .is_leader = true, .routes_version = 4};
-    reply.routes = pack(encode(sheet));
+    reply.routes = pack(encode(routing));
     CHECK(!lease.routes_trusted(start));
     lease.receive("a:1", reply, {start + 400ms, 0});
     REQUIRE(lease.routes().version == 4);
@@ -122,13 +122,13 @@
     };
     lease_client before(options);
     const std::uint64_t asked_before = ask(before, start);
-    const routing_sheet sheet{.version = 4};
+    const routing_table routing{.version = 4};
     renew_reply held_up{.sequence = asked_before,
                         .is_leader = true,
                         .number = 7,
                         .lease = options.lease.length,
                         .routes_version = 4};
-    held_up.routes = pack(encode(sheet));
+    held_up.routes = pack(encode(routing));
 
     lease_client after(restarted);
     ask(after, start + 5s);
--- a/tests/coordination/nested_call_detector_test.cpp
+++ b/tests/coordination/nested_call_detector_test.cpp
@@ -11,8 +11,8 @@
 
 /// Lookups (2) at the portal call the desk, bookings (1) at the desk call the payout, which also
 /// does disbursements (0).
-routing_sheet sheet() {
-    routing_sheet result{.version = 7};
+routing_table routing() {
+    routing_table result{.version = 7};
     const auto add = [&](const std::string &name, int priority, const std::string &service) {
         result.routes[name] = {.name = name, .priority = priority, .split = {{service, 1}}};
     };
@@ -38,11 +38,11 @@
 // worked.
 TEST_CASE("nested calls are known by the one service that makes them") {
     nested_call_detector detector;
-    CHECK_FALSE(detector.parent_priority("logbook-check", sheet()));
+    CHECK_FALSE(detector.parent_priority("logbook-check", routing()));
     second_of_payout(detector, start);
     CHECK(detector.calling_service("logbook-check") == "desk");
-    CHECK(detector.parent_priority("logbook-check", sheet()) == 1);
-    CHECK_FALSE(detector.parent_priority("disbursement", sheet()));
+    CHECK(detector.parent_priority("logbook-check", routing()) == 1);
+    CHECK_FALSE(detector.parent_priority("disbursement", routing()));
 }
 
 // Guards against more urgent direct requests giving way to calls of less urgent ones.
@@ -52,8 +52,8 @@
         detector.note("booking", i % 2 == 0 ? "portal" : "desk", start);
         detector.note("borrower-check", "portal", start);
     }
-    CHECK(detector.parent_priority("borrower-check", sheet()) == 2);
-    CHECK_FALSE(detector.parent_priority("booking", sheet()));
+    CHECK(detector.parent_priority("borrower-check", routing()) == 2);
+    CHECK_FALSE(detector.parent_priority("booking", routing()));
 }
 
 TEST_CASE("a route that callers ask for is none of calls") {
@@ -63,7 +63,7 @@
         detector.note("logbook-check", i % 10 == 0 ? "payout" : "desk", start);
     }
     CHECK_FALSE(detector.calling_service("logbook-check"));
-    CHECK_FALSE(detector.parent_priority("logbook-check", sheet()));
+    CHECK_FALSE(detector.parent_priority("logbook-check", routing()));
 }
 
 TEST_CASE("where only one service sends requests, calls can't be told from others") {
--- a/tests/coordination/sheet_history_test.cpp
+++ b/tests/coordination/routing_history_test.cpp
@@ -1,5 +1,5 @@
 #include "peppertack/coordination/control_core.hpp"
-#include "peppertack/coordination/sheet_history.hpp"
+#include "peppertack/coordination/routing_history.hpp"
 #include "peppertack/state/packed_text.hpp"
 
 #include <doctest/doctest.h>
@@ -9,21 +9,21 @@
 
 namespace {
 
-routing_sheet sheet_of(std::uint64_t version, std::size_t routes) {
-    routing_sheet sheet{.version = version};
-    sheet.services["s"] = {.name = "s"};
+routing_table routing_of(std::uint64_t version, std::size_t routes) {
+    routing_table routing{.version = version};
+    routing.services["s"] = {.name = "s"};
     for (std::size_t i = 0; i < routes; ++i) {
         const std::string name = "r" + std::to_string(i);
-        sheet.routes[name] = {.name = name,
-                              .host = "h",
-                              .path_prefix = "/" + name + "/",
-                              .timeout = 1s,
-                              .split = {{"s", 1}}};
+        routing.routes[name] = {.name = name,
+                                .host = "h",
+                                .path_prefix = "/" + name + "/",
+                                .timeout = 1s,
+                                .split = {{"s", 1}}};
     }
-    return sheet;
+    return routing;
 }
 
-std::optional<routing_sheet> follow(const routing_sheet &held, const std::string &packed) {
+std::optional<routing_table> follow(const routing_table &held, const std::string &packed) {
     std::string reason;
     const auto text = unpack(packed, 1U << 24U);
     const auto delta = text ? decode_delta(*text, reason) : std::nullopt;
@@ -33,14 +33,14 @@
 } // namespace
 
 TEST_CASE("a node is told what it lacks, whatever it has") {
-    sheet_history history;
-    std::vector<routing_sheet> sheets{{}};
+    routing_history history;
+    std::vector<routing_table> routings{{}};
     for (std::uint64_t i = 1; i <= 50; ++i) {
-        sheets.push_back(sheet_of(i, 300 + i));
-        history.note(encode(difference(sheets[i - 1], sheets[i])));
+        routings.push_back(routing_of(i, 300 + i));
+        history.note(encode(difference(routings[i - 1], routings[i])));
     }
-    const routing_sheet &current = sheets.back();
-    for (const routing_sheet &held : sheets) {
+    const routing_table &current = routings.back();
+    for (const routing_table &held : routings) {
         if (held.version != current.version) {
             CHECK(follow(held, history.packed_since(held.version, current)) == current);
         }
@@ -49,18 +49,18 @@
     CHECK(history.packed_since(49, current).size() * 5 < history.packed_since(1, current).size());
 }
 
-TEST_CASE("a history with a gap, or none at all, tells the whole sheet") {
-    sheet_history history;
-    const routing_sheet current = sheet_of(9, 5);
-    CHECK(follow(sheet_of(4, 2), history.packed_since(4, current)) == current);
-    history.note(encode(difference(sheet_of(4, 2), sheet_of(5, 2))));
-    history.note(encode(difference(sheet_of(7, 2), current)));
-    CHECK(follow(sheet_of(4, 2), history.packed_since(4, current)) == current);
+TEST_CASE("a history with a gap, or none at all, tells the whole routing table") {
+    routing_history history;
+    const routing_table current = routing_of(9, 5);
+    CHECK(follow(routing_of(4, 2), history.packed_since(4, current)) == current);
+    history.note(encode(difference(routing_of(4, 2), routing_of(5, 2))));
+    history.note(encode(difference(routing_of(7, 2), current)));
+    CHECK(follow(routing_of(4, 2), history.packed_since(4, current)) == current);
     history.note("no delta");
-    CHECK(follow(sheet_of(7, 2), history.packed_since(7, current)) == current);
+    CHECK(follow(routing_of(7, 2), history.packed_since(7, current)) == current);
 }
 
-TEST_CASE("a sheet on its way over a slow link is not sent with each renewal") {
+TEST_CASE("a routing table on its way over a slow link is not sent with each renewal") {
     // Symptom: voters were killed at their memory limit and every node missed changes. Sequence:
     // 1,400 routes were added; each of a hundred nodes renewed several times before its copy had
     // come through its link. Cause: each renewal was answered with one more copy.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -31,8 +31,8 @@
                    "header_timeout_s": 3, "idle_timeout_s": 15}})");
 }
 
-std::optional<routing_sheet> sheet_of(const nlohmann::json &config, sheet_problem &problem,
-                                      const routing_sheet &current = {}, bool whole = true) {
+std::optional<routing_table> routing_of(const nlohmann::json &config, routing_problem &problem,
+                                        const routing_table &current = {}, bool whole = true) {
     const auto change = config_change::make(config.dump(), whole, problem);
     return change ? change->apply(current, problem) : std::nullopt;
 }
@@ -43,13 +43,13 @@
     const auto delivery_with = [](const nlohmann::json &word) {
         nlohmann::json config = sample_config();
         config["services"]["keyed"]["grants"] = word;
-        sheet_problem problem;
-        const auto sheet = sheet_of(config, problem);
-        REQUIRE_MESSAGE(sheet, problem.reason);
+        routing_problem problem;
+        const auto routing = routing_of(config, problem);
+        REQUIRE_MESSAGE(routing, problem.reason);
         // What is not understood is read back all the same.
-        CHECK(nlohmann::json::parse(config_text(*sheet))["services"] == config["services"]);
-        CHECK(sheet->services.at("plain").delivery == hold_delivery::by_heartbeat);
-        return sheet->services.at("keyed").delivery;
+        CHECK(nlohmann::json::parse(config_text(*routing))["services"] == config["services"]);
+        CHECK(routing->services.at("plain").delivery == hold_delivery::by_heartbeat);
+        return routing->services.at("keyed").delivery;
     };
     CHECK(delivery_with("heartbeat") == hold_delivery::by_heartbeat);
     CHECK(delivery_with("rpc") == hold_delivery::by_call);
@@ -57,24 +57,24 @@
     CHECK(delivery_with(7) == hold_delivery::unknown);
 }
 
-TEST_CASE("a configuration becomes a routing sheet, and is read back as it was written") {
-    sheet_problem problem;
-    const auto sheet = sheet_of(sample_config(), problem);
-    REQUIRE_MESSAGE(sheet, problem.reason);
-    CHECK(sheet->version == 10);
-    const route &one = sheet->routes.at("r-one");
+TEST_CASE("a configuration becomes a routing table, and is read back as it was written") {
+    routing_problem problem;
+    const auto routing = routing_of(sample_config(), problem);
+    REQUIRE_MESSAGE(routing, problem.reason);
+    CHECK(routing->version == 10);
+    const route &one = routing->routes.at("r-one");
     CHECK(one.repeat == repeat_rule::once);
     CHECK(one.timeout == 800ms);
     CHECK(one.latency_objective == 250ms);
     CHECK(one.most_attempts == 2);
     CHECK(one.split == std::vector<weighted_service>{{"plain", 1}});
-    CHECK(sheet->routes.at("r-two").split.size() == 2);
-    CHECK(sheet->services.at("keyed").keyed);
-    CHECK_FALSE(sheet->services.at("plain").keyed);
-    CHECK(sheet->limits.header_timeout == 3s);
+    CHECK(routing->routes.at("r-two").split.size() == 2);
+    CHECK(routing->services.at("keyed").keyed);
+    CHECK_FALSE(routing->services.at("plain").keyed);
+    CHECK(routing->limits.header_timeout == 3s);
     nlohmann::json expected = sample_config();
     expected.erase("base_version");
-    CHECK(nlohmann::json::parse(config_text(*sheet)) == expected);
+    CHECK(nlohmann::json::parse(config_text(*routing)) == expected);
 }
 
 TEST_CASE("what is invalid is refused with its place") {
@@ -99,25 +99,25 @@
     for (const fault &item : faults) {
         nlohmann::json config = sample_config();
         item.make(config);
-        sheet_problem problem;
-        CHECK_FALSE(sheet_of(config, problem));
+        routing_problem problem;
+        CHECK_FALSE(routing_of(config, problem));
         CHECK(problem.place == item.place);
         CHECK_FALSE(problem.reason.empty());
     }
-    sheet_problem problem;
+    routing_problem problem;
     const std::string cut = sample_config().dump().substr(0, 300);
     CHECK_FALSE(config_change::make(cut, true, problem));
 }
 
 TEST_CASE("named items are changed and the rest stays") {
-    sheet_problem problem;
-    const auto before = sheet_of(sample_config(), problem);
+    routing_problem problem;
+    const auto before = routing_of(sample_config(), problem);
     REQUIRE(before);
     nlohmann::json change{{"version", "0000000c"}, {"base_version", "0000000a"}};
     change["upsert"]["routes"]["r-one"] = sample_config()["routes"]["r-one"];
     change["upsert"]["routes"]["r-one"]["timeout_s"] = 2;
     change["remove"]["routes"] = {"r-two"};
-    const auto after = sheet_of(change, problem, *before, false);
+    const auto after = routing_of(change, problem, *before, false);
     REQUIRE_MESSAGE(after, problem.reason);
     CHECK(after->version == 12);
     CHECK(after->routes.size() == 1);
@@ -125,7 +125,7 @@
     CHECK(after->services == before->services);
     CHECK(after->limits == before->limits);
     change["version"] = "0000000a";
-    CHECK_FALSE(sheet_of(change, problem, *before, false));
+    CHECK_FALSE(routing_of(change, problem, *before, false));
 }
 
 TEST_CASE("changed bytes of a configuration never do more than refuse it") {
@@ -134,7 +134,7 @@
         std::string changed = text;
         const auto at = *rc::gen::inRange<std::size_t>(0, changed.size());
         changed[at] = *rc::gen::arbitrary<char>();
-        sheet_problem problem;
+        routing_problem problem;
         if (const auto change = config_change::make(changed, true, problem)) {
             change->apply({}, problem);
         }
--- a/tests/state/sheet_delta_test.cpp
+++ b/tests/state/routing_delta_test.cpp
@@ -1,5 +1,5 @@
 #include "peppertack/state/packed_text.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include <doctest/doctest.h>
 #include <random>
@@ -9,43 +9,44 @@
 
 namespace {
 
-/// A sheet in which each of six routes and three services is there or not, and may differ.
-routing_sheet random_sheet(std::uint64_t version, std::mt19937_64 &random) {
-    routing_sheet sheet{.version = version};
+/// A routing table in which each of six routes and three services is there or not, and may differ.
+routing_table random_routing(std::uint64_t version, std::mt19937_64 &random) {
+    routing_table routing{.version = version};
     for (const std::string name : {"a", "b", "c"}) {
         if (random() % 3 != 0) {
             const bool by_call = random() % 2 == 0;
-            sheet.services[name] = {.name = name,
-                                    .keyed = random() % 2 == 0,
-                                    .delivery = by_call ? hold_delivery::by_call
-                                                        : hold_delivery::by_heartbeat,
-                                    .source = "{}"};
+            routing.services[name] = {.name = name,
+                                      .keyed = random() % 2 == 0,
+                                      .delivery = by_call ? hold_delivery::by_call
+                                                          : hold_delivery::by_heartbeat,
+                                      .source = "{}"};
         }
     }
     for (const std::string name : {"1", "2", "3", "4", "5", "6"}) {
         if (random() % 3 != 0) {
-            sheet.routes[name] = {.name = name,
-                                  .host = "h",
-                                  .path_prefix = "/" + name + "/",
-                                  .timeout = 1s * (1 + random() % 2),
-                                  .split = {{"a", 1}},
-                                  .source = "{}"};
+            routing.routes[name] = {.name = name,
+                                    .host = "h",
+                                    .path_prefix = "/" + name + "/",
+                                    .timeout = 1s * (1 + random() % 2),
+                                    .split = {{"a", 1}},
+                                    .source = "{}"};
         }
     }
-    sheet.limits.body_bytes = 1000 + random() % 2;
-    return sheet;
+    routing.limits.body_bytes = 1000 + random() % 2;
+    return routing;
 }
 
 } // namespace
 
-TEST_CASE("a difference leads from one sheet to the other, alone, joined and written down") {
+TEST_CASE(
+    "a difference leads from one routing table to the other, alone, joined and written down") {
     std::mt19937_64 random(11);
     for (int round = 0; round < 300; ++round) {
-        const routing_sheet first = random_sheet(1, random);
-        const routing_sheet second = random_sheet(4, random);
-        const routing_sheet third = random_sheet(9, random);
-        const sheet_delta one = difference(first, second);
-        const sheet_delta two = difference(second, third);
+        const routing_table first = random_routing(1, random);
+        const routing_table second = random_routing(4, random);
+        const routing_table third = random_routing(9, random);
+        const routing_delta one = difference(first, second);
+        const routing_delta two = difference(second, third);
         CHECK(apply(first, one) == second);
         CHECK(apply(first, join(one, two)) == third);
         CHECK_FALSE(apply(first, two));
@@ -57,27 +58,27 @@
 
 TEST_CASE("what did not change is not told") {
     std::mt19937_64 random(3);
-    const routing_sheet first = random_sheet(1, random);
-    routing_sheet second = first;
+    const routing_table first = random_routing(1, random);
+    routing_table second = first;
     second.version = 2;
-    CHECK(difference(first, second) == sheet_delta{.base_version = 1, .version = 2});
+    CHECK(difference(first, second) == routing_delta{.base_version = 1, .version = 2});
     for (const auto &[name, row] : without_sources(difference({}, first)).routes) {
         CHECK(row.source.empty());
     }
 }
 
-TEST_CASE("a whole sheet written before there were differences is read") {
+TEST_CASE("a whole routing table written before there were differences is read") {
     std::string reason;
-    const auto sheet = decode_sheet(
+    const auto routing = decode_routing_table(
         R"({"v":1,"version":3,"routes":[],"services":[{"name":"a","keyed":true,"max_connections":0,
             "health_path":"","source":""}],"limits":{"header_bytes":1,"body_bytes":2,
             "header_timeout_us":3,"idle_timeout_us":4,"source":""}})",
         reason);
-    REQUIRE_MESSAGE(sheet, reason);
-    CHECK(sheet->version == 3);
-    CHECK(sheet->services.at("a").keyed);
-    CHECK(sheet->services.at("a").delivery == hold_delivery::by_heartbeat); // the one way then
-    CHECK(sheet->limits.body_bytes == 2);
+    REQUIRE_MESSAGE(routing, reason);
+    CHECK(routing->version == 3);
+    CHECK(routing->services.at("a").keyed);
+    CHECK(routing->services.at("a").delivery == hold_delivery::by_heartbeat); // the one way then
+    CHECK(routing->limits.body_bytes == 2);
 }
 
 TEST_CASE("packed text comes back whole, and nothing else does") {
--- a/tests/state/routing_sheet_test.cpp
+++ b/tests/state/routing_table_test.cpp
@@ -1,6 +1,6 @@
 #include "peppertack/state/control_state.hpp"
 #include "peppertack/state/key_hash.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -23,55 +23,55 @@
             .source = "{}"};
 }
 
-routing_sheet sample_sheet(std::uint64_t version) {
-    routing_sheet sheet{.version = version};
-    sheet.routes["r"] = sample_route("r", "/x/");
-    sheet.services["a"] = {.name = "a", .keyed = true, .health_path = "/h", .source = "{}"};
-    sheet.services["b"] = {.name = "b", .source = "{}"};
-    return sheet;
+routing_table sample_routing(std::uint64_t version) {
+    routing_table routing{.version = version};
+    routing.routes["r"] = sample_route("r", "/x/");
+    routing.services["a"] = {.name = "a", .keyed = true, .health_path = "/h", .source = "{}"};
+    routing.services["b"] = {.name = "b", .source = "{}"};
+    return routing;
 }
 
-command change(std::uint64_t base, const routing_sheet &sheet, const std::string &id) {
+command change(std::uint64_t base, const routing_table &routing, const std::string &id) {
     command value{.actor = "operator", .cause = "test"};
-    value.body = change_routes{id, base, encode(sheet)};
+    value.body = change_routes{id, base, encode(routing)};
     return value;
 }
 
 } // namespace
 
-TEST_CASE("a routing sheet is read back as it was written") {
-    const routing_sheet sheet = sample_sheet(7);
+TEST_CASE("a routing table is read back as it was written") {
+    const routing_table routing = sample_routing(7);
     std::string reason;
-    const auto read = decode_sheet(encode(sheet), reason);
+    const auto read = decode_routing_table(encode(routing), reason);
     REQUIRE_MESSAGE(read, reason);
-    CHECK(*read == sheet);
-    CHECK_FALSE(decode_sheet("{\"v\":9}", reason));
-    CHECK_FALSE(decode_sheet("no json", reason));
+    CHECK(*read == routing);
+    CHECK_FALSE(decode_routing_table("{\"v\":9}", reason));
+    CHECK_FALSE(decode_routing_table("no json", reason));
 }
 
-TEST_CASE("each fault of a sheet is told with its place") {
+TEST_CASE("each fault of a routing table is told with its place") {
     struct fault {
-        std::function<void(routing_sheet &)> make;
+        std::function<void(routing_table &)> make;
         const char *reason;
     };
     const std::vector<fault> faults{
-        {[](auto &sheet) {
-             sheet.routes["r"].split = {{"a", 0}, {"b", 0}};
+        {[](auto &routing) {
+             routing.routes["r"].split = {{"a", 0}, {"b", 0}};
          },
          "weights"},
-        {[](auto &sheet) {
-             sheet.routes["r"].split = {{"nowhere", 1}};
+        {[](auto &routing) {
+             routing.routes["r"].split = {{"nowhere", 1}};
          },
          "unknown service"},
-        {[](auto &sheet) { sheet.routes["r"].latency_objective = 63s; }, "latency objective"},
-        {[](auto &sheet) { sheet.routes["r"].path_prefix = "/x"; }, "slash"},
-        {[](auto &sheet) { sheet.routes["r"].host.clear(); }, "host"},
-        {[](auto &sheet) { sheet.routes["r"].timeout = 0s; }, "timeout"}};
-    CHECK_FALSE(check_sheet(sample_sheet(1)));
+        {[](auto &routing) { routing.routes["r"].latency_objective = 63s; }, "latency objective"},
+        {[](auto &routing) { routing.routes["r"].path_prefix = "/x"; }, "slash"},
+        {[](auto &routing) { routing.routes["r"].host.clear(); }, "host"},
+        {[](auto &routing) { routing.routes["r"].timeout = 0s; }, "timeout"}};
+    CHECK_FALSE(check_routing_table(sample_routing(1)));
     for (const fault &item : faults) {
-        routing_sheet sheet = sample_sheet(1);
-        item.make(sheet);
-        const auto problem = check_sheet(sheet);
+        routing_table routing = sample_routing(1);
+        item.make(routing);
+        const auto problem = check_routing_table(routing);
         REQUIRE(problem);
         CHECK(problem->place == "route r");
         CHECK(problem->reason.find(item.reason) != std::string::npos);
@@ -79,9 +79,9 @@
 }
 
 TEST_CASE("the longest prefix that begins the path takes the request") {
-    routing_sheet sheet = sample_sheet(1);
-    sheet.routes["deep"] = sample_route("deep", "/x/y/");
-    const route_index index(sheet);
+    routing_table routing = sample_routing(1);
+    routing.routes["deep"] = sample_route("deep", "/x/y/");
+    const route_index index(routing);
     CHECK(index.find("shop.EXAMPLE:8080", "/x/y/z")->name == "deep");
     CHECK(index.find("shop.example", "/x/yz")->name == "r");
     CHECK(index.find("shop.example", "/x") == nullptr);
@@ -90,29 +90,29 @@
 
 TEST_CASE("of two changes on one version one wins, and a resend gets the first answer") {
     control_state state;
-    CHECK(state.apply(1, change(0, sample_sheet(3), "first")).error == error_kind::none);
+    CHECK(state.apply(1, change(0, sample_routing(3), "first")).error == error_kind::none);
     CHECK(state.routes().version == 3);
     CHECK(state.ordered_keys("a"));
     CHECK_FALSE(state.ordered_keys("b"));
     CHECK(state.ranges().count("a") == 1);
     CHECK(state.ranges().count("b") == 0);
-    CHECK(state.apply(2, change(0, sample_sheet(4), "second")).error ==
+    CHECK(state.apply(2, change(0, sample_routing(4), "second")).error ==
           error_kind::version_conflict);
-    const auto resent = state.apply(3, change(0, sample_sheet(3), "first"));
+    const auto resent = state.apply(3, change(0, sample_routing(3), "first"));
     REQUIRE(resent.answer);
     CHECK(resent.answer->error == error_kind::none);
     // Versions grow in uneven steps, and never fall.
-    CHECK(state.apply(4, change(3, sample_sheet(2), "older")).error ==
+    CHECK(state.apply(4, change(3, sample_routing(2), "older")).error ==
           error_kind::version_conflict);
-    CHECK(state.apply(5, change(3, sample_sheet(9), "third")).error == error_kind::none);
+    CHECK(state.apply(5, change(3, sample_routing(9), "third")).error == error_kind::none);
     // Accepted long ago, and said so again though another version is in force by now.
-    CHECK(state.apply(6, change(0, sample_sheet(3), "first")).answer->error == error_kind::none);
+    CHECK(state.apply(6, change(0, sample_routing(3), "first")).answer->error == error_kind::none);
     CHECK(state.routes().version == 9);
 }
 
 TEST_CASE("routes survive a snapshot") {
     control_state state;
-    state.apply(1, change(0, sample_sheet(3), "first"));
+    state.apply(1, change(0, sample_routing(3), "first"));
     std::string reason;
     const auto read = control_state::decode(state.encode(), reason);
     REQUIRE_MESSAGE(read, reason);
@@ -125,7 +125,7 @@
     // Sequence: the target registered, ended, and the state was written and read.
     // Cause: looking its ranges up made an empty list, which a reader takes for lost ranges.
     control_state state;
-    state.apply(1, change(0, sample_sheet(3), "first"));
+    state.apply(1, change(0, sample_routing(3), "first"));
     command arrival{.actor = "node", .cause = "test"};
     arrival.body = register_target{{.name = "t", .service = "b"}};
     REQUIRE(state.apply(2, arrival).error == error_kind::none);
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -1,6 +1,6 @@
 #include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/state/packed_text.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 #include "peppertack/transport/traffic/node_agent.hpp"
 
 #include <doctest/doctest.h>
@@ -36,12 +36,12 @@
               [this](const std::string &, std::function<void(std::string)> done) { done(found); }) {
     }
 
-    void answer(instant now, renew_reply reply, const routing_sheet &sheet) {
+    void answer(instant now, renew_reply reply, const routing_table &routing) {
         agent.tick({now, 0});
         reply.sequence = asked;
         reply.is_leader = true;
-        reply.routes_version = sheet.version;
-        reply.routes = pack(encode(difference({}, sheet)));
+        reply.routes_version = routing.version;
+        reply.routes = pack(encode(difference({}, routing)));
         agent.receive("a:1", reply, {now, 0});
     }
 
@@ -64,9 +64,9 @@
 TEST_CASE("a request without a key is not denied for good by the node beside the target") {
     agent_with_leader one(one_node());
     const instant start(1000s);
-    routing_sheet sheet{.version = 4};
-    sheet.services["s"] = {.name = "s", .keyed = true};
-    one.answer(start, {}, sheet);
+    routing_table routing{.version = 4};
+    routing.services["s"] = {.name = "s", .keyed = true};
+    one.answer(start, {}, routing);
     REQUIRE(one.agent.ready());
     one.agent.heartbeat({.name = "t", .address = "n:80", .service = "s"}, {start, 0},
                         [](const hold_grant &) {});
@@ -86,13 +86,13 @@
     one.agent.tick({start, 0});
     one.agent.target_leaves("t", {start, 0});
     one.found = "t";
-    routing_sheet sheet{.version = 4};
-    sheet.services["s"] = {.name = "s"};
+    routing_table routing{.version = 4};
+    routing.services["s"] = {.name = "s"};
     renew_reply reply;
     reply.map.to = 9;
     reply.map.as_of = 9;
     reply.map.targets = {{.number = 7, .name = "t", .service = "s", .address = "n:1", .slots = 1}};
-    one.answer(start + 5s, reply, sheet);
+    one.answer(start + 5s, reply, routing);
     REQUIRE(one.agent.serving("s").size() == 1);
     one.agent.tick({start + 5100ms, 0});
     const bool given_work =
@@ -134,26 +134,26 @@
     const target_heartbeat beat{.name = "t", .address = "n:80", .service = "s", .slots = 4};
     REQUIRE(one.agent.judge(beat, start + 800ms) == call_fault::unsure_of_service);
     one.agent.keep_unjudged(beat, {start, 0});
-    routing_sheet sheet{.version = 4};
+    routing_table routing{.version = 4};
     instant known = start + 900ms;
     bool taken = true;
     SUBCASE("its service is in the table") {
-        sheet.services["s"] = {.name = "s"};
+        routing.services["s"] = {.name = "s"};
     }
     SUBCASE("its service is not in the table") {
         taken = false;
     }
     SUBCASE("it has said that it leaves") {
-        sheet.services["s"] = {.name = "s"};
+        routing.services["s"] = {.name = "s"};
         one.agent.target_leaves("t", {start + 850ms, 0});
         taken = false;
     }
     SUBCASE("it may have ended since") {
-        sheet.services["s"] = {.name = "s"};
+        routing.services["s"] = {.name = "s"};
         known = start + 2100ms;
         taken = false;
     }
-    one.answer(known, {}, sheet);
+    one.answer(known, {}, routing);
     one.agent.tick({known + 1ms, 0});
     CHECK(one.agent.has_target() == taken);
 }
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -4,7 +4,7 @@
 #include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/protocol/hop_header.hpp"
 #include "peppertack/state/packed_text.hpp"
-#include "peppertack/state/sheet_delta.hpp"
+#include "peppertack/state/routing_delta.hpp"
 #include "peppertack/transport/http/whole_request.hpp"
 #include "peppertack/transport/traffic/traffic_host.hpp"
 
@@ -46,7 +46,7 @@
             .split = {{service, 1}}};
 }
 
-inline routing_sheet both_services() {
+inline routing_table both_services() {
     return {.version = 1,
             .routes = {{"to-plain", route_to(plain)}, {"to-keyed", route_to(keyed)}},
             .services = {{plain, {.name = plain}}, {keyed, {.name = keyed, .keyed = true}}}};
