Shorten two comments; detector tests share their requests

Cause: the comments of dependency_admission and admission_meter told the story of their making, and two tests of the detector stood twice. Conclusion: no behaviour changes.

--- a/include/peppertack/coordination/admission_level.hpp
+++ b/include/peppertack/coordination/admission_level.hpp
@@ -34,9 +34,9 @@
     auto operator<=>(const admission_class &) const = default;
 };
 
-/// Measures at the node that takes callers' requests which share of them is rejected for want of
-/// room in the end, whichever targets were tried. One target can't tell: the busiest is asked last,
-/// so that all rejections fall on it. Not thread safe.
+/// Measures at the node that takes callers' requests which share of them is taken in the end,
+/// whichever targets were tried. One target can't tell: all rejections fall on the last that is
+/// tried. Not thread safe.
 class admission_meter {
 public:
     void note_offered(const admission_class &request, instant now);
--- a/include/peppertack/coordination/dependency_admission.hpp
+++ b/include/peppertack/coordination/dependency_admission.hpp
@@ -10,18 +10,12 @@
 
 namespace peppertack {
 
-/// Admits requests to a target only as far as the services that it calls meanwhile can carry.
-///
-/// It answers the overload of a called service. A nested call that is rejected wastes what the
-/// target has done for the request that made it, and its caller sends that again, which sustains
-/// the overload after its cause has gone. So whatever the called service can't carry is shed here,
-/// before the target works on it: in the share in which that service sheds its own direct requests,
-/// and by multiplicative decrease while nested calls are rejected all the same.
-///
-/// Where the called service has lost nearly all it had, shedding would also reject requests that
-/// make no calls. So with a low level all requests are admitted for a moment, their calls marked
-/// expendable, and if a larger share of these runs ends well than the level would admit, that is
-/// how requests are admitted for a while. Not thread safe: it belongs to the traffic thread.
+/// Admits requests to a target only as far as the services that it calls can carry. What they can't
+/// is shed before the target works on it, in the share in which they reject direct requests, and by
+/// multiplicative decrease while nested calls are rejected. Where nearly nothing is left of a
+/// called service all requests are admitted and their calls marked expendable, as long as more of
+/// these runs end well than the level would admit. Not thread safe: it belongs to the traffic
+/// thread.
 class dependency_admission {
 public:
     /// A nested call of the local target on `route` was taken; `told` is the admission level that
--- a/tests/coordination/nested_call_detector_test.cpp
+++ b/tests/coordination/nested_call_detector_test.cpp
@@ -32,6 +32,16 @@
     }
 }
 
+/// Thirty requests on a direct route, by two services, and thirty on another, by `caller`, or
+/// with `strays` every tenth by a third.
+void ask(nested_call_detector &detector, const std::string &direct, const std::string &other,
+         const std::string &caller, bool strays) {
+    for (int i = 0; i < 30; ++i) {
+        detector.note(direct, i % 2 == 0 ? "portal" : "desk", start);
+        detector.note(other, strays && i % 10 == 0 ? "payout" : caller, start);
+    }
+}
+
 } // namespace
 
 // Guards against nested calls being rejected like requests of callers, after their runs have
@@ -48,20 +58,14 @@
 // Guards against more urgent direct requests giving way to calls of less urgent ones.
 TEST_CASE("nested calls have the priority of what makes them, not of their route") {
     nested_call_detector detector;
-    for (int i = 0; i < 30; ++i) {
-        detector.note("booking", i % 2 == 0 ? "portal" : "desk", start);
-        detector.note("borrower-check", "portal", start);
-    }
+    ask(detector, "booking", "borrower-check", "portal", false);
     CHECK(detector.parent_priority("borrower-check", routing()) == 2);
     CHECK_FALSE(detector.parent_priority("booking", routing()));
 }
 
 TEST_CASE("a route that callers ask for is none of calls") {
     nested_call_detector detector;
-    for (int i = 0; i < 30; ++i) {
-        detector.note("disbursement", i % 2 == 0 ? "portal" : "desk", start);
-        detector.note("logbook-check", i % 10 == 0 ? "payout" : "desk", start);
-    }
+    ask(detector, "disbursement", "logbook-check", "desk", true);
     CHECK_FALSE(detector.calling_service("logbook-check"));
     CHECK_FALSE(detector.parent_priority("logbook-check", routing()));
 }
