--- a/include/peppertack/coordination/dependency_admission.hpp
+++ b/include/peppertack/coordination/dependency_admission.hpp
@@ -27,6 +27,8 @@
                        instant now);
     /// Shares of requests to admit: the least that any called service leaves.
     admission_level level(instant now) const;
+    /// Route of the nested calls that leave least room; empty if none leaves less than all.
+    std::string limiting_route(instant now) const;
     /// Whether to admit a request. `draw` is uniform in [0, 1).
     bool admits(bool expired, double draw, instant now);
     /// Whether nested calls made now should give way to all else where they go.
@@ -51,6 +53,7 @@
         shedding, ///< admits the share that called services leave
         open      ///< admits all requests; their calls are expendable
     };
+    static double fresh_share(const dependency &known, instant now);
     void choose_mode(instant now);
     void enter(mode next, duration length, instant now);
 
--- a/include/peppertack/transport/request_log.hpp
+++ b/include/peppertack/transport/request_log.hpp
@@ -9,7 +9,7 @@
 
 /// Log lines about requests, in bounded number: under overload there are as many refusals as
 /// requests, and writing each would take the time that serving needs. Lines above the budget are
-/// counted and told in one line. Not thread safe.
+/// counted, and their number is told once a second. Not thread safe.
 class request_log {
 public:
     struct options {
@@ -26,12 +26,16 @@
     /// Decisions so far, told or left out.
     std::uint64_t noted() const { return m_noted; }
     std::uint64_t left_out() const { return m_left_out_total; }
+    /// Lines written so far, those that tell what was left out included.
+    std::uint64_t lines() const { return m_lines; }
 
 private:
     options m_options;
     double m_budget;
     instant m_at{};
+    instant m_told_at{}; ///< when the number of those left out was last told
     std::uint64_t m_noted = 0;
+    std::uint64_t m_lines = 0;
     std::uint64_t m_left_out = 0; ///< since the last line
     std::uint64_t m_left_out_total = 0;
 };
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -63,6 +63,9 @@
     /// Lines about requests that are told to be wrong. They have a budget of their own: refusals
     /// for load, of which there may be thousands, would leave no room for them.
     request_log &denials() { return m_denials; }
+    /// Lines about requests that were served in the end: in one budget with those that failed they
+    /// would leave less room for failures.
+    request_log &served() { return m_served; }
     /// Lines about calls of targets that were refused: another writer may send any number of them.
     request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
@@ -114,6 +117,7 @@
     target_selector m_selector;
     request_log m_log;
     request_log m_denials{{.lines_a_second = 10, .burst = 100}};
+    request_log m_served{{.lines_a_second = 5, .burst = 50}};
     request_log m_refused_calls{{.lines_a_second = 10, .burst = 100}};
     traffic_metrics m_metrics;
     std::mt19937_64 m_random;
--- a/src/coordination/dependency_admission.cpp
+++ b/src/coordination/dependency_admission.cpp
@@ -71,18 +71,35 @@
     known.window_end = now + window;
 }
 
+double dependency_admission::fresh_share(const dependency &known, instant now) {
+    const double age = std::chrono::duration<double>(now - known.heard) / forgotten_after;
+    return std::max(std::min(known.told.fresh, known.share), least_share) + age;
+}
+
 admission_level dependency_admission::level(instant now) const {
     admission_level least;
     for (const auto &[route, known] : m_routes) {
         const double age = std::chrono::duration<double>(now - known.heard) / forgotten_after;
-        const double fresh = std::max(std::min(known.told.fresh, known.share), least_share);
         const double expired = std::min(known.told.expired, known.share);
-        least.fresh = std::min(least.fresh, fresh + age);
+        least.fresh = std::min(least.fresh, fresh_share(known, now));
         least.expired = std::min(least.expired, expired + age);
     }
     return least;
 }
 
+std::string dependency_admission::limiting_route(instant now) const {
+    std::string limiting;
+    double least = 1;
+    for (const auto &[route, known] : m_routes) {
+        const double share = fresh_share(known, now);
+        if (share < least) {
+            least = share;
+            limiting = route;
+        }
+    }
+    return limiting;
+}
+
 void dependency_admission::enter(mode next, duration length, instant now) {
     m_mode = next;
     m_entered = now;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -559,24 +559,26 @@
     if (kind == error_kind::none && status < 400 && m_tried.empty()) {
         return;
     }
-    m_host.log().note("request_ended",
-                      {{"request", m_id},
-                       {"status", status},
-                       {"kind", answer_for(kind).name},
-                       {"route", m_route.name},
-                       {"service", m_service},
-                       {"priority", m_route.priority},
-                       {"objective_ms", ms_of(m_route.latency_objective)},
-                       {"key", m_key ? static_cast<std::int64_t>(*m_key) : -1},
-                       {"target", m_target_name},
-                       {"tried", m_tried.size()},
-                       {"waiting", m_hop.load.waiting},
-                       {"in_flight", m_hop.load.in_flight},
-                       {"took_ms", ms_of(now - m_received)},
-                       {"first_asked_ms", ms_of(now - m_asked)},
-                       {"map_version", m_host.agent().lease().map().version()},
-                       {"routes_version", m_host.agent().lease().routes().version}},
-                      now);
+    const bool served = kind == error_kind::none && status < 400;
+    request_log &log = served ? m_host.served() : m_host.log();
+    log.note("request_ended",
+             {{"request", m_id},
+              {"status", status},
+              {"kind", answer_for(kind).name},
+              {"route", m_route.name},
+              {"service", m_service},
+              {"priority", m_route.priority},
+              {"objective_ms", ms_of(m_route.latency_objective)},
+              {"key", m_key ? static_cast<std::int64_t>(*m_key) : -1},
+              {"target", m_target_name},
+              {"tried", m_tried.size()},
+              {"waiting", m_hop.load.waiting},
+              {"in_flight", m_hop.load.in_flight},
+              {"took_ms", ms_of(now - m_received)},
+              {"first_asked_ms", ms_of(now - m_asked)},
+              {"map_version", m_host.agent().lease().map().version()},
+              {"routes_version", m_host.agent().lease().routes().version}},
+             now);
 }
 
 } // namespace peppertack
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -219,6 +219,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(queue.mean_service_time()).count()},
          {"admitted_fresh", admitted.fresh},
          {"admitted_expired", admitted.expired},
+         {"limited_by", m_dependencies.limiting_route(now)},
          {"calls_expendable", m_dependencies.calls_expendable()}});
 }
 
--- a/tests/coordination/dependency_admission_test.cpp
+++ b/tests/coordination/dependency_admission_test.cpp
@@ -317,6 +317,9 @@
         admission.note_taken("call", {.fresh = 0.3, .expired = 0}, start);
     }
     CHECK(admission.level(start).fresh < 0.35);
+    admission.note_taken("other-call", {.fresh = 0.9, .expired = 1}, start);
+    CHECK(admission.limiting_route(start) == "call");
+    CHECK(admission.limiting_route(start + 3s).empty());
     CHECK(admission.level(start + 3s) == admission_level{});
 }
 
