A refused connection alone does not end a target

A target that was to be stopped refused a connection with 13 and 17 requests running; its node took that for the end of its process and gave up the lease, and its keys went to others 0.57 and 0.74 s before its holds ended. Ruled out: the machine's load (it repeats at a third of it) and the leader's timing (the node's own log names the refusal). Change: a refusal counts only when no connection to the target is open, and never of one that leaves.

--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -104,6 +104,8 @@
                                           std::weak_ptr<http_response_handler> handler);
     /// Connections to `address`, idle ones included.
     std::size_t connections_to(const std::string &address) const;
+    /// Of these, the ones that the server has accepted and, as far as is known, not closed.
+    std::size_t established_to(const std::string &address) const;
     std::size_t idle_to(const std::string &address) const;
     /// Closes the idle connections to an address whose server is gone.
     void forget(const std::string &address);
@@ -122,6 +124,7 @@
     std::map<std::string, std::vector<connection_ptr>, std::less<>>
         m_idle; ///< last used at the end
     std::map<std::string, std::size_t, std::less<>> m_open;
+    std::map<std::string, std::size_t, std::less<>> m_established;
     asio::steady_timer m_sweep;
     std::uint64_t m_made = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -90,6 +90,8 @@
     call_fault target_leaves(const target_life &life, moment at);
     /// The same for a call that names no life: the one in force is meant.
     void target_leaves(const std::string &name, moment at);
+    /// Whether the target has said that it leaves.
+    bool target_leaving() const { return m_draining_since != instant{}; }
     /// The target's address takes no connections: its process has ended.
     void target_refused(moment at);
 
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -70,6 +70,10 @@
     request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
     std::mt19937_64 &random() { return m_random; }
+    /// The local target has refused a connection. It has ended only if the connections that it had
+    /// accepted are closed too: one with too many, or one that leaves, refuses new ones while it
+    /// still holds its keys.
+    void note_target_refused();
     /// Which requests to the local target are nested calls.
     nested_call_detector &nested_calls() { return m_nested_calls; }
     /// Which share of callers' requests that came here was taken.
@@ -101,6 +105,7 @@
 
 private:
     void tick();
+    void judge_refusal(moment at);
     void log_summary(instant now);
     void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
@@ -143,6 +148,8 @@
     http_server m_nodes;
     asio::steady_timer m_timer;
     std::string m_forward_port;
+    std::string m_refused_address; ///< of a target that refused a connection; empty: none
+    instant m_refused_at{};
     instant m_summary_at{};
     bool m_changed = false; ///< what is known of the system has changed since the last step
     bool m_stopping = false;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -111,6 +111,7 @@
 
     void close() {
         m_closed = true;
+        count_established(false);
         if (m_stream) {
             m_stream->close();
         }
@@ -131,6 +132,18 @@
     bool closed() const { return m_closed; }
 
 private:
+    void count_established(bool established) {
+        if (m_established == established || m_pool_alive.expired()) {
+            return;
+        }
+        m_established = established;
+        std::size_t &count = m_pool->m_established[m_address];
+        count = established ? count + 1 : count - 1;
+        if (count == 0) {
+            m_pool->m_established.erase(m_address);
+        }
+    }
+
     void connected(asio::ip::tcp::socket socket, asio::error_code error) {
         if (m_closed) {
             return;
@@ -146,6 +159,7 @@
         m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
         // Another thread of control may keep the stream beyond this object's life: the stream calls
         // back only while it is open, and this object closes it first.
+        count_established(true);
         m_stream->start();
         m_stream->pause_reading(m_paused);
         if (m_make) {
@@ -215,6 +229,7 @@
     void on_closed(bool in_order) override {
         const auto self = shared_from_this();
         m_closed = true;
+        count_established(false);
         if (!m_in_call) {
             return;
         }
@@ -314,6 +329,7 @@
     bool m_paused = false;
     bool m_sent = false;
     bool m_closed = false;
+    bool m_established = false;
     std::uint64_t m_calls = 0;
     duration m_idle_time{};
     instant m_idle_until{};
@@ -428,6 +444,11 @@
     return found == m_open.end() ? 0 : found->second;
 }
 
+std::size_t http_client_pool::established_to(const std::string &address) const {
+    const auto found = m_established.find(address);
+    return found == m_established.end() ? 0 : found->second;
+}
+
 std::size_t http_client_pool::idle_to(const std::string &address) const {
     const auto found = m_idle.find(address);
     return found == m_idle.end() ? 0 : found->second.size();
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -357,7 +357,7 @@
         const bool same =
             m_host.agent().has_target() && m_host.agent().target().name == m_target_name;
         if (why == call_failure::refused && same) {
-            m_host.agent().target_refused({now, 0});
+            m_host.note_target_refused();
         }
         refuse(error_kind::target_unreachable, now, usual_retry_after);
     } else {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr duration busy_tick = std::chrono::milliseconds(10);
+/// The connections of a process that ends are closed within a few ms of each other.
+constexpr duration refusal_lifetime = std::chrono::milliseconds(100);
 constexpr duration summary_interval = std::chrono::seconds(1);
 constexpr duration idle_tick = std::chrono::milliseconds(40);
 /// Requests that other nodes forward have been checked against the callers' limits already.
@@ -66,7 +68,7 @@
                [this](std::uint64_t id) { return m_agent.hold_call_written(id, steady_instant()); },
            .end = [this](const hold_call &call,
                          const hold_call_end &how) { note_hold_call(call, how); },
-           .refused = [this] { m_agent.target_refused(read_clocks()); }}),
+           .refused = [this] { note_target_refused(); }}),
       m_body_turns({.limit = m_options.body_turns}),
       m_callers(
           io,
@@ -189,6 +191,7 @@
             return;
         }
         const moment at = read_clocks();
+        judge_refusal(at);
         m_agent.tick(at);
         wake_all(at.now);
         step_stop(at.now);
@@ -198,6 +201,27 @@
 }
 
 /// Single requests have lines within a budget only: the causes of all are told by their counts.
+void traffic_host::note_target_refused() {
+    if (m_agent.has_target()) {
+        m_refused_address = m_agent.target().address;
+        m_refused_at = steady_instant();
+        judge_refusal(read_clocks());
+    }
+}
+
+void traffic_host::judge_refusal(moment at) {
+    const bool same = m_agent.has_target() && m_agent.target().address == m_refused_address;
+    if (m_refused_address.empty()) {
+        return;
+    }
+    if (same && !m_agent.target_leaving() && m_pool.established_to(m_refused_address) == 0) {
+        m_refused_address.clear();
+        m_agent.target_refused(at);
+    } else if (!same || at.now > m_refused_at + refusal_lifetime) {
+        m_refused_address.clear();
+    }
+}
+
 void traffic_host::log_summary(instant now) {
     if (now < m_summary_at + summary_interval) {
         return;
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -70,7 +70,7 @@
           m_caller_address(loopback("127.0.0.1", free_port())),
           m_target(m_io, {.address = m_target_address},
                    whole_request::factory(
-                       [this](const auto &caller, const std::string &) { run(*caller); })),
+                       [this](const auto &caller, const std::string &) { take(caller); })),
           m_neighbour(m_io, {.address = loopback("127.0.0.2", m_node_port)},
                       whole_request::factory([this](const auto &caller, const std::string &) {
                           ++neighbour_asked;
@@ -97,6 +97,7 @@
     int neighbour_asked = 0;                  ///< requests that came to the neighbour
     std::optional<hop_request> neighbour_hop; ///< what the last of them was told
     int runs = 0;                             ///< requests that the target beside the node has run
+    bool target_answers = true;               ///< off: what it runs never ends
     node_agent &agent() { return m_host.agent(); }
     traffic_host &host() { return m_host; }
     asio::io_context &io() { return m_io; }
@@ -196,6 +197,24 @@
         open->cancel();
     }
 
+    /// Makes a request as another node does, and keeps its connection open once the target runs it.
+    std::shared_ptr<http_call> forward_without_end(std::vector<header_field> headers) {
+        target_answers = false;
+        http_head head;
+        head.method = "GET";
+        head.target = "/";
+        headers.push_back({"Host", plain});
+        head.headers = std::move(headers);
+        m_open_answer = std::make_shared<seen_answer>();
+        auto open = m_pool.start(loopback("127.0.0.1", m_node_port), head, m_open_answer, true);
+        open->request_done();
+        const int before = runs;
+        REQUIRE(run_until([&] { return runs > before; }));
+        return open;
+    }
+    /// The target takes no new connections; those that it has taken stay open.
+    void stop_target_listening() { m_target.stop_accepting(); }
+
     /// Makes a request as another node does.
     http_head forward(std::vector<header_field> headers) {
         headers.push_back({"Host", plain});
@@ -233,6 +252,15 @@
         }
     }
 
+    void take(const std::shared_ptr<http_server_connection> &caller) {
+        if (target_answers) {
+            run(*caller);
+        } else {
+            ++runs;
+            m_unanswered.push_back(caller);
+        }
+    }
+
     void run(http_server_connection &caller) {
         if (caller.request().path() == "/healthz") {
             caller.respond(200, {{"Target-Name", m_target_name}}, {});
@@ -256,6 +284,7 @@
 
     asio::io_context m_io;
     std::vector<std::shared_ptr<http_server_connection>> m_unanswered;
+    std::shared_ptr<seen_answer> m_open_answer;
     std::string m_target_address;
     std::string m_target_name;
     int m_node_port;
