Close the peer listener on the strand it accepts on

Cause: a core shows epoll_reactor::start_op with no descriptor, called by accept(). stop() closed the acceptor on one of the hub's threads; the close hands the cancelled accept to the other thread, which found the acceptor still open and accepted again on it while it was being taken down. The product's daemons can crash so at the end of a stop. The thread sanitizer names the same pair of lines. Ruled out: the test's relay, the log.

Beside it, found by the new test: stop() could wait for ever, as a connection accepted or opened after the list of connections was taken was never closed, and the watch timer armed itself again after its cancel.

Change: acceptor and watch timer share a strand, also for their end; connect and begin_inbound run on the connection's strand; accept, watch, connect and begin look whether the hub or the connection has ended.

--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -69,8 +69,8 @@
 class peer_hub::impl : public std::enable_shared_from_this<peer_hub::impl> {
 public:
     explicit impl(peer_hub_options options)
-        : m_options(std::move(options)), m_work(asio::make_work_guard(m_io)), m_acceptor(m_io),
-          m_watch(m_io) {}
+        : m_options(std::move(options)), m_work(asio::make_work_guard(m_io)),
+          m_strand(asio::make_strand(m_io)), m_acceptor(m_strand), m_watch(m_strand) {}
 
     bool listen(std::string &reason);
     void start(message_handler on_message, down_handler on_down);
@@ -96,6 +96,7 @@
     peer_hub_options m_options;
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::strand<asio::io_context::executor_type> m_strand; ///< of the next two, also their end
     tcp::acceptor m_acceptor;
     asio::steady_timer m_watch;
     std::vector<std::thread> m_threads;
@@ -107,7 +108,8 @@
     bool m_stopped = false;
 };
 
-/// One TCP connection. Everything but `send` and `check` runs on its strand.
+/// One TCP connection. The public functions may be called from any thread; the rest runs on its
+/// strand.
 class peer_hub::impl::connection : public std::enable_shared_from_this<peer_hub::impl::connection> {
 public:
     connection(std::shared_ptr<impl> hub, tcp::socket socket, node_address address)
@@ -117,30 +119,14 @@
     steady::time_point opened() const { return m_opened; }
 
     void connect() {
-        const auto endpoint = endpoint_of(m_address);
-        if (!endpoint) {
-            close();
-            return;
-        }
-        m_timer.expires_after(m_hub->m_options.connect_timeout);
-        m_timer.async_wait([self = shared_from_this()](asio::error_code error) {
-            if (!error && !self->is_open()) {
-                self->close();
-            }
-        });
-        m_socket.async_connect(*endpoint, [self = shared_from_this()](asio::error_code error) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->m_timer.cancel();
-            self->begin();
-        });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->connect_now(); });
     }
 
     void begin_inbound() {
-        m_inbound = true;
-        begin();
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->m_inbound = true;
+            self->begin();
+        });
     }
 
     /// Writes on the calling thread if nothing is queued: a change of thread costs more than the
@@ -182,11 +168,39 @@
     }
 
 private:
+    void connect_now() {
+        const auto endpoint = endpoint_of(m_address);
+        if (!endpoint) {
+            close();
+            return;
+        }
+        if (is_closed()) {
+            return;
+        }
+        m_timer.expires_after(m_hub->m_options.connect_timeout);
+        m_timer.async_wait([self = shared_from_this()](asio::error_code error) {
+            if (!error && !self->is_open()) {
+                self->close();
+            }
+        });
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](asio::error_code error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->m_timer.cancel();
+            self->begin();
+        });
+    }
+
     void begin() {
         asio::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         {
             const std::lock_guard lock(m_write_mutex);
+            if (m_closed) {
+                return;
+            }
             m_open = true;
             if (!m_inbound) {
                 m_outbox.push_front(frame_of(hello{protocol_version, m_hub->m_options.self,
@@ -343,6 +357,11 @@
         return m_open;
     }
 
+    bool is_closed() {
+        const std::lock_guard lock(m_write_mutex);
+        return m_closed;
+    }
+
     void note_heard() {
         const std::lock_guard lock(m_write_mutex);
         m_unanswered_since.reset();
@@ -446,6 +465,9 @@
                 auto link = std::make_shared<connection>(self, std::move(socket), "");
                 {
                     const std::lock_guard lock(self->m_mutex);
+                    if (self->m_stopped) {
+                        return;
+                    }
                     self->m_all.insert(link);
                 }
                 link->begin_inbound();
@@ -463,6 +485,9 @@
         std::vector<connection_ptr> all;
         {
             const std::lock_guard lock(self->m_mutex);
+            if (self->m_stopped) {
+                return;
+            }
             all.assign(self->m_all.begin(), self->m_all.end());
         }
         for (const connection_ptr &link : all) {
@@ -544,7 +569,7 @@
         all.assign(m_all.begin(), m_all.end());
         m_newest.clear();
     }
-    asio::post(m_io, [self = shared_from_this()] {
+    asio::post(m_strand, [self = shared_from_this()] {
         asio::error_code ignored;
         self->m_acceptor.close(ignored);
         self->m_watch.cancel();
--- a/tests/transport/peer_hub_test.cpp
+++ b/tests/transport/peer_hub_test.cpp
@@ -133,6 +133,30 @@
     CHECK(between.accepted() >= 2);
 }
 
+TEST_CASE("a hub is stopped while peers connect to it") {
+    // Guards against a listener that one thread closes while another accepts again, and against a
+    // stop that waits for a connection it never closes.
+    for (int round = 0; round < 500; ++round) {
+        std::string reason;
+        const std::string address = own_address();
+        const std::unique_ptr<peer_hub> hub =
+            peer_hub::make({.self = address, .secret = "shared secret"}, reason);
+        const std::unique_ptr<peer_hub> peer =
+            peer_hub::make({.self = own_address(), .secret = "shared secret"}, reason);
+        REQUIRE(hub);
+        REQUIRE(peer);
+        hub->start([](const node_address &, const message &) {}, [](const node_address &) {});
+        peer->start([](const node_address &, const message &) {}, [](const node_address &) {});
+        for (std::uint64_t i = 1; i <= 4; ++i) {
+            peer->send({address, fate_query{{1, i}}, true});
+        }
+        hub->stop();
+        peer->stop();
+        CHECK(hub->connections() == 0);
+        CHECK(peer->connections() == 0);
+    }
+}
+
 TEST_CASE("bytes that are no message end the connection and are counted") {
     std::string reason;
     const std::string address = own_address();
