Add peppertack trace: from a request's id to its cause

Change: log_trace reads JSON lines of several processes, merges them by time, names the end of a request and picks the lines that led to it by a table of rules (summary of the target's node, failed calls of its run, loss of the target, moves of its service's keys, state of the process).

Before: no such program.

Clocks that differ by seconds still mix lines where no collector stamps them.

--- a/tools/peppertack.cpp
+++ b/tools/peppertack.cpp
@@ -1,6 +1,7 @@
 #include "peppertack/state/audit_log.hpp"
 #include "peppertack/state/table.hpp"
 #include "peppertack/transport/audit_report.hpp"
+#include "peppertack/transport/log_trace.hpp"
 #include "peppertack/transport/version.hpp"
 
 #include <chrono>
@@ -52,6 +53,9 @@
                                 2026-12-02T18:00:00 (UTC)
   audit verify                  proves that no record was changed or removed
   audit report FILE             writes a page for people
+  trace ID FILE...              what logs of several processes say of a request, and why it ended so;
+                                asks no process
+  trace --summary FILE...       answers by route and cause in logs of several processes
   voter replace ADD [REMOVE]    makes ADD a voter, in place of REMOVE
   dump [ADDRESS]                a process's whole state
 
@@ -70,6 +74,7 @@
     std::vector<std::string> addresses;
     std::map<std::string, std::string> values;
     bool json = false;
+    bool summary = false;
 
     std::string value(const std::string &name) const {
         const auto found = values.find(name);
@@ -491,12 +496,85 @@
     return print_unreached(options);
 }
 
+nlohmann::json json_of(const std::vector<log_line> &lines) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const log_line &line : lines) {
+        list.push_back(
+            {{"process", line.process}, {"time_ms", line.time_ms}, {"fields", line.fields}});
+    }
+    return list;
+}
+
+void print_lines(const std::vector<log_line> &lines) {
+    for (const log_line &line : lines) {
+        std::cout << "  " << line.time_ms << " " << line.process << " " << line.fields.dump()
+                  << "\n";
+    }
+}
+
+int print_summary(const call_options &options, const log_trace &logs) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const cause_count &item : logs.summary()) {
+        if (options.json) {
+            list.push_back({{"route", item.route}, {"cause", item.cause}, {"count", item.count}});
+        } else {
+            std::cout << item.count << " " << item.route << " " << item.cause << "\n";
+        }
+    }
+    if (options.json) {
+        std::cout << list.dump(2) << "\n";
+    }
+    return exit_done;
+}
+
+int print_trace(const call_options &options, const log_trace &logs, const std::string &request) {
+    const request_trace found = logs.trace(request);
+    if (options.json) {
+        const nlohmann::json json{{"request", request},
+                                  {"cause", found.cause},
+                                  {"lines", json_of(found.lines)},
+                                  {"related", json_of(found.related)}};
+        std::cout << json.dump(2) << "\n";
+    } else if (!found.lines.empty()) {
+        print_lines(found.lines);
+        std::cout << "cause: " << (found.cause.empty() ? "not told" : found.cause) << "\n";
+        print_lines(found.related);
+    }
+    if (found.lines.empty()) {
+        std::cerr << "peppertack: no line names the request " << request
+                  << "; the processes left out " << logs.left_out() << " lines about requests\n";
+        return exit_refused;
+    }
+    return exit_done;
+}
+
+int trace(const call_options &options) {
+    const std::size_t first_file = options.summary ? 1 : 2;
+    if (options.words.size() <= first_file) {
+        return usage_error("trace takes a request's id, or --summary, and files");
+    }
+    log_trace logs;
+    for (std::size_t i = first_file; i < options.words.size(); ++i) {
+        std::ifstream in(options.words[i]);
+        if (!in) {
+            return usage_error("can't read " + options.words[i]);
+        }
+        logs.read(in, options.words[i]);
+    }
+    if (logs.unreadable() > 0) {
+        std::cerr << "peppertack: " << logs.unreadable() << " lines are no log lines\n";
+    }
+    return options.summary ? print_summary(options, logs)
+                           : print_trace(options, logs, options.words[1]);
+}
+
 struct command_entry {
-    const char *words;
-    int (*run)(const call_options &);
+    const char *words = nullptr;
+    int (*run)(const call_options &) = nullptr;
+    bool offline = false; ///< asks no process
 };
 
-constexpr std::array<command_entry, 13> commands{{{"table check", table_check},
+constexpr std::array<command_entry, 14> commands{{{"table check", table_check, true},
                                                   {"table get", table_get},
                                                   {"table apply", table_apply},
                                                   {"table status", table_status},
@@ -507,6 +585,7 @@
                                                   {"explain", explain},
                                                   {"audit verify", audit_verify},
                                                   {"audit report", audit_report_page},
+                                                  {"trace", trace, true},
                                                   {"voter replace", voter_replace},
                                                   {"dump", dump}}};
 
@@ -539,6 +618,7 @@
         add(name, "", cxxopts::value<std::string>());
     }
     add("json", "");
+    add("summary", "");
     add("help", "");
     add("version", "");
     call_options options;
@@ -558,6 +638,7 @@
             }
         }
         options.json = parsed.count("json") != 0;
+        options.summary = parsed.count("summary") != 0;
         options.words = parsed.unmatched();
     } catch (const cxxopts::exceptions::exception &error) {
         return usage_error(error.what());
@@ -568,8 +649,8 @@
         if (!matches(entry, options.words)) {
             continue;
         }
-        const bool offline = std::string(entry.words) == "table check" ||
-                             (std::string(entry.words) == "dump" && options.words.size() > 1);
+        const bool offline =
+            entry.offline || (std::string(entry.words) == "dump" && options.words.size() > 1);
         if (options.addresses.empty() && !offline) {
             return usage_error("--addresses or PEPPERTACK_ADDRESSES is needed");
         }
