Pass over a success without an id where ids are echoed

The client pool passes over one that bears another request's id, but took one without any id for the awaited answer.

Change: on a connection whose target has echoed an id, a success without one is passed over, and the awaited answer is waited for. Refusals are taken as before, since something in between may send them unread.

Before and after: the new test got the second answer, now the own one; transport's other tests of answers pass.

--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -13,6 +13,7 @@
 constexpr duration sweep_interval = std::chrono::seconds(1);
 constexpr int continue_status = 100;
 constexpr int first_final_status = 200;
+constexpr int first_redirect_status = 300;
 
 } // namespace
 
@@ -242,10 +243,20 @@
              in_order ? "connection closed" : "connection reset");
     }
 
+    /// A success without an id counts only where ids have not been echoed so far. A refusal may
+    /// come from something in between that never read the request.
+    bool of_another_request(int status, const std::string *id) const {
+        if (m_expected_id.empty()) {
+            return false;
+        }
+        return id != nullptr ? *id != m_expected_id
+                             : m_echoes_ids && status < first_redirect_status;
+    }
+
     void on_head(http_head head) override {
         const std::string *id = head.find(m_pool->m_options.id_header);
         const bool interim = head.status < first_final_status;
-        if (interim || (!m_expected_id.empty() && id != nullptr && *id != m_expected_id)) {
+        if (interim || of_another_request(head.status, id)) {
             m_skipping = true;
             const auto handler = m_handler.lock();
             if (head.status == continue_status && handler) {
@@ -253,10 +264,13 @@
             }
             if (!interim) {
                 log_event(log_level::info, "answer_of_another_request",
-                          {{"peer", m_address}, {"expected", m_expected_id}, {"came", *id}});
+                          {{"peer", m_address},
+                           {"expected", m_expected_id},
+                           {"came", id == nullptr ? std::string() : *id}});
             }
             return;
         }
+        m_echoes_ids = m_echoes_ids || id != nullptr;
         m_answer_begun = true;
         m_keep_alive = head.keep_alive && head.framing != body_framing::until_close;
         const auto seconds = keep_alive_seconds(head);
@@ -325,6 +339,7 @@
     bool m_answer_done = false;
     bool m_expect_no_body = false;
     bool m_skipping = false;
+    bool m_echoes_ids = false;
     bool m_keep_alive = true;
     bool m_paused = false;
     bool m_sent = false;
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -153,6 +153,23 @@
     CHECK(second->body == "two");
 }
 
+// Guards against a late second answer that bears no id at all.
+TEST_CASE("a success without an id is passed over where ids have been echoed") {
+    asio::io_context io;
+    const std::string nameless = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain";
+    raw_server server(io, {answer_text("1", "one"), nameless + answer_text("2", "two")});
+    http_client_pool pool(io, {.id_header = "Id"});
+    CHECK(call(io, pool, server.address, "1")->body == "one");
+    CHECK(call(io, pool, server.address, "2")->body == "two");
+    raw_server without_ids(io, {nameless, nameless});
+    CHECK(call(io, pool, without_ids.address, "1")->body == "again");
+    CHECK(call(io, pool, without_ids.address, "2")->body == "again");
+    const std::string refusal = "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno";
+    raw_server refusing(io, {answer_text("1", "one"), refusal});
+    CHECK(call(io, pool, refusing.address, "1")->body == "one");
+    CHECK(call(io, pool, refusing.address, "2")->status == 503);
+}
+
 TEST_CASE("bytes after an answer end the connection") {
     asio::io_context io;
     raw_server server(io, {answer_text("1", "one") + "trailing", answer_text("2", "two")});
