--- a/tools/peppertack.cpp
+++ b/tools/peppertack.cpp
@@ -1,7 +1,7 @@
+#include "command_line.hpp"
 #include "peppertack/state/audit_log.hpp"
 #include "peppertack/state/table.hpp"
 #include "peppertack/transport/audit_report.hpp"
-#include "peppertack/transport/log_trace.hpp"
 #include "peppertack/transport/version.hpp"
 
 #include <chrono>
@@ -25,10 +25,6 @@
 
 namespace {
 
-constexpr int exit_done = 0;
-constexpr int exit_refused = 1;
-constexpr int exit_usage = 2;
-constexpr int exit_unreached = 3;
 constexpr auto retry_pause = std::chrono::milliseconds(150);
 constexpr auto patience = std::chrono::seconds(6);
 
@@ -69,19 +65,6 @@
 exit: 0 done, 1 refused, 2 usage, 3 could not reach or outcome unknown
 )";
 
-struct call_options {
-    std::vector<std::string> words;
-    std::vector<std::string> addresses;
-    std::map<std::string, std::string> values;
-    bool json = false;
-    bool summary = false;
-
-    std::string value(const std::string &name) const {
-        const auto found = values.find(name);
-        return found == values.end() ? "" : found->second;
-    }
-};
-
 struct answer {
     int status = 0;
     std::string body;
@@ -181,11 +164,6 @@
     return exit_refused;
 }
 
-int usage_error(const std::string &what) {
-    std::cerr << "peppertack: " << what << "; see peppertack --help\n";
-    return exit_usage;
-}
-
 using show_answer = std::function<void(const nlohmann::json &)>;
 
 int show(const call_options &options, const std::string &path, const show_answer &print) {
@@ -496,78 +474,6 @@
     return print_unreached(options);
 }
 
-nlohmann::json json_of(const std::vector<log_line> &lines) {
-    nlohmann::json list = nlohmann::json::array();
-    for (const log_line &line : lines) {
-        list.push_back(
-            {{"process", line.process}, {"time_ms", line.time_ms}, {"fields", line.fields}});
-    }
-    return list;
-}
-
-void print_lines(const std::vector<log_line> &lines) {
-    for (const log_line &line : lines) {
-        std::cout << "  " << line.time_ms << " " << line.process << " " << line.fields.dump()
-                  << "\n";
-    }
-}
-
-int print_summary(const call_options &options, const log_trace &logs) {
-    nlohmann::json list = nlohmann::json::array();
-    for (const cause_count &item : logs.summary()) {
-        if (options.json) {
-            list.push_back({{"route", item.route}, {"cause", item.cause}, {"count", item.count}});
-        } else {
-            std::cout << item.count << " " << item.route << " " << item.cause << "\n";
-        }
-    }
-    if (options.json) {
-        std::cout << list.dump(2) << "\n";
-    }
-    return exit_done;
-}
-
-int print_trace(const call_options &options, const log_trace &logs, const std::string &request) {
-    const request_trace found = logs.trace(request);
-    if (options.json) {
-        const nlohmann::json json{{"request", request},
-                                  {"cause", found.cause},
-                                  {"lines", json_of(found.lines)},
-                                  {"related", json_of(found.related)}};
-        std::cout << json.dump(2) << "\n";
-    } else if (!found.lines.empty()) {
-        print_lines(found.lines);
-        std::cout << "cause: " << (found.cause.empty() ? "not told" : found.cause) << "\n";
-        print_lines(found.related);
-    }
-    if (found.lines.empty()) {
-        std::cerr << "peppertack: no line names the request " << request
-                  << "; the processes left out " << logs.left_out() << " lines about requests\n";
-        return exit_refused;
-    }
-    return exit_done;
-}
-
-int trace(const call_options &options) {
-    const std::size_t first_file = options.summary ? 1 : 2;
-    if (options.words.size() <= first_file) {
-        return usage_error("trace takes a request's id, or --summary, and files");
-    }
-    log_trace logs;
-    for (std::size_t i = first_file; i < options.words.size(); ++i) {
-        std::ifstream in(options.words[i]);
-        if (!in) {
-            return usage_error("can't read " + options.words[i]);
-        }
-        logs.read(in, options.words[i]);
-    }
-    if (logs.unreadable() > 0) {
-        std::cerr << "peppertack: " << logs.unreadable() << " lines are no log lines\n";
-    }
-    return options.summary ? print_summary(options, logs)
-                           : print_trace(options, logs, options.words[1]);
-}
-
 struct command_entry {
     const char *words = nullptr;
     int (*run)(const call_options &) = nullptr;
@@ -585,7 +491,7 @@
                                                   {"explain", explain},
                                                   {"audit verify", audit_verify},
                                                   {"audit report", audit_report_page},
-                                                  {"trace", trace, true},
+                                                  {"trace", trace_command, true},
                                                   {"voter replace", voter_replace},
                                                   {"dump", dump}}};
 
