Rename change_routes::sheet to delta

Change: the member is named for what it holds, the pages say routing table. Logs on disk keep the old name of the field.

Before and after: no behaviour changes. A new test reads and writes a record in the form on disk; with the rename alone it would fail to read it.

--- a/include/peppertack/state/command.hpp
+++ b/include/peppertack/state/command.hpp
@@ -23,13 +23,13 @@
     friend bool operator==(const change_table &, const change_table &) = default;
 };
 
-/// Compare-and-set of the routing table. `sheet` is a `routing_delta` as `encode` wrote it, with
+/// Compare-and-set of the routing table. `delta` is a `routing_delta` as `encode` wrote it, with
 /// the version that the operator chose for the result. `change_id` makes a resend of an accepted
 /// change idempotent.
 struct change_routes {
     std::string change_id;
     std::uint64_t base_version = 0;
-    std::string sheet;
+    std::string delta;
 
     friend bool operator==(const change_routes &, const change_routes &) = default;
 };
--- a/include/peppertack/state/routing_table.hpp
+++ b/include/peppertack/state/routing_table.hpp
@@ -74,8 +74,8 @@
     friend bool operator==(const caller_limits &, const caller_limits &) = default;
 };
 
-/// The second sheet of the operators' table: routes, the services they name, limits of
-/// requests. An immutable value once made.
+/// What operators say of routes, the services they name and limits of requests. An immutable value
+/// once made.
 struct routing_table {
     std::uint64_t version = 0; ///< chosen by operators; grows in uneven steps; 0: none yet
     std::map<std::string, route> routes;            ///< by name
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -269,7 +269,7 @@
     if (value && result.error == error_kind::none) {
         count_owner_changes(*value);
         if (const auto *body = std::get_if<change_routes>(&value->body)) {
-            m_routes.note(body->sheet);
+            m_routes.note(body->delta);
         }
     }
     if (value) {
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -241,7 +241,7 @@
     }
     change_answer answer{.version = m_routes.version, .winner_actor = value.actor};
     std::string reason;
-    const std::optional<routing_delta> delta = decode_delta(body.sheet, reason);
+    const std::optional<routing_delta> delta = decode_delta(body.delta, reason);
     std::optional<routing_table> next = delta ? peppertack::apply(m_routes, *delta) : std::nullopt;
     written.subject = "routes";
     written.before = "version " + std::to_string(m_routes.version);
@@ -257,7 +257,7 @@
         m_routes = std::move(*next);
         answer.version = m_routes.version;
         answer.winner_change_id = body.change_id;
-        written.after = "version " + std::to_string(m_routes.version) + "\n" + body.sheet;
+        written.after = "version " + std::to_string(m_routes.version) + "\n" + body.delta;
         add_services();
         // Only what was accepted is remembered: a change that lost may be sent again on a new base.
         remember_answer(body.change_id, answer);
--- a/src/state/json_fields.hpp
+++ b/src/state/json_fields.hpp
@@ -20,7 +20,19 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(range_record, first, owner, token, next, memory,
                                                 recover_from, recover_of, lost_at_ms, handover)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_table, change_id, base_version, csv)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_routes, change_id, base_version, sheet)
+
+/// Logs on disk call the delta "sheet".
+inline void to_json(nlohmann::json &json, const change_routes &item) {
+    json = {
+        {"change_id", item.change_id}, {"base_version", item.base_version}, {"sheet", item.delta}};
+}
+
+inline void from_json(const nlohmann::json &json, change_routes &item) {
+    json.at("change_id").get_to(item.change_id);
+    json.at("base_version").get_to(item.base_version);
+    json.at("sheet").get_to(item.delta);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(register_target, record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(expire_targets, numbers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(drain_target, number)
--- a/tests/state/routing_table_test.cpp
+++ b/tests/state/routing_table_test.cpp
@@ -49,6 +49,18 @@
     CHECK_FALSE(decode_routing_table("no json", reason));
 }
 
+// Guards against logs of earlier programs that can't be read any more.
+TEST_CASE("a change of routes keeps its form on disk") {
+    const std::string written =
+        R"({"v":1,"wall_ms":5,"actor":"a","cause":"c","kind":"change_routes",)"
+        R"("body":{"change_id":"id","base_version":3,"sheet":"text"}})";
+    std::string reason;
+    const auto read = decode_command(written, reason);
+    REQUIRE_MESSAGE(read, reason);
+    CHECK(std::get<change_routes>(read->body) == change_routes{"id", 3, "text"});
+    CHECK(encode(*read).find("\"sheet\":\"text\"") != std::string::npos);
+}
+
 TEST_CASE("each fault of a routing table is told with its place") {
     struct fault {
         std::function<void(routing_table &)> make;
