Show only a request's own calls as the cause of its end

Cause: peppertack trace took every call that failed at the target's node while the request ran for one of its own.

Before and after: the new test showed three calls, now the one.

A budget of lines that keeps failed calls together with their parents is not built.

--- a/include/peppertack/transport/log_trace.hpp
+++ b/include/peppertack/transport/log_trace.hpp
@@ -75,6 +75,7 @@
     std::vector<log_line> m_lines;
     std::map<std::string, std::string> m_nodes; ///< by target, the process beside it
     std::size_t m_unreadable = 0;
+    bool m_ids_name_parents = false; ///< seen in the logs read so far
 };
 
 } // namespace peppertack
--- a/src/transport/log_trace.cpp
+++ b/src/transport/log_trace.cpp
@@ -19,6 +19,7 @@
 /// Lines of other processes may be stamped a little later than the end that they explain.
 constexpr std::int64_t after_ms = 50;
 constexpr int first_server_error = 500;
+constexpr char parent_mark = '.'; ///< between a parent's id and what its call's id adds to it
 
 std::string text_of(const nlohmann::json &fields, const char *name) {
     const auto found = fields.find(name);
@@ -107,6 +108,9 @@
             if (is_event(*line, "target_found") || is_event(*line, "target_assumed")) {
                 m_nodes[text_of(line->fields, "target")] = line->process;
             }
+            m_ids_name_parents =
+                m_ids_name_parents ||
+                text_of(line->fields, "request").find(parent_mark) != std::string::npos;
             added.push_back(std::move(*line));
         } else if (!text.empty()) {
             ++m_unreadable;
@@ -184,12 +188,20 @@
            is_event(other, "traffic_summary");
 }
 
-/// A call that the target's run made at the node beside it, and that did not end well.
+/// A call of the target's run that did not end well. Where ids of calls begin with their parent's,
+/// no other counts; else any that its node took from it or from callers meanwhile may be one.
 bool log_trace::failed_call(const log_line &end, const log_line &other) const {
+    if (number_of(end.fields, "status") < first_server_error ||
+        number_of(other.fields, "status") < first_server_error ||
+        !is_event(other, "request_ended")) {
+        return false;
+    }
+    const std::string call = text_of(other.fields, "request");
+    if (m_ids_name_parents) {
+        return call.rfind(text_of(end.fields, "request") + parent_mark, 0) == 0;
+    }
     const auto node = m_nodes.find(text_of(end.fields, "target"));
-    return number_of(end.fields, "status") >= first_server_error && node != m_nodes.end() &&
-           other.process == node->second && is_event(other, "request_ended") &&
-           number_of(other.fields, "status") >= first_server_error &&
+    return node != m_nodes.end() && other.process == node->second &&
            text_of(other.fields, "service") != text_of(end.fields, "service");
 }
 
--- a/tests/transport/log_trace_test.cpp
+++ b/tests/transport/log_trace_test.cpp
@@ -81,6 +81,19 @@
     CHECK(found.related[0].fields["request"] == "c");
 }
 
+// Guards against a call of another request that is shown as the cause of this one's end.
+TEST_CASE("where calls bear their parent's id, those of other requests explain nothing") {
+    const log_trace logs = read(R"(0.1 n1 {"event":"target_found","target":"t1"}
+3.2 n1 {"event":"request_ended","request":"r.1","service":"called","kind":"overloaded","status":503}
+3.3 n1 {"event":"request_ended","request":"q.1","service":"called","kind":"overloaded","status":503}
+3.4 n1 {"event":"request_ended","request":"d","service":"called","kind":"overloaded","status":503}
+3.5 n3 {"event":"request_ended","request":"r","service":"own","kind":"none","status":500,"target":"t1","took_ms":400}
+)");
+    const request_trace found = logs.trace("r");
+    REQUIRE(found.related.size() == 1);
+    CHECK(found.related[0].fields["request"] == "r.1");
+}
+
 // Guards against one decision that hides the others, since every voter tells it.
 TEST_CASE("decisions that moved a request's key are told once") {
     const log_trace logs =
