--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -71,6 +71,8 @@
 
     void tick(moment at);
     void receive(const node_address &from, const message &body, moment at);
+    /// To be called after each write of a log that writes behind, whether it succeeded or not.
+    void note_written(moment at);
 
     /// Proposes a command. The answer comes by `take_answers` under the yielded ticket.
     std::uint64_t submit(command value, moment at);
--- a/include/peppertack/coordination/durable_voter.hpp
+++ b/include/peppertack/coordination/durable_voter.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/coordination/control_core.hpp"
 #include "peppertack/state/durable_log.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,9 @@
 /// opened anew and a fresh part begins over it, as after a start of the process. Without that each
 /// disk that was full for a moment would cost one of the agreed losses until somebody came.
 /// Deterministic; not thread safe: it belongs to the control thread.
+///
+/// With `options::log.write_behind` the voter itself never waits for the disk: it yields tasks,
+/// which are run apart from it.
 class durable_voter {
 public:
     struct options {
@@ -39,6 +43,14 @@
         damaged, ///< what it holds can't be used: this voter stays silent
     };
 
+    /// A call to the disk. `run` blocks for as long as the disk takes; it may be called on any
+    /// thread, but no other call to the storage may be made at the same time. `finish` belongs to
+    /// the control thread and is called once `run` has returned.
+    struct disk_task {
+        std::function<void()> run;
+        std::function<disk_news(moment)> finish;
+    };
+
     /// Opens the log. Yields nothing, with the reason, if it can't be used. Precondition: `files`
     /// outlives the object.
     static std::unique_ptr<durable_voter> make(options settings, storage &files,
@@ -50,6 +62,10 @@
     const control_core &core() const { return *m_core; }
     const durable_log &log() const { return *m_log; }
 
+    /// The next call to the disk of a log that writes behind; nothing while one is under way. The
+    /// object must outlive the task's `finish`.
+    std::optional<disk_task> take_disk_task();
+
     /// Looks after the disk; called after each tick of the part, once its messages and answers were
     /// taken. All that waited for the old part has been answered when it yields `back`.
     disk_news tend_disk(moment at);
@@ -60,21 +76,26 @@
     unsigned int tries() const { return m_tries; }
 
 private:
-    durable_voter(options settings, control_core::audit_sink audit)
-        : m_options(std::move(settings)), m_audit(std::move(audit)),
+    durable_voter(options settings, storage &files, control_core::audit_sink audit)
+        : m_options(std::move(settings)), m_files(&files), m_audit(std::move(audit)),
           m_pause(m_options.first_pause) {}
 
     void note_loss(moment at);
     disk_news try_again(moment at);
+    disk_task reopening();
+    disk_news take_reopened(std::optional<durable_log> log, const open_failure &failure, moment at);
     bool begin(durable_log log, moment at);
 
     options m_options;
+    storage *m_files;
     control_core::audit_sink m_audit;
     std::unique_ptr<durable_log> m_log;
     std::unique_ptr<control_core> m_core;
     std::optional<instant> m_lost_at; ///< of the last loss, also when the disk is back
     bool m_away = false;
     bool m_damaged = false;
+    bool m_reopen_due = false;
+    bool m_disk_busy = false; ///< a task is under way
     instant m_back_at{};
     instant m_try_at{};
     duration m_pause;
--- a/include/peppertack/coordination/planted_defects.hpp
+++ b/include/peppertack/coordination/planted_defects.hpp
@@ -24,6 +24,10 @@
     bool tell_crash_once = false;
     bool ignore_answered = false;
     bool ignore_suspects = false;
+    bool vote_before_sync = false;
+    bool own_vote_before_sync = false;
+    bool acknowledge_before_sync = false;
+    bool commit_before_sync = false;
 #else
     static constexpr bool lease_from_receipt = false;
     static constexpr bool no_leader_wait = false;
@@ -43,6 +47,10 @@
     static constexpr bool tell_crash_once = false;
     static constexpr bool ignore_answered = false;
     static constexpr bool ignore_suspects = false;
+    static constexpr bool vote_before_sync = false;
+    static constexpr bool own_vote_before_sync = false;
+    static constexpr bool acknowledge_before_sync = false;
+    static constexpr bool commit_before_sync = false;
 #endif
 };
 
--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -5,12 +5,14 @@
 #include "peppertack/state/time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peppertack {
@@ -31,8 +33,7 @@
 struct replica_options {
     node_address self;
     membership initial; ///< used only while the log holds no other
-    /// Drawn from once to twice this; from more while this voter's own disk is slow, see
-    /// `patience`.
+    /// Drawn from once to twice this; from more while disks are slow, see `patience`.
     duration election_timeout = std::chrono::milliseconds(300);
     duration heartbeat_interval = std::chrono::milliseconds(60);
     /// Least time between two rounds that only prove leadership. What asks for proof meanwhile
@@ -48,8 +49,10 @@
 
 /// One voter's part in replicating the log: elections with pre-vote, a leader that steps down
 /// without a quorum, one change of membership at a time. Deterministic: time and messages come in
-/// as arguments, messages go out by `take_outgoing`. Writes go to the durable log, which syncs
-/// before anything is acknowledged. Not thread safe: it belongs to the control thread.
+/// as arguments, messages go out by `take_outgoing`. A vote is asked for or given, and an entry is
+/// acknowledged or counted, only once the durable log has synced it; all else, heartbeats and
+/// proofs of leadership above all, goes on while a log that writes behind waits for its disk. Not
+/// thread safe: it belongs to the control thread.
 class replica {
 public:
     enum class role : std::uint8_t { follower, candidate, leader, failed };
@@ -65,6 +68,8 @@
     /// if this replica does not lead. `flush` writes what was queued with one sync.
     std::optional<std::uint64_t> propose(entry_kind kind, std::string payload);
     void flush(instant now);
+    /// To be called after each write of a log that writes behind, whether it succeeded or not.
+    void note_written(instant now);
 
     /// Adds `learner` and, once it has caught up, makes it a voter in place of `replaces`. False if
     /// this replica does not lead, a change is under way, or it would change nothing.
@@ -122,10 +127,24 @@
     void on(const node_address &from, const append_reply &reply, instant now);
     void on(const node_address &from, const snapshot_request &request, instant now);
 
+    /// What this follower may tell the leader of `term`.
+    struct acknowledgement {
+        std::uint64_t term = 0;
+        std::uint64_t matched = 0; ///< entries up to here are the leader's
+        std::uint64_t told = 0;    ///< of these, acknowledged
+        std::uint64_t round = 0;
+    };
+
     void begin_step(instant now);
+    void begin_write();
+    void send_when_durable(outgoing item);
+    void count_own_vote(instant now);
+    std::uint64_t durable_match(std::uint64_t matched) const;
+    void acknowledge_durable();
     void note_write(duration time);
     duration slowest_write() const;
     duration patience() const;
+    duration silence_limit() const;
     void start_election(bool pre_vote, instant now);
     void become_follower(std::uint64_t term, const node_address &leader, instant now);
     void become_leader(instant now);
@@ -157,7 +176,11 @@
     membership m_members;
     std::map<std::uint64_t, membership> m_member_history; ///< by index of its entry
     instant m_now{};                                      ///< of the current step
-    bool m_wrote = false;       ///< the current step, or the one before, waited for the disk
+    bool m_wrote = false;  ///< the current step, or the one before, waited for the disk
+    instant m_staged_at{}; ///< begin of the oldest write that has not ended
+    std::deque<std::pair<std::uint64_t, outgoing>> m_unsynced; ///< after the change of that number
+    acknowledgement m_acknowledged;
+    int m_lost_elections = 0;   ///< in a row
     duration m_slowest_write{}; ///< see slowest_write()
     instant m_slowest_write_until{};
     instant m_election_at{};
--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -51,14 +51,40 @@
     bool may_pass = false;
 };
 
-/// The voter's durable log: entries, vote and snapshot. Whatever a call reports as done has been
-/// synced; after one failed write or sync every later call fails, so that a voter with a bad disk
-/// stops taking part instead of promising what it can't keep. `reopen` begins anew from what the
-/// disk holds. Not thread safe.
+/// One write that a log needs: either records to append to a file and to sync, or a snapshot with
+/// the file that follows it.
+struct log_write {
+    std::uint64_t number = 0; ///< of the last change that it holds
+    std::string file;
+    std::string records;      ///< encoded changes
+    bool begins_file = false; ///< the records replace the file
+    std::string snapshot;     ///< encoded, stored before the file begins; empty if there is none
+    std::string obsolete;     ///< file to remove afterwards; empty if there is none
+};
+
+/// How a write ended.
+struct write_outcome {
+    bool written = true;
+    std::string reason; ///< of a failure
+};
+
+/// Carries out a write. Blocks for as long as the disk takes. `sync` false leaves appended records
+/// to the kernel. Thread safe as far as `files` is.
+write_outcome perform(const log_write &write, storage &files, bool sync);
+
+/// The voter's durable log: entries, vote and snapshot. After one failed write or sync every later
+/// call fails, so that a voter with a bad disk stops taking part instead of promising what it can't
+/// keep. `reopen` begins anew from what the disk holds. Not thread safe.
+///
+/// By default a call returns once its change has been synced. With `write_behind` it returns at
+/// once: the change counts for all readers of the log, and its write waits for `take_write`. Writes
+/// are made in the order of the changes, so what the disk holds is always a state that the log had.
+/// `durable_index` and `vote_durable` tell what may be promised to others.
 class durable_log {
 public:
     struct options {
         bool sync_writes = true; ///< off only to plant a defect in tests, and in benches
+        bool write_behind = false;
     };
 
     /// Opens or creates the log. A tail that was never synced is cut off. Yields nothing, with the
@@ -87,10 +113,33 @@
     /// Stores a snapshot and drops the entries it covers.
     bool save_snapshot(const log_snapshot &snapshot);
 
+    /// The next write, which covers all changes that may share a sync; nothing while one is under
+    /// way. It is passed to `perform`, on any thread, and its outcome to `note_written`.
+    std::optional<log_write> take_write();
+    /// Ends the write that was taken last.
+    void note_written(const write_outcome &outcome);
+
+    const options &settings() const { return m_options; }
+    /// Number of the last change, and of the last one that has been synced.
+    std::uint64_t staged() const { return m_staged; }
+    std::uint64_t written() const { return m_written; }
+    /// Last entry up to which this log has been synced as it is now.
+    std::uint64_t durable_index() const { return m_durable.last_index; }
+    /// Whether the current vote, with its term, has been synced.
+    bool vote_durable() const { return m_durable.vote == m_vote; }
+
     bool failed() const { return m_failed; }
     const std::string &last_reason() const { return m_reason; }
 
 private:
+    /// What the disk holds once the change `number` has been synced.
+    struct position {
+        std::uint64_t number = 0;
+        vote_record vote;
+        std::uint64_t base_index = 0;
+        std::uint64_t last_index = 0;
+    };
+
     durable_log(storage &files, options settings) : m_files(&files), m_options(settings) {}
 
     bool load(open_failure &failure);
@@ -98,12 +147,16 @@
     bool load_file(const std::string &name, open_failure &failure);
     bool take_frame(std::string_view body, std::string &reason);
     bool take_entry(log_entry entry, std::string &reason);
-    bool write_frame(const std::string &body);
-    bool start_file();
-    bool store(const log_snapshot &snapshot);
+    bool stage(log_write write);
+    bool stage_records(std::string records);
+    void note_staged();
+    void note_durable();
+    void truncate_positions(std::uint64_t last_index);
+    log_write first_write();
+    bool write_first(const log_write &write);
     bool holds_promises_of(const durable_log &earlier) const;
     bool refused_by_disk(const std::string &what, open_failure &failure) const;
-    bool fail(const std::string &what);
+    bool fail(const std::string &reason);
 
     storage *m_files;
     options m_options;
@@ -114,6 +167,13 @@
     std::deque<log_entry> m_entries;
     bool m_behind_snapshot = true; ///< while reading: what comes next follows the snapshot's entry
     std::string m_file;
+    std::deque<log_write> m_writes; ///< that wait; at most the last one still takes changes
+    bool m_writing = false;
+    std::uint64_t m_staged = 0;
+    std::uint64_t m_written = 0;
+    std::uint64_t m_writing_up_to = 0; ///< of the write under way
+    position m_durable;
+    std::deque<position> m_positions; ///< of the changes that are not durable yet
     bool m_failed = false;
     std::string m_reason;
 };
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -67,6 +67,11 @@
     settle(at);
 }
 
+void control_core::note_written(moment at) {
+    m_replica->note_written(at.now);
+    settle(at);
+}
+
 /// One change of membership at a time, as the roster advises.
 void control_core::follow_roster(moment at) {
     m_roster.note_leader(at.now);
--- a/src/coordination/durable_voter.cpp
+++ b/src/coordination/durable_voter.cpp
@@ -11,7 +11,8 @@
     if (!log) {
         return nullptr;
     }
-    std::unique_ptr<durable_voter> voter(new durable_voter(std::move(settings), std::move(audit)));
+    std::unique_ptr<durable_voter> voter(
+        new durable_voter(std::move(settings), files, std::move(audit)));
     if (!voter->begin(std::move(*log), at)) {
         reason = voter->m_reason;
         return nullptr;
@@ -40,9 +41,56 @@
         note_loss(at);
         return disk_news::lost;
     }
+    if (m_reopen_due) {
+        return disk_news::none;
+    }
     return at.now < m_try_at ? disk_news::none : try_again(at);
 }
 
+std::optional<durable_voter::disk_task> durable_voter::take_disk_task() {
+    if (m_disk_busy) {
+        return std::nullopt;
+    }
+    if (m_reopen_due) {
+        m_disk_busy = true;
+        return reopening();
+    }
+    std::optional<log_write> next = m_log->take_write();
+    if (!next) {
+        return std::nullopt;
+    }
+    m_disk_busy = true;
+    auto outcome = std::make_shared<write_outcome>();
+    return disk_task{.run =
+                         [this, outcome, write = std::move(*next)] {
+                             *outcome = perform(write, *m_files, m_options.log.sync_writes);
+                         },
+                     .finish =
+                         [this, outcome](moment at) {
+                             m_disk_busy = false;
+                             m_log->note_written(*outcome);
+                             m_core->note_written(at);
+                             return disk_news::none;
+                         }};
+}
+
+durable_voter::disk_task durable_voter::reopening() {
+    struct result {
+        std::optional<durable_log> log;
+        open_failure failure;
+    };
+    auto found = std::make_shared<result>();
+    // The failed log is not changed any more, so it can be read meanwhile.
+    return {.run = [failed = m_log.get(),
+                    found] { found->log = durable_log::reopen(*failed, found->failure); },
+            .finish =
+                [this, found](moment at) {
+                    m_disk_busy = false;
+                    m_reopen_due = false;
+                    return take_reopened(std::move(found->log), found->failure, at);
+                }};
+}
+
 void durable_voter::note_loss(moment at) {
     if (m_back_at + m_options.calm_time <= at.now) {
         m_pause = m_options.first_pause;
@@ -58,8 +106,17 @@
     ++m_tries;
     m_pause = std::min(m_pause * 2, m_options.longest_pause);
     m_try_at = at.now + m_pause;
+    if (m_options.log.write_behind) {
+        m_reopen_due = true;
+        return disk_news::none;
+    }
     open_failure failure;
     std::optional<durable_log> log = durable_log::reopen(*m_log, failure);
+    return take_reopened(std::move(log), failure, at);
+}
+
+durable_voter::disk_news durable_voter::take_reopened(std::optional<durable_log> log,
+                                                      const open_failure &failure, moment at) {
     if (log && begin(std::move(*log), at)) {
         m_away = false;
         return disk_news::back;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -25,6 +25,8 @@
 constexpr duration slow_write_memory = std::chrono::seconds(60);
 /// At ten election timeouts, 3 s unless set otherwise, another voter's disk is likely the better.
 constexpr int most_timeouts_to_wait = 10;
+/// More would exceed the most that is waited for.
+constexpr int most_doublings = 4;
 
 } // namespace
 
@@ -65,10 +67,10 @@
     reset_election_timer(now);
 }
 
-/// While this voter waited for its own disk it read no messages, so that time tells nothing about
-/// the others. Counted as their silence it let a candidate stand for the next term before it had
-/// read the votes for the last one, and made a leader step down though its followers had answered:
-/// with syncs of 200 ms nobody was ever elected.
+/// While this voter's thread waited for its own disk it read no messages, so that time tells
+/// nothing about the others. Counted as their silence it let a candidate stand for the next term
+/// before it had read the votes for the last one, and made a leader step down though its followers
+/// had answered: with syncs of 200 ms nobody was ever elected.
 void replica::begin_step(instant now) {
     const duration waited = now - m_now;
     if (waited <= duration{}) {
@@ -102,13 +104,21 @@
     return m_now < m_slowest_write_until ? m_slowest_write : duration{};
 }
 
-/// How long another voter may be silent. Usually the election timeout. Disks that are slow for one
-/// voter tend to be so for all, and a leader is silent while it writes: with syncs of 400 ms and
-/// 300 to 600 ms of patience each entry cost the leader its place. A leader whose disk alone is
-/// slow is still replaced: the patience goes by the disk of who waits.
+/// How long another voter may take for what it has to write first. Usually the election timeout.
+/// Disks that are slow for one voter tend to be so for all: with syncs of 400 ms and 300 to 600 ms
+/// of patience no vote was answered in time. A candidate whose own disk is fast can't know that of
+/// the others, so from the second election on that it does not win it waits twice as long.
 duration replica::patience() const {
-    return std::clamp(slowest_write() * writes_to_wait_for, m_options.election_timeout,
-                      m_options.election_timeout * most_timeouts_to_wait);
+    const duration most = m_options.election_timeout * most_timeouts_to_wait;
+    const int doublings = std::clamp(m_lost_elections - 1, 0, most_doublings);
+    const duration least =
+        std::min(m_options.election_timeout * (std::int64_t{1} << doublings), most);
+    return std::clamp(slowest_write() * writes_to_wait_for, least, most);
+}
+
+/// How long another voter may be silent. One that writes behind answers while its disk is busy.
+duration replica::silence_limit() const {
+    return m_log->settings().write_behind ? m_options.election_timeout : patience();
 }
 
 void replica::tick(instant now) {
@@ -117,7 +127,8 @@
         return;
     }
     if (m_role != role::leader) {
-        if (now >= m_election_at) {
+        // Without its own vote on the disk a voter can't ask for others.
+        if (now >= m_election_at && m_log->vote_durable()) {
             start_election(true, now);
         }
         return;
@@ -126,7 +137,7 @@
         // Cut off from a quorum: a newer leader may exist. Going on would only keep nodes asking
         // here.
         const bool heard = quorum([&](const node_address &voter) {
-            return voter == m_options.self || m_progress[voter].heard + patience() * 2 > now;
+            return voter == m_options.self || m_progress[voter].heard + silence_limit() * 2 > now;
         });
         if (!heard) {
             become_follower(term(), {}, now);
@@ -178,7 +189,7 @@
     if (!m_queued.empty()) {
         const std::vector<log_entry> entries = std::move(m_queued);
         m_queued.clear();
-        m_wrote = true;
+        begin_write();
         if (!m_log->append(entries)) {
             fail();
             return;
@@ -264,7 +275,7 @@
         }
     }
     const std::uint64_t at_term = m_log->term_at(index).value_or(0);
-    m_wrote = true;
+    begin_write();
     if (!m_log->save_snapshot({index, at_term, encode(members), std::move(state)})) {
         fail();
         return false;
@@ -285,15 +296,29 @@
     m_role = role::candidate;
     m_leader.clear();
     m_pre_vote = pre_vote;
-    m_votes = {m_options.self};
+    m_votes.clear();
+    if (!pre_vote && m_log->settings().write_behind) {
+        ++m_lost_elections; // until it is won
+    }
     const vote_request request{.term = pre_vote ? term() + 1 : term(),
                                .last_index = m_log->last_index(),
                                .last_term = m_log->term_at(m_log->last_index()).value_or(0),
                                .pre_vote = pre_vote};
     for (const node_address &peer : peers()) {
-        m_outgoing.push_back({peer, request});
+        if (pre_vote || g_defects.own_vote_before_sync) {
+            m_outgoing.push_back({peer, request});
+        } else {
+            send_when_durable({peer, request});
+        }
+    }
+    count_own_vote(now);
+}
+
+void replica::count_own_vote(instant now) {
+    if (m_pre_vote || m_log->vote_durable() || g_defects.own_vote_before_sync) {
+        m_votes.insert(m_options.self);
+        count_votes(now);
     }
-    count_votes(now);
 }
 
 bool replica::log_is_current(const vote_request &request) const {
@@ -338,7 +363,12 @@
     if (granted) {
         reset_election_timer(now);
     }
-    m_outgoing.push_back({from, vote_reply{.term = term(), .granted = granted}});
+    outgoing reply{from, vote_reply{.term = term(), .granted = granted}};
+    if (granted && !g_defects.vote_before_sync) {
+        send_when_durable(std::move(reply));
+    } else {
+        m_outgoing.push_back(std::move(reply));
+    }
 }
 
 void replica::on(const node_address &from, const vote_reply &reply, instant now) {
@@ -368,7 +398,7 @@
 }
 
 bool replica::save_vote(std::uint64_t new_term, const node_address &voted_for) {
-    m_wrote = true;
+    begin_write();
     if (!m_log->save_vote({new_term, voted_for})) {
         fail();
         return false;
@@ -380,6 +410,12 @@
     if (new_term > term() && !save_vote(new_term, {})) {
         return;
     }
+    if (m_acknowledged.term != term()) {
+        m_acknowledged = {.term = term()};
+    }
+    if (!leader.empty()) {
+        m_lost_elections = 0;
+    }
     m_role = role::follower;
     m_leader = leader;
     m_queued.clear();
@@ -389,6 +425,7 @@
 void replica::become_leader(instant now) {
     m_role = role::leader;
     m_leader = m_options.self;
+    m_lost_elections = 0;
     m_progress.clear();
     for (const node_address &peer : peers()) {
         m_progress[peer] = {.next = m_log->last_index() + 1, .heard = now};
@@ -402,7 +439,7 @@
 }
 
 void replica::reset_election_timer(instant now) {
-    const duration least = patience();
+    const duration least = m_leader.empty() ? patience() : silence_limit();
     std::uniform_int_distribution<duration::rep> spread(0, least.count());
     m_election_at = now + least + duration(spread(m_random));
 }
@@ -505,13 +542,38 @@
         return;
     }
     commit_to(std::min(request.commit_index, reply.match_index));
+    m_acknowledged.matched = std::max(m_acknowledged.matched, reply.match_index);
+    m_acknowledged.round = std::max(m_acknowledged.round, request.round);
+    // Answered at once, whatever the disk does: the leader has to know that it is heard.
     reply.accepted = true;
+    reply.match_index = durable_match(reply.match_index);
+    m_acknowledged.told = std::max(m_acknowledged.told, reply.match_index);
     m_outgoing.push_back({from, reply});
 }
 
+/// Of the entries up to `matched`, which are the leader's, how many may be acknowledged.
+std::uint64_t replica::durable_match(std::uint64_t matched) const {
+    if (g_defects.acknowledge_before_sync) {
+        return matched;
+    }
+    return m_log->vote_durable() ? std::min(matched, m_log->durable_index()) : 0;
+}
+
+void replica::acknowledge_durable() {
+    const std::uint64_t match = durable_match(m_acknowledged.matched);
+    if (m_leader.empty() || m_acknowledged.term != term() || match <= m_acknowledged.told) {
+        return;
+    }
+    m_acknowledged.told = match;
+    m_outgoing.push_back({m_leader, append_reply{.term = term(),
+                                                 .accepted = true,
+                                                 .match_index = match,
+                                                 .round = m_acknowledged.round}});
+}
+
 bool replica::take_entries(const std::vector<log_entry> &entries) {
     const bool replaces = entries.front().index <= m_log->last_index();
-    m_wrote = true;
+    begin_write();
     // A leader that contradicts a committed entry means two histories: going on would choose one
     // of them silently.
     if (entries.front().index <= m_commit || !m_log->append(entries)) {
@@ -578,7 +640,7 @@
     }
     const log_snapshot &snapshot = request.snapshot;
     if (snapshot.index > m_commit) {
-        m_wrote = true;
+        begin_write();
         if (!m_log->save_snapshot(snapshot)) {
             fail();
             return;
@@ -588,13 +650,20 @@
         m_installed = snapshot;
         reload_members(m_log->last_index());
     }
+    m_acknowledged.matched = std::max(m_acknowledged.matched, snapshot.index);
+    m_acknowledged.round = std::max(m_acknowledged.round, request.round);
+    // Taken for accepted without any match, it would be sent again with the next heartbeat.
+    const std::uint64_t match = durable_match(snapshot.index);
+    m_acknowledged.told = std::max(m_acknowledged.told, match);
     m_outgoing.push_back({from, append_reply{.term = term(),
-                                             .accepted = true,
-                                             .match_index = snapshot.index,
+                                             .accepted = match == snapshot.index,
+                                             .match_index = match,
                                              .round = request.round}});
 }
 
 void replica::advance_commit() {
+    const std::uint64_t own_match =
+        g_defects.commit_before_sync ? m_log->last_index() : m_log->durable_index();
     for (std::uint64_t index = m_log->last_index(); index > m_commit; --index) {
         // Entries of earlier terms are committed only along with one of this term: a later leader
         // could still replace them even though a majority holds them.
@@ -602,7 +671,7 @@
             return;
         }
         const bool held = quorum([&](const node_address &voter) {
-            return voter == m_options.self || m_progress[voter].match >= index;
+            return voter == m_options.self ? own_match >= index : m_progress[voter].match >= index;
         });
         if (held) {
             commit_to(index);
@@ -693,8 +762,56 @@
     return static_cast<std::size_t>(count) * 2 > m_members.voters.size();
 }
 
+// ---- the disk ----
+
+void replica::begin_write() {
+    m_wrote = !m_log->settings().write_behind;
+    if (m_log->staged() == m_log->written()) {
+        m_staged_at = m_now;
+    }
+}
+
+void replica::send_when_durable(outgoing item) {
+    if (m_log->staged() == m_log->written()) {
+        m_outgoing.push_back(std::move(item));
+    } else {
+        m_unsynced.push_back({m_log->staged(), std::move(item)});
+    }
+}
+
+void replica::note_written(instant now) {
+    begin_step(now);
+    if (m_role == role::failed) {
+        return;
+    }
+    if (m_log->failed()) {
+        fail();
+        return;
+    }
+    note_write(now - std::exchange(m_staged_at, now));
+    const bool answers = !m_unsynced.empty() && m_unsynced.front().first <= m_log->written();
+    while (!m_unsynced.empty() && m_unsynced.front().first <= m_log->written()) {
+        m_outgoing.push_back(std::move(m_unsynced.front().second));
+        m_unsynced.pop_front();
+    }
+    switch (m_role) {
+    case role::leader: advance_commit(); break;
+    case role::candidate:
+        reset_election_timer(now); // the others begin only now
+        count_own_vote(now);
+        break;
+    default:
+        if (answers) {
+            reset_election_timer(now); // so does the candidate that has this voter's vote
+        }
+        acknowledge_durable();
+        break;
+    }
+}
+
 void replica::fail() {
     m_role = role::failed;
+    m_unsynced.clear();
     m_leader.clear();
     m_queued.clear();
 }
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -15,12 +15,13 @@
 //
 //   | mark 4 | version 1 | body size 4 | checksum 8 | body ... |
 //
-// One call of `append` writes one frame and one sync covers it, so at most the last frame can be
-// torn. The checksum covers version, size and body. Numbers are little endian.
+// One write holds one frame and one sync covers it, so at most the last frame can be torn. The
+// checksum covers version, size and body. Numbers are little endian.
 constexpr std::string_view frame_mark = "PTL\x1f";
 constexpr std::uint8_t frame_version = 1;
 constexpr std::size_t header_size = 4 + 1 + 4 + 8;
 constexpr std::size_t max_body = 1U << 30U;
+constexpr std::size_t most_bytes_a_write = 16U << 20U;
 constexpr const char *snapshot_file = "snapshot";
 constexpr const char *log_prefix = "log-";
 
@@ -146,6 +147,25 @@
     put_text(body, vote.voted_for);
 }
 
+std::string encode(const log_snapshot &snapshot) {
+    std::string body;
+    put(body, snapshot.index);
+    put(body, snapshot.term);
+    put_text(body, snapshot.members);
+    put_text(body, snapshot.state);
+    return body;
+}
+
+/// The vote goes first: without it a restart could vote twice in one term.
+std::string file_records(const vote_record &vote, const std::deque<log_entry> &entries) {
+    std::string records;
+    put_vote(records, vote);
+    for (const log_entry &entry : entries) {
+        put_entry(records, entry);
+    }
+    return records;
+}
+
 std::string file_name(std::uint64_t base_index) {
     std::string digits = std::to_string(base_index);
     digits.insert(0, 20 - digits.size(), '0');
@@ -154,6 +174,31 @@
 
 } // namespace
 
+write_outcome perform(const log_write &write, storage &files, bool sync) {
+    const auto failed = [&](const std::string &what) {
+        return write_outcome{.written = false, .reason = what + ": " + files.last_reason()};
+    };
+    if (!write.snapshot.empty() && !files.replace(snapshot_file, make_frame(write.snapshot))) {
+        return failed("can't store the snapshot");
+    }
+    if (write.begins_file) {
+        if (!files.replace(write.file, make_frame(write.records))) {
+            return failed("can't start " + write.file);
+        }
+        if (!write.obsolete.empty()) {
+            files.remove(write.obsolete);
+        }
+        return {};
+    }
+    if (!files.append(write.file, make_frame(write.records))) {
+        return failed("can't write " + write.file);
+    }
+    if (sync && !files.sync(write.file)) {
+        return failed("can't sync " + write.file);
+    }
+    return {};
+}
+
 std::optional<durable_log> durable_log::open(storage &files, options settings,
                                              std::string &reason) {
     durable_log log(files, settings);
@@ -162,6 +207,8 @@
         reason = failure.reason;
         return std::nullopt;
     }
+    log.m_durable = {
+        .vote = log.m_vote, .base_index = log.m_base_index, .last_index = log.last_index()};
     return log;
 }
 
@@ -177,10 +224,16 @@
     }
     // What was read may be in the kernel's memory only: pages that a failed sync dropped are read
     // as written and never reach the disk, whatever later syncs say. New files have no such pages.
-    if ((log.m_snapshot && !log.store(*log.m_snapshot)) || !log.start_file()) {
+    log_write write = log.first_write();
+    if (log.m_snapshot) {
+        write.snapshot = encode(*log.m_snapshot);
+    }
+    if (!log.write_first(write)) {
         failure = {.reason = log.m_reason, .may_pass = true};
         return std::nullopt;
     }
+    log.m_durable = {
+        .vote = log.m_vote, .base_index = log.m_base_index, .last_index = log.last_index()};
     return log;
 }
 
@@ -188,14 +241,16 @@
 /// vote, or entries of a later term in place of some. Less would mean that a vote can be given
 /// twice or that an acknowledged entry is gone.
 bool durable_log::holds_promises_of(const durable_log &earlier) const {
-    const vote_record &promised = earlier.m_vote;
+    const vote_record &promised = earlier.m_durable.vote;
     const bool same_term = m_vote.term == promised.term;
     const bool vote_held = m_vote.term > promised.term || m_vote == promised ||
                            (same_term && promised.voted_for.empty());
-    if (!vote_held || m_base_index < earlier.m_base_index) {
+    if (!vote_held || m_base_index < earlier.m_durable.base_index) {
         return false;
     }
-    for (std::uint64_t index = m_base_index; index <= earlier.last_index(); ++index) {
+    // What a snapshot covers that was still to be written can't be compared any more.
+    std::uint64_t index = std::max(m_base_index, earlier.m_base_index);
+    for (; index <= earlier.m_durable.last_index; ++index) {
         const std::optional<std::uint64_t> held = term_at(index);
         const std::uint64_t wanted = earlier.term_at(index).value_or(0);
         if (held != wanted) {
@@ -228,7 +283,7 @@
         }
     }
     if (logs.empty()) {
-        if (!start_file()) {
+        if (!write_first(first_write())) {
             failure = {.reason = m_reason, .may_pass = true};
             return false;
         }
@@ -371,27 +426,30 @@
 }
 
 bool durable_log::save_vote(const vote_record &vote) {
-    std::string body;
-    put_vote(body, vote);
-    if (!write_frame(body)) {
+    std::string records;
+    put_vote(records, vote);
+    if (!stage_records(std::move(records))) {
         return false;
     }
     m_vote = vote;
+    note_staged();
     return true;
 }
 
 bool durable_log::append(const std::vector<log_entry> &entries) {
     assert(!entries.empty());
     assert(entries.front().index > m_base_index && entries.front().index <= last_index() + 1);
-    std::string body;
+    std::string records;
     for (const log_entry &entry : entries) {
-        put_entry(body, entry);
+        put_entry(records, entry);
     }
-    if (!write_frame(body)) {
+    if (!stage_records(std::move(records))) {
         return false;
     }
+    truncate_positions(entries.front().index - 1);
     m_entries.resize(entries.front().index - m_base_index - 1);
     m_entries.insert(m_entries.end(), entries.begin(), entries.end());
+    note_staged();
     return true;
 }
 
@@ -399,69 +457,129 @@
     if (m_failed || snapshot.index <= m_base_index) {
         return !m_failed;
     }
-    if (!store(snapshot)) {
-        return false;
-    }
     const bool keeps_tail = term_at(snapshot.index) == snapshot.term;
+    std::deque<log_entry> kept;
     if (keeps_tail) {
         const auto covered = static_cast<std::ptrdiff_t>(snapshot.index - m_base_index);
-        m_entries.erase(m_entries.begin(), m_entries.begin() + covered);
-    } else {
-        m_entries.clear();
+        kept.assign(m_entries.begin() + covered, m_entries.end());
+    }
+    log_write write{.file = file_name(snapshot.index),
+                    .records = file_records(m_vote, kept),
+                    .begins_file = true,
+                    .snapshot = encode(snapshot)};
+    if (m_file != write.file) {
+        write.obsolete = m_file;
+    }
+    const std::string file = write.file;
+    if (!stage(std::move(write))) {
+        return false;
+    }
+    if (!keeps_tail) {
+        truncate_positions(m_base_index);
     }
+    m_entries = std::move(kept);
     m_base_index = snapshot.index;
     m_base_term = snapshot.term;
     m_snapshot = snapshot;
-    return start_file();
+    m_file = file;
+    note_staged();
+    return true;
 }
 
-bool durable_log::store(const log_snapshot &snapshot) {
-    std::string body;
-    put(body, snapshot.index);
-    put(body, snapshot.term);
-    put_text(body, snapshot.members);
-    put_text(body, snapshot.state);
-    return m_files->replace(snapshot_file, make_frame(body)) || fail("can't store the snapshot");
+/// The file that follows the snapshot, as it is begun.
+log_write durable_log::first_write() {
+    log_write write{.file = file_name(m_base_index),
+                    .records = file_records(m_vote, m_entries),
+                    .begins_file = true};
+    if (m_file != write.file) {
+        write.obsolete = m_file;
+    }
+    return write;
 }
 
-/// Begins a file for what follows the snapshot. The vote goes first: without it a restart could
-/// vote twice in one term.
-bool durable_log::start_file() {
-    const std::string old = m_file;
-    std::string body;
-    put_vote(body, m_vote);
-    for (const log_entry &entry : m_entries) {
-        put_entry(body, entry);
-    }
-    const std::string name = file_name(m_base_index);
-    if (!m_files->replace(name, make_frame(body))) {
-        return fail("can't start " + name);
-    }
-    m_file = name;
-    if (!old.empty() && old != name) {
-        m_files->remove(old);
+bool durable_log::write_first(const log_write &write) {
+    const write_outcome outcome = perform(write, *m_files, true);
+    m_file = write.file;
+    return outcome.written || fail(outcome.reason);
+}
+
+// ---- writes ----
+
+bool durable_log::stage_records(std::string records) {
+    if (m_writes.empty() || m_writes.back().begins_file ||
+        m_writes.back().records.size() + records.size() > most_bytes_a_write) {
+        return stage({.file = m_file, .records = std::move(records)});
     }
+    // One frame, so that still only the last one can be torn.
+    m_writes.back().records += records;
+    m_writes.back().number = ++m_staged;
     return true;
 }
 
-bool durable_log::write_frame(const std::string &body) {
+bool durable_log::stage(log_write write) {
     if (m_failed) {
         return false;
     }
-    if (!m_files->append(m_file, make_frame(body))) {
-        return fail("can't write " + m_file);
+    write.number = ++m_staged;
+    m_writes.push_back(std::move(write));
+    if (m_options.write_behind) {
+        return true;
     }
-    if (m_options.sync_writes && !m_files->sync(m_file)) {
-        return fail("can't sync " + m_file);
+    note_written(perform(*take_write(), *m_files, m_options.sync_writes));
+    return !m_failed;
+}
+
+std::optional<log_write> durable_log::take_write() {
+    if (m_writing || m_failed || m_writes.empty()) {
+        return std::nullopt;
+    }
+    m_writing = true;
+    log_write write = std::move(m_writes.front());
+    m_writes.pop_front();
+    m_writing_up_to = write.number;
+    return write;
+}
+
+void durable_log::note_written(const write_outcome &outcome) {
+    m_writing = false;
+    if (!outcome.written) {
+        fail(outcome.reason);
+        return;
+    }
+    m_written = m_writing_up_to;
+    note_durable();
+}
+
+void durable_log::note_staged() {
+    m_positions.push_back({.number = m_staged,
+                           .vote = m_vote,
+                           .base_index = m_base_index,
+                           .last_index = last_index()});
+    note_durable();
+}
+
+void durable_log::note_durable() {
+    while (!m_positions.empty() && m_positions.front().number <= m_written) {
+        m_durable = std::move(m_positions.front());
+        m_positions.pop_front();
+    }
+}
+
+/// Entries behind `last_index` are replaced: that their old versions become durable counts for
+/// nothing.
+void durable_log::truncate_positions(std::uint64_t last_index) {
+    m_durable.last_index = std::min(m_durable.last_index, last_index);
+    for (position &item : m_positions) {
+        item.last_index = std::min(item.last_index, last_index);
     }
-    return true;
 }
 
 /// After a failed sync the kernel may have dropped the pages: what is on the disk is not known, so
 /// no later success can be believed.
-bool durable_log::fail(const std::string &what) {
+bool durable_log::fail(const std::string &reason) {
     m_failed = true;
-    m_reason = what + ": " + m_files->last_reason();
+    m_writes.clear();
+    m_reason = reason;
     return false;
 }
 
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -5,6 +5,7 @@
 
 #include "peppertack/state/key_hash.hpp"
 #include "peppertack/state/posix_storage.hpp"
+#include "peppertack/transport/delay_meter.hpp"
 #include "peppertack/transport/json_log.hpp"
 #include "wall_clock.hpp"
 
@@ -21,6 +22,9 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(10);
 constexpr auto answer_limit = std::chrono::seconds(5);
+constexpr auto slow_disk = std::chrono::milliseconds(250);
+/// A third of a lease: renewals that wait for so long are at risk.
+constexpr auto control_stall = std::chrono::milliseconds(250);
 
 const char *phase_name(target_phase phase) {
     constexpr std::array<const char *, 3> names{"serving", "draining", "gone"};
@@ -38,11 +42,12 @@
 public:
     impl(std::unique_ptr<posix_storage> files, audit_log audit, sender send)
         : m_files(std::move(files)), m_audit(std::move(audit)), m_told(m_audit.last_sequence()),
-          m_send(std::move(send)), m_timer(m_io), m_work(asio::make_work_guard(m_io)) {}
+          m_send(std::move(send)), m_timer(m_io), m_work(asio::make_work_guard(m_io)),
+          m_disk_work(asio::make_work_guard(m_disk)) {}
 
     bool prepare(control_options options, std::string &reason) {
         m_voter = durable_voter::make(
-            {.control = std::move(options)}, *m_files,
+            {.control = std::move(options), .log = {.write_behind = true}}, *m_files,
             [this](const audit_record &record) { return note(record); }, read_clocks(), reason);
         return m_voter != nullptr;
     }
@@ -50,12 +55,18 @@
     void start() {
         schedule_tick();
         m_thread = std::thread([this] { m_io.run(); });
+        m_disk_thread = std::thread([this] { m_disk.run(); });
     }
 
+    /// Waits for the call to the disk that is under way. What waits behind it was promised to
+    /// nobody.
     void stop() {
         m_io.stop();
-        if (m_thread.joinable()) {
-            m_thread.join();
+        m_disk.stop();
+        for (std::thread *thread : {&m_thread, &m_disk_thread}) {
+            if (thread->joinable()) {
+                thread->join();
+            }
         }
     }
 
@@ -132,7 +143,23 @@
         post([](control_core &core) { core.announce_leaving(read_clocks()); });
     }
 
-    audit_log &audit() { return m_audit; }
+    std::string delays_text() const { return m_disk_time.text() + m_thread_delay.text(); }
+    nlohmann::json delays_json() const {
+        const auto ms = [](duration value) { return value / std::chrono::milliseconds(1); };
+        return {{"longest_disk_write_ms", ms(m_disk_time.longest())},
+                {"longest_control_thread_delay_ms", ms(m_thread_delay.longest())}};
+    }
+
+    /// Every record of the archive, read on the disk's thread.
+    std::optional<std::vector<audit_record>> read_audit() {
+        auto promise = std::make_shared<std::promise<std::vector<audit_record>>>();
+        std::future<std::vector<audit_record>> future = promise->get_future();
+        asio::post(m_disk, [this, promise] { promise->set_value(m_audit.read_all()); });
+        if (future.wait_for(answer_limit) != std::future_status::ready) {
+            return std::nullopt;
+        }
+        return future.get();
+    }
 
 private:
     /// Precondition: leadership was proved in this step.
@@ -186,19 +213,27 @@
                        {"subject", record.subject},
                        {"sequence", record.sequence}});
         }
-        if (!m_audit.append(record)) {
-            log_event(log_level::error, "audit_write_failed", {{"reason", m_files->last_reason()}});
-            return false;
-        }
+        m_new_records.push_back(record);
         return true;
     }
 
+    void archive(const std::vector<audit_record> &records) {
+        for (const audit_record &record : records) {
+            if (!m_audit.append(record)) {
+                log_event(log_level::error, "audit_write_failed",
+                          {{"reason", m_files->last_reason()}});
+            }
+        }
+    }
+
     void schedule_tick() {
         m_timer.expires_after(tick_interval);
-        m_timer.async_wait([this](asio::error_code error) {
+        m_timer.async_wait([this, due = read_clocks().now + tick_interval](asio::error_code error) {
             if (error) {
                 return;
             }
+            const instant now = read_clocks().now;
+            m_thread_delay.note(std::max(now - due, duration{}), now);
             part().tick(read_clocks());
             carry_out();
             tend_disk();
@@ -223,11 +258,38 @@
         for (const outgoing &item : part().take_outgoing()) {
             m_send(item);
         }
+        start_disk_task();
+    }
+
+    void start_disk_task() {
+        if (!m_new_records.empty()) {
+            asio::post(m_disk,
+                       [this, records = std::exchange(m_new_records, {})] { archive(records); });
+        }
+        std::optional<durable_voter::disk_task> task = m_voter->take_disk_task();
+        if (!task) {
+            return;
+        }
+        const instant begun = read_clocks().now;
+        asio::post(m_disk, [this, begun, task = std::move(*task)]() mutable {
+            task.run();
+            asio::post(m_io, [this, begun, finish = std::move(task.finish)] {
+                const moment at = read_clocks();
+                m_disk_time.note(at.now - begun, at.now);
+                tell_disk_news(finish(at), at);
+                carry_out();
+            });
+        });
     }
 
     void tend_disk() {
         const moment at = read_clocks();
-        switch (m_voter->tend_disk(at)) {
+        tell_disk_news(m_voter->tend_disk(at), at);
+        start_disk_task();
+    }
+
+    void tell_disk_news(durable_voter::disk_news news, moment at) {
+        switch (news) {
         case durable_voter::disk_news::none: break;
         case durable_voter::disk_news::lost:
         case durable_voter::disk_news::damaged: tell_role(m_voter->last_reason()); break;
@@ -265,19 +327,30 @@
 
     control_core &part() { return m_voter->core(); }
 
-    std::unique_ptr<posix_storage> m_files;
-    audit_log m_audit;
+    std::unique_ptr<posix_storage> m_files; ///< belongs to the disk's thread while that runs
+    audit_log m_audit;                      ///< so does this
     /// Last decision that has a line in the log. Those in the archive have theirs: after a loss of
     /// power a new leader spent half a second on 3,700 lines told before.
     std::uint64_t m_told;
+    std::vector<audit_record> m_new_records; ///< not yet passed to the archive
     sender m_send;
     asio::io_context m_io;
     asio::steady_timer m_timer;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::unique_ptr<durable_voter> m_voter;
     std::map<std::uint64_t, std::function<void(submit_answer)>> m_waiting;
+    delay_meter m_disk_time{
+        {.metric = "peppertack_voter_disk_ms", .event = "voter_disk_slow", .log_above = slow_disk}};
+    delay_meter m_thread_delay{{.metric = "peppertack_control_thread_delay_ms",
+                                .event = "control_thread_stalled",
+                                .log_above = control_stall}};
     replica::role m_role = replica::role::follower;
     std::thread m_thread;
+    /// Calls to the disk, in their order. On the control thread each would hold up heartbeats and
+    /// renewals for as long as the disk takes.
+    asio::io_context m_disk;
+    asio::executor_work_guard<asio::io_context::executor_type> m_disk_work;
+    std::thread m_disk_thread;
 };
 
 control_host::control_host(std::unique_ptr<impl> body) : m_impl(std::move(body)) {}
@@ -377,7 +450,9 @@
 } // namespace
 
 void control_host::read_metrics(std::function<void(std::string)> done) {
-    m_impl->post([done = std::move(done)](control_core &core) { done(metrics_text(core)); });
+    m_impl->post([this, done = std::move(done)](control_core &core) {
+        done(metrics_text(core) + m_impl->delays_text());
+    });
 }
 
 void control_host::announce_leaving() {
@@ -453,7 +528,7 @@
 
 nlohmann::json control_host::dump() const {
     const std::function<nlohmann::json(control_core &, impl &)> work = [](control_core &core,
-                                                                          impl &) {
+                                                                          impl &body) {
         const replica &log = core.replication();
         nlohmann::json json{{"role", role_name(log.current_role())},
                             {"term", log.term()},
@@ -464,6 +539,7 @@
                             {"voters", log.members().voters},
                             {"audit_sequence", core.state().audit().sequence},
                             {"audit_hash", core.state().audit().hash},
+                            {"delays", body.delays_json()},
                             {"targets", targets_json(core)}};
         nlohmann::json &services = json["services"];
         services = nlohmann::json::object();
@@ -539,9 +615,7 @@
 }
 
 std::vector<audit_record> control_host::audit_records() const {
-    const std::function<std::vector<audit_record>(control_core &, impl &)> work =
-        [](control_core &, impl &body) { return body.audit().read_all(); };
-    return m_impl->ask<std::vector<audit_record>>(work).value_or(std::vector<audit_record>{});
+    return m_impl->read_audit().value_or(std::vector<audit_record>{});
 }
 
 } // namespace peppertack
--- a/tests/coordination/failures_test.cpp
+++ b/tests/coordination/failures_test.cpp
@@ -407,3 +407,33 @@
     CHECK(in->accepted_version() > before);
     check_clean(*in);
 }
+
+// Guards against leases that end because voters wait for their disks.
+TEST_CASE("no key loses its owner while the disks of all voters stall") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        const auto in = ready_world({.seed = seed});
+        const auto decided = [&] {
+            std::uint64_t most = 0;
+            for (std::size_t voter = 0; voter < 3; ++voter) {
+                most = std::max(most, in->control(voter).replication().commit_index());
+            }
+            return most;
+        };
+        in->run(5s);
+        for (std::size_t voter = 0; voter < 3; ++voter) {
+            in->set_sync_time(voter, 30s);
+        }
+        const std::uint64_t before = decided();
+        for (int i = 0; i < 100; ++i) {
+            const std::size_t sent =
+                in->submit(static_cast<std::size_t>(i) % 5, static_cast<unsigned int>(i) % 12,
+                           world::request_kind::once);
+            in->run(200ms);
+            REQUIRE(in->answer(sent));
+            CHECK(in->answer(sent)->result == outcome::ran);
+        }
+        CHECK(decided() == before);
+        check_clean(*in);
+    }
+}
--- a/tests/coordination/fuzz_actions.cpp
+++ b/tests/coordination/fuzz_actions.cpp
@@ -14,11 +14,12 @@
     "heal",          "silence",       "losses",       "break_disk",
     "clock_rate",    "crash_target",  "start_target", "freeze_target",
     "thaw_target",   "replace_voter", "burst",        "slow_links",
-    "split",         "pause_leader",  "mend_disk"};
+    "split",         "pause_leader",  "mend_disk",    "slow_disk"};
 
 /// How often each kind is drawn. Requests and time dominate, so that faults meet work.
-constexpr std::array<unsigned int, action_kinds> weights{
-    14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4, 4, 3, 3, 3, 2, 3, 3, 2, 1, 1, 2, 2, 1, 1, 1, 8, 5, 3, 3, 3};
+constexpr std::array<unsigned int, action_kinds> weights{14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4,
+                                                         4,  3, 3,  3, 2, 3, 3, 2, 1, 1, 2,
+                                                         2,  1, 1,  1, 8, 5, 3, 3, 3, 3};
 
 void burst(world &in, unsigned int key, unsigned int node) {
     constexpr unsigned int requests = 6;
@@ -111,11 +112,15 @@
     case action_kind::split: split(in, leading, value.b); break;
     case action_kind::pause_leader: in.pause(leading); break;
     case action_kind::mend_disk: in.break_disk(value.a % voters, fake_storage::fault::none); break;
+    case action_kind::slow_disk:
+        in.set_sync_time(value.a % voters, std::chrono::milliseconds(1 + value.b % 4 * 300));
+        break;
     }
 }
 
-sequence_result run_sequence(std::uint64_t seed, const std::vector<action> &actions) {
-    world in({.seed = seed});
+sequence_result run_sequence(std::uint64_t seed, const std::vector<action> &actions,
+                             voter_disks disks) {
+    world in({.seed = seed, .write_behind = disks == voter_disks::written_behind});
     in.run(std::chrono::milliseconds(1200));
     if (const auto leading = in.leader()) {
         in.change_table(*leading, 0, "change-first", 1);
@@ -135,10 +140,13 @@
 
 /// Each sequence draws from a random half of the kinds, so that some sequences hold much of what
 /// would be rare among all kinds together ("swarm testing", Groce and others, 2012).
-rc::Gen<std::vector<action>> any_actions() {
-    return rc::gen::mapcat(rc::gen::arbitrary<std::uint32_t>(), [](std::uint32_t mask) {
+rc::Gen<std::vector<action>> any_actions(voter_disks disks) {
+    const std::size_t kinds = disks == voter_disks::written_behind
+                                  ? weights.size()
+                                  : static_cast<std::size_t>(action_kind::slow_disk);
+    return rc::gen::mapcat(rc::gen::arbitrary<std::uint32_t>(), [kinds](std::uint32_t mask) {
         std::vector<action_kind> drawn{action_kind::wait, action_kind::once};
-        for (std::size_t i = 0; i < weights.size(); ++i) {
+        for (std::size_t i = 0; i < kinds; ++i) {
             if (((mask >> i) & 1U) != 0) {
                 drawn.insert(drawn.end(), weights[i], static_cast<action_kind>(i));
             }
@@ -152,8 +160,28 @@
     });
 }
 
-std::vector<action> actions_of(std::uint64_t seed, int size) {
-    return any_actions()(rc::Random(seed), size).value();
+rc::Gen<std::vector<action>> disk_actions() {
+    using kind = action_kind;
+    const rc::Gen<action> one = rc::gen::apply(
+        [](action_kind drawn, unsigned int a, unsigned int b) {
+            return action{drawn, a, b};
+        },
+        rc::gen::elementOf(std::vector<kind>{
+            kind::wait,         kind::wait,      kind::wait,         kind::wait,    kind::once,
+            kind::change_table, kind::slow_disk, kind::slow_disk,    kind::crash,   kind::crash,
+            kind::restart,      kind::restart,   kind::restart,      kind::isolate, kind::split,
+            kind::heal,         kind::heal,      kind::pause_leader, kind::resume,  kind::resume,
+            kind::break_disk,   kind::mend_disk, kind::mend_disk}),
+        rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 1000U));
+    return rc::gen::container<std::vector<action>>(one);
+}
+
+std::vector<action> disk_actions_of(std::uint64_t seed, int size) {
+    return disk_actions()(rc::Random(seed), size).value();
+}
+
+std::vector<action> actions_of(std::uint64_t seed, int size, voter_disks disks) {
+    return any_actions(disks)(rc::Random(seed), size).value();
 }
 
 } // namespace peppertack::testing
--- a/tests/coordination/fuzz_actions.hpp
+++ b/tests/coordination/fuzz_actions.hpp
@@ -43,9 +43,10 @@
     split,
     pause_leader,
     mend_disk,
+    slow_disk,
 };
 
-inline constexpr int action_kinds = static_cast<int>(action_kind::mend_disk) + 1;
+inline constexpr int action_kinds = static_cast<int>(action_kind::slow_disk) + 1;
 
 /// One step of a sequence. The numbers mean what the kind makes of them.
 struct action {
@@ -66,10 +67,20 @@
     std::size_t steps = 0;
     std::size_t answered = 0;
 };
-sequence_result run_sequence(std::uint64_t seed, const std::vector<action> &actions);
+/// Which disks the voters of a sequence have, and whether they become slow.
+enum class voter_disks : std::uint8_t {
+    waited_for,    ///< voters stand still until a write is done, which takes no time
+    written_behind ///< voters go on meanwhile
+};
+sequence_result run_sequence(std::uint64_t seed, const std::vector<action> &actions,
+                             voter_disks disks = voter_disks::written_behind);
 
-rc::Gen<std::vector<action>> any_actions();
+rc::Gen<std::vector<action>> any_actions(voter_disks disks = voter_disks::written_behind);
+/// Slow disks and lost voters above all, so that crashes meet writes that are under way.
+rc::Gen<std::vector<action>> disk_actions();
 /// The sequence that belongs to a seed; the same on every run.
-std::vector<action> actions_of(std::uint64_t seed, int size);
+std::vector<action> disk_actions_of(std::uint64_t seed, int size);
+std::vector<action> actions_of(std::uint64_t seed, int size,
+                               voter_disks disks = voter_disks::written_behind);
 
 } // namespace peppertack::testing
--- a/tests/coordination/fuzz_test.cpp
+++ b/tests/coordination/fuzz_test.cpp
@@ -6,14 +6,16 @@
 using namespace peppertack;
 using namespace peppertack::testing;
 
-TEST_CASE("any sequence of faults keeps what must always hold") {
-    // Seeded through RC_PARAMS or the default below, so that CI gives the same verdict every run.
+namespace {
+
+/// Seeded through RC_PARAMS, so that CI gives the same verdict on every run.
+bool holds_for(const std::string &name, const rc::Gen<std::vector<action>> &drawn) {
     std::size_t sequences = 0;
     std::size_t steps = 0;
     std::size_t answered = 0;
-    const bool passed = rc::check("oracle finds no violation", [&] {
+    const bool passed = rc::check(name, [&] {
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000'000);
-        const std::vector<action> actions = *any_actions();
+        const std::vector<action> actions = *drawn;
         const sequence_result result = run_sequence(seed, actions);
         ++sequences;
         steps += result.steps;
@@ -25,5 +27,15 @@
     });
     std::cout << "fuzz: " << sequences << " sequences, " << steps << " steps, " << answered
               << " requests answered\n";
-    CHECK(passed);
+    return passed;
+}
+
+} // namespace
+
+TEST_CASE("any sequence of faults keeps what must always hold") {
+    CHECK(holds_for("oracle finds no violation", any_actions()));
+}
+
+TEST_CASE("any sequence of slow disks and lost voters keeps what must always hold") {
+    CHECK(holds_for("oracle finds no violation of writing behind", disk_actions()));
 }
--- a/tests/coordination/planted_defects_test.cpp
+++ b/tests/coordination/planted_defects_test.cpp
@@ -33,6 +33,14 @@
     {"resend run though its memory was lost", &planted_defects::rerun_forgotten},
 }};
 
+/// Of voters that go on while their disks write.
+constexpr std::array<defect, 4> disk_defects{{
+    {"vote given before it is on the disk", &planted_defects::vote_before_sync},
+    {"votes asked for before the own one is on the disk", &planted_defects::own_vote_before_sync},
+    {"entries acknowledged before they are on the disk", &planted_defects::acknowledge_before_sync},
+    {"leader counts itself before its disk", &planted_defects::commit_before_sync},
+}};
+
 /// Of handing keys to targets by calls.
 constexpr std::array<defect, 3> hold_defects{{
     {"late grant forgotten after a release", &planted_defects::forget_late_grant},
@@ -83,7 +91,9 @@
         std::uint64_t sequence = 1;
         sequence_result result;
         while (sequence <= most_sequences && result.violations.empty()) {
-            result = run_sequence(sequence, actions_of(sequence, sequence_size));
+            result =
+                run_sequence(sequence, actions_of(sequence, sequence_size, voter_disks::waited_for),
+                             voter_disks::waited_for);
             ++sequence;
         }
         g_defects.*planted.flag = false;
@@ -96,6 +106,13 @@
     }
 }
 
+TEST_CASE("the oracle notices every planted defect of writing behind") {
+    check_caught(disk_defects, [](std::uint64_t seed) {
+        const sequence_result result = run_sequence(seed, disk_actions_of(seed, sequence_size));
+        return result.violations.empty() ? "" : result.violations.front();
+    });
+}
+
 TEST_CASE("the oracle notices every planted defect of calls of holds") {
     check_caught(hold_defects, run_hold_sequence);
 }
--- a/tests/coordination/world.cpp
+++ b/tests/coordination/world.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-world::world(options settings) : m_options(settings), m_random(settings.seed) {
+world::world(options settings)
+    : m_options(settings), m_random(settings.seed), m_disk_random(settings.seed) {
     const std::size_t count = settings.nodes + settings.spares;
     for (std::size_t i = 0; i < count; ++i) {
         auto item = std::make_unique<host>();
@@ -83,6 +84,7 @@
         std::string reason;
         durable_voter::options settings;
         settings.log.sync_writes = !g_defects.skip_sync;
+        settings.log.write_behind = m_options.write_behind;
         control_options &options = settings.control;
         options.replication.self = item.address;
         options.replication.initial.voters = {voters.begin(), voters.end()};
@@ -130,7 +132,36 @@
 /// What a disk held that was only broken for a while must serve again.
 void world::tend_disk(std::size_t index) {
     host &item = *m_hosts[index];
-    switch (item.voting->tend_disk(clock_of(item))) {
+    take_disk_news(index, item.voting->tend_disk(clock_of(item)));
+    start_disk_task(index);
+}
+
+/// A write reaches the disk at once or only at the end of its time: a crash in between leaves all
+/// of it or nothing.
+void world::start_disk_task(std::size_t index) {
+    host &item = *m_hosts[index];
+    std::optional<durable_voter::disk_task> task =
+        item.voting ? item.voting->take_disk_task() : std::nullopt;
+    if (!task) {
+        return;
+    }
+    const bool at_once = m_disk_random() % 2 == 0;
+    if (at_once) {
+        task->run();
+    }
+    schedule(item.sync_time, index, [this, index, at_once, task = std::move(*task)] {
+        host &here = *m_hosts[index];
+        if (!at_once) {
+            task.run();
+        }
+        take_disk_news(index, task.finish(clock_of(here)));
+        carry_out(index);
+    });
+}
+
+void world::take_disk_news(std::size_t index, durable_voter::disk_news news) {
+    host &item = *m_hosts[index];
+    switch (news) {
     case durable_voter::disk_news::none:
     case durable_voter::disk_news::lost: break;
     case durable_voter::disk_news::back: item.changes.clear(); break;
@@ -237,6 +268,7 @@
                 }
             }
         }
+        start_disk_task(index);
     }
     if (!item.node) {
         return;
@@ -770,6 +802,7 @@
     for (std::size_t i = 0; i < m_hosts.size(); ++i) {
         host &item = *m_hosts[i];
         item.disk->set_fault(fake_storage::fault::none);
+        item.sync_time = usual_sync_time;
         resume(i);
         if (!item.alive || item.stopping) {
             crash(i);
--- a/tests/coordination/world.hpp
+++ b/tests/coordination/world.hpp
@@ -25,6 +25,8 @@
         std::size_t spares = 1; ///< voters-to-be
         bool second_service = true;
         bool checks_tokens = true;
+        /// Voters go on while their disks write, as those of the product do.
+        bool write_behind = true;
     };
 
     explicit world(options settings);
@@ -60,6 +62,8 @@
     /// One message in five is late by up to `most`.
     void set_slowness(duration most) { m_slowness = most; }
     void break_disk(std::size_t voter, fake_storage::fault fault);
+    /// How long each write to the voter's disk takes from now on.
+    void set_sync_time(std::size_t voter, duration time) { m_hosts[voter]->sync_time = time; }
     void set_clock_rate(std::size_t host, double rate);
     void crash_target(std::size_t node);
     void start_target(std::size_t node);
@@ -91,6 +95,8 @@
     double served_share() const;
 
 private:
+    static constexpr duration usual_sync_time = std::chrono::milliseconds(1);
+
     struct target_state {
         bool up = true;
         bool frozen = false;
@@ -100,6 +106,7 @@
     struct host {
         node_address address;
         std::unique_ptr<fake_storage> disk;
+        duration sync_time = usual_sync_time;
         std::unique_ptr<durable_voter> voting;
         std::unique_ptr<node_core> node;
         target_state target;
@@ -152,6 +159,8 @@
     void tick(std::size_t index);
     void announce(std::size_t index);
     void tend_disk(std::size_t index);
+    void start_disk_task(std::size_t index);
+    void take_disk_news(std::size_t index, durable_voter::disk_news news);
     void note_decision(const audit_record &record);
     void carry_out(std::size_t index);
     void send(std::size_t from, const outgoing &item);
@@ -175,6 +184,7 @@
 
     options m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_disk_random; ///< apart, so that disks don't change what else is drawn
     instant m_now = instant(std::chrono::seconds(1000));
     std::uint64_t m_order = 0;
     std::size_t m_steps = 0;
--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -75,8 +75,11 @@
     }
 }
 
-pid_t local_cluster::spawn(const std::vector<std::string> &words, const std::string &log_file) {
-    return start_child({.words = words, .log_file = log_file});
+std::vector<std::string> slow_syncs(const std::string &programs, std::chrono::milliseconds least,
+                                    std::chrono::milliseconds most) {
+    return {"LD_PRELOAD=" + programs + "/libslow_sync.so",
+            "PEPPERTACK_SYNC_MS=" + std::to_string(least.count()),
+            "PEPPERTACK_SYNC_MOST_MS=" + std::to_string(most.count())};
 }
 
 void local_cluster::start_node(std::size_t place) {
@@ -101,19 +104,34 @@
         words.insert(words.end(), {"--data-folder", m_folder + "/voter-" + std::to_string(place)});
     }
     words.insert(words.end(), m_options.extra_flags.begin(), m_options.extra_flags.end());
-    m_nodes[place] = spawn(words, m_folder + "/node-" + std::to_string(place) + ".log");
+    m_nodes[place] = start_child({.words = words,
+                                  .log_file = m_folder + "/node-" + std::to_string(place) + ".log",
+                                  .environment = m_options.node_environment});
 }
 
 void local_cluster::start_target(std::size_t place) {
     const cluster_place &where = m_options.places[place];
-    m_targets[place] =
-        spawn({m_programs + "/stand_in_target", "--address", m_target[place], "--node",
-               m_http[place], "--name", where.name, "--service", where.service, "--ledger",
-               m_folder + "/ledger-" + std::to_string(place), "--work-us",
-               std::to_string(m_options.work_us), "--slots", std::to_string(m_options.slots),
-               "--connections", std::to_string(m_options.connections),
-               std::string("--checks-tokens=") + (m_options.checks_tokens ? "true" : "false")},
-              m_folder + "/target-" + std::to_string(place) + ".log");
+    const std::vector<std::string> words{m_programs + "/stand_in_target",
+                                         "--address",
+                                         m_target[place],
+                                         "--node",
+                                         m_http[place],
+                                         "--name",
+                                         where.name,
+                                         "--service",
+                                         where.service,
+                                         "--ledger",
+                                         m_folder + "/ledger-" + std::to_string(place),
+                                         "--work-us",
+                                         std::to_string(m_options.work_us),
+                                         "--slots",
+                                         std::to_string(m_options.slots),
+                                         "--connections",
+                                         std::to_string(m_options.connections),
+                                         std::string("--checks-tokens=") +
+                                             (m_options.checks_tokens ? "true" : "false")};
+    m_targets[place] = start_child(
+        {.words = words, .log_file = m_folder + "/target-" + std::to_string(place) + ".log"});
 }
 
 void local_cluster::signal_node(std::size_t place, int signal) {
--- a/tests/support/local_cluster.hpp
+++ b/tests/support/local_cluster.hpp
@@ -31,8 +31,14 @@
     unsigned int connections = 120;
     bool checks_tokens = true;
     std::vector<std::string> extra_flags;
+    std::vector<std::string> node_environment; ///< NAME=text
 };
 
+/// For `cluster_options::node_environment`: each sync takes so much longer, or a time drawn from
+/// there up to `most`.
+std::vector<std::string> slow_syncs(const std::string &programs, std::chrono::milliseconds least,
+                                    std::chrono::milliseconds most);
+
 /// Real processes of this project on loopback with ports of their own, for tests and benches. Ends
 /// all of them when it goes.
 class local_cluster {
@@ -72,7 +78,6 @@
                            const std::function<bool()> &condition);
 
 private:
-    pid_t spawn(const std::vector<std::string> &words, const std::string &log_file);
     void end_all();
 
     std::string m_programs;
