Pass on nothing for callers that left before their request was read

Cause: a request is dispatched as soon as its bytes are read, and the end of the connection, there behind it already, is an event of its own. A node short of processor reads requests whose callers left long ago and passes them on; each costs a forward, a slot and a cancellation, so it falls further behind.

Evidence: a node stopped for 150 ms passed on all 20 requests whose callers had left meanwhile, and so did the nodes beside the targets (caller_gone_test failed before in both cases).

Change: connections of callers and of other nodes look behind the bytes of a new request whether the connection has ended. One system call a read. Metrics and lines for a late traffic thread, the phase of a request in request_ended, and sender_gone beside targets.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -28,6 +28,12 @@
 
     /// Begins to read. Precondition: connected.
     void start();
+    /// From now on the end of the connection is looked for behind all that is read, see
+    /// `peer_ended`. It costs a system call with each event.
+    void watch_end() { m_watch_end = true; }
+    /// Whether the other side had ended the connection when the bytes of the current event were
+    /// read. `on_closed` follows.
+    bool peer_ended() const { return m_peer_ended; }
     /// Stops and resumes reading; the other side is held back by its full window.
     void pause_reading(bool pause);
     /// Writes at once what the system takes and queues the rest.
@@ -47,6 +53,7 @@
     void read_some();
     void wait_writable();
     void write_some();
+    bool end_is_next();
     void lost(bool in_order);
 
     asio::ip::tcp::socket m_socket;
@@ -56,6 +63,8 @@
     bool m_waiting_read = false;
     bool m_waiting_write = false;
     bool m_paused = false;
+    bool m_watch_end = false;
+    bool m_peer_ended = false;
     bool m_closed = false;
     bool m_closing = false; ///< what comes in is dropped; closed when the other side ends
 };
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -3,6 +3,7 @@
 #include "peppertack/coordination/hold_caller.hpp"
 #include "peppertack/state/error_kind.hpp"
 #include "peppertack/state/time.hpp"
+#include "peppertack/transport/delay_meter.hpp"
 
 #include <array>
 #include <boost/histogram.hpp>
@@ -43,6 +44,9 @@
         return std::exchange(m_by_cause, {});
     }
 
+    /// How late the traffic thread ran what was due.
+    void note_thread_delay(duration delay, instant now) { m_thread_delay.note(delay, now); }
+
     /// Text in the Prometheus exposition format.
     std::string text() const;
 
@@ -55,6 +59,9 @@
     histogram m_queue = make_latency_histogram();
     histogram m_body_wait = make_latency_histogram();
     histogram m_target = make_latency_histogram();
+    delay_meter m_thread_delay{{.metric = "peppertack_traffic_thread_delay_ms",
+                                .event = "traffic_thread_stalled",
+                                .log_above = std::chrono::milliseconds(250)}};
     std::array<std::uint64_t, error_kind_count> m_by_error{};
     std::map<int, std::uint64_t> m_by_status_class;
     std::map<std::string, std::map<std::string, std::uint64_t>> m_by_cause;
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -100,10 +100,15 @@
     const ssize_t size =
         ::recv(m_socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (size > 0) {
+        m_peer_ended = m_watch_end && end_is_next();
         if (!m_closing) {
             m_owner->on_bytes({buffer.data(), static_cast<std::size_t>(size)});
         }
-        wait_readable();
+        if (m_peer_ended) {
+            lost(true);
+        } else {
+            wait_readable();
+        }
     } else if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
         wait_readable();
     } else {
@@ -111,6 +116,13 @@
     }
 }
 
+bool byte_stream::end_is_next() {
+    char next = 0;
+    const ssize_t size =
+        ::recv(m_socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void byte_stream::write(std::string_view bytes) {
     if (m_closed || m_closing) {
         return;
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -33,6 +33,7 @@
     m_peer = socket.remote_endpoint(ignored).address();
     set_connection_options(socket);
     m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
+    m_stream->watch_end();
 }
 
 http_server_connection::~http_server_connection() {
@@ -61,6 +62,11 @@
     if (m_server == nullptr) {
         return; // the last answer has ended the connection; nothing after it is a request
     }
+    if (!m_handling && m_stream->peer_ended()) {
+        // A process that was short of its processor reads requests whose callers have long gone;
+        // passed on, each would cost a target its work.
+        return;
+    }
     if (!m_reader.in_message()) {
         m_since = steady_instant();
         // A limit that was raised since the connection was opened would else deny what is allowed.
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -184,6 +184,17 @@
     done();
 }
 
+/// How far the request has come, for people.
+const char *entry_relay::phase_name() const {
+    if (m_passing_on) {
+        return "answer_half_sent";
+    }
+    if (m_call) {
+        return m_call->sent() ? "sent" : "connecting";
+    }
+    return m_parked ? "parked" : "receiving";
+}
+
 void entry_relay::on_caller_drained() {
     if (m_call) {
         m_call->pause_answer(false);
@@ -587,6 +598,7 @@
              {{"request", m_id},
               {"status", status},
               {"kind", answer_for(kind).name},
+              {"phase", phase_name()},
               {"route", m_route.name},
               {"service", m_service},
               {"priority", m_route.priority},
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -52,6 +52,7 @@
     void begin_passing_on();
     void refuse(error_kind kind, outcome result, duration retry_after);
     void done();
+    const char *phase_name() const;
     void log_denial(int status, error_kind kind, instant now);
     void log_end(int status, error_kind kind, instant now);
     instant park_limit() const;
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -401,12 +401,35 @@
     m_host.start_waiting(now);
 }
 
+/// How far the request has come, for people.
+const char *target_relay::phase_name() const {
+    switch (m_phase) {
+    case phase::waiting_for_turn: return "waiting_for_turn";
+    case phase::waiting_for_key: return "waiting_for_key";
+    case phase::queued: return "queued";
+    case phase::running:
+        if (m_sender->answer_begun()) {
+            return "answer_half_sent";
+        }
+        return m_call && m_call->sent() ? "running" : "connecting";
+    case phase::receiving:
+    case phase::done: break;
+    }
+    return "receiving";
+}
+
 void target_relay::on_caller_gone() {
     if (m_phase == phase::done) {
         return;
     }
     const auto self = shared_from_this();
     m_host.metrics().note_cancelled();
+    m_host.log().note("sender_gone",
+                      {{"request", m_request_id},
+                       {"phase", phase_name()},
+                       {"target", m_target_name},
+                       {"since_received_ms", ms_of(steady_instant() - m_received)}},
+                      steady_instant());
     if (m_call) {
         if (m_call->sent()) {
             m_host.agent().run_unanswered(m_hop.fingerprint, m_life, steady_instant());
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -52,6 +52,7 @@
     work_queue::item item() const;
     void offer(instant now);
     void count_key();
+    const char *phase_name() const;
     void start(instant now);
     void refuse(error_kind kind, instant now, duration retry_after);
     void fail(error_kind kind, instant now);
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -193,12 +193,15 @@
 }
 
 void traffic_host::tick() {
-    m_timer.expires_after(m_requests.empty() ? idle_tick : busy_tick);
-    m_timer.async_wait([this, alive = std::weak_ptr(m_alive)](asio::error_code error) {
+    const duration pause = m_requests.empty() ? idle_tick : busy_tick;
+    const instant due = steady_instant() + pause;
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this, due, alive = std::weak_ptr(m_alive)](asio::error_code error) {
         if (error || alive.expired()) {
             return;
         }
         const moment at = read_clocks();
+        m_metrics.note_thread_delay(std::max(at.now - due, duration{}), at.now);
         judge_refusal(at);
         m_agent.tick(at);
         wake_all(at.now);
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -100,6 +100,7 @@
     write_histogram("peppertack_queue_ms", "", m_queue);
     write_histogram("peppertack_body_wait_ms", "", m_body_wait);
     write_histogram("peppertack_target_ms", "", m_target);
+    out << m_thread_delay.text();
     return out.str();
 }
 
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -576,7 +576,7 @@
     if (keyed) {
         head.headers.push_back({"X-Shard-Key", std::to_string(key)});
     }
-    const std::string address = node_ip(node) + ":" + std::to_string(m_ports.at("callers"));
+    const std::string address = caller_address(node);
     call(m_io, m_pool, address, head, once ? body : "", fill_in(attempt));
     return attempt;
 }
@@ -593,7 +593,7 @@
         head.framing = body_framing::length;
         head.content_length = length;
     }
-    const std::string address = node_ip(node) + ":" + std::to_string(m_ports.at("callers"));
+    const std::string address = caller_address(node);
     call(m_io, m_pool, address, head, "", fill_in(attempt));
     return attempt;
 }
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -181,6 +181,10 @@
     /// Sends a node what its target might: status and body of the answer.
     std::pair<int, std::string> tell(std::size_t node, const std::string &method,
                                      const std::string &name, const std::string &body);
+    /// Where a node takes requests.
+    std::string caller_address(std::size_t node) const {
+        return node_ip(node) + ":" + std::to_string(m_ports.at("callers"));
+    }
     /// Sends requests until one of each kind was answered 200.
     bool serves();
 
