Notice callers that leave while their connection is held back

What callers saw: a caller that left while the reading of its connection was paused (a body held back, or more than 64 KB waiting behind a running request) kept its target at work until the request's deadline.

Cause: with reading paused neither the end of the connection nor a reset is read.

Change: while reading is paused, a poll each 100 ms asks for the end behind the unread bytes. After: noticed; the test passes.

Connections that are not paused cost nothing more.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -2,7 +2,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,7 +31,8 @@
     /// Begins to read. Precondition: connected.
     void start();
     /// From now on the end of the connection is looked for behind all that is read, see
-    /// `peer_ended`. It costs a system call with each event.
+    /// `peer_ended`, which costs a system call with each event, and now and then while reading is
+    /// paused.
     void watch_end() { m_watch_end = true; }
     /// Whether the other side had ended the connection when the bytes of the current event were
     /// read. `on_closed` follows.
@@ -54,16 +57,20 @@
     void wait_writable();
     void write_some();
     bool end_is_next();
+    void watch_paused();
+    bool ended_behind_unread();
     void lost(bool in_order);
 
     asio::ip::tcp::socket m_socket;
     listener *m_owner;
+    std::optional<asio::steady_timer> m_pause_watch;
     std::string m_out;
     std::size_t m_sent = 0; ///< bytes of `m_out` that the system has taken
     bool m_waiting_read = false;
     bool m_waiting_write = false;
     bool m_paused = false;
     bool m_watch_end = false;
+    bool m_watching_pause = false;
     bool m_peer_ended = false;
     bool m_closed = false;
     bool m_closing = false; ///< what comes in is dropped; closed when the other side ends
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/address.hpp>
 #include <cerrno>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace peppertack {
@@ -21,6 +22,7 @@
 constexpr int probe_after_s = 2;
 constexpr int probe_interval_s = 1;
 constexpr int probes_until_lost = 2;
+constexpr auto pause_watch_interval = std::chrono::milliseconds(100);
 
 std::array<char, read_size> &shared_buffer() {
     thread_local std::array<char, read_size> buffer;
@@ -77,9 +79,38 @@
     m_paused = pause;
     if (!pause) {
         wait_readable();
+    } else if (m_watch_end) {
+        watch_paused();
     }
 }
 
+void byte_stream::watch_paused() {
+    if (m_closed || m_watching_pause) {
+        return;
+    }
+    m_watching_pause = true;
+    if (!m_pause_watch) {
+        m_pause_watch.emplace(m_socket.get_executor());
+    }
+    m_pause_watch->expires_after(pause_watch_interval);
+    m_pause_watch->async_wait([self = shared_from_this()](asio::error_code error) {
+        self->m_watching_pause = false;
+        if (error || self->m_closed || !self->m_paused) {
+            return;
+        }
+        if (self->ended_behind_unread()) {
+            self->lost(false);
+        } else {
+            self->watch_paused();
+        }
+    });
+}
+
+bool byte_stream::ended_behind_unread() {
+    pollfd here{.fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+    return ::poll(&here, 1, 0) > 0 && (here.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void byte_stream::wait_readable() {
     if (m_closed || m_paused || m_waiting_read) {
         return;
@@ -186,6 +217,9 @@
         return;
     }
     m_closed = true;
+    if (m_pause_watch) {
+        m_pause_watch->cancel();
+    }
     asio::error_code ignored;
     m_socket.close(ignored);
 }
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -338,6 +338,44 @@
     CHECK(server.connections() == 0);
 }
 
+// Guards against work for nobody: while reading is paused, what is read does not tell that the
+// caller has left.
+TEST_CASE("a caller that closes is noticed while its connection is held back") {
+    asio::io_context io;
+    const std::string address = own_address();
+    struct waiting final : http_request_handler {
+        bool gone = false;
+        void on_caller_gone() override { gone = true; }
+    };
+    auto handler = std::make_shared<waiting>();
+    http_server server(io, {.address = address}, [&](const auto &) { return handler; });
+    std::string reason;
+    REQUIRE(server.start(reason));
+    asio::ip::tcp::socket caller(io);
+    caller.connect(endpoint_from(address));
+    const std::string behind(256U << 10U, 'x');
+    const std::string bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                              "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                              std::to_string(behind.size()) + "\r\n\r\n" + behind;
+    caller.non_blocking(true);
+    std::size_t sent = 0;
+    for (int quiet = 0; quiet < 20 && sent < bytes.size(); ++quiet) {
+        asio::error_code full;
+        const std::size_t taken =
+            caller.write_some(asio::buffer(bytes.data() + sent, bytes.size() - sent), full);
+        sent += taken;
+        quiet = taken == 0 ? quiet : 0;
+        io.restart();
+        io.run_one_for(20ms);
+    }
+    REQUIRE(run_until(io, [&] { return server.busy() == 1; }));
+    io.run_for(50ms);
+    CHECK_FALSE(handler->gone);
+    caller.close();
+    CHECK(run_until(io, [&] { return handler->gone; }));
+    CHECK(server.connections() == 0);
+}
+
 TEST_CASE("a head that does not come to its end is answered and ended") {
     asio::io_context io;
     const std::string address = own_address();
