Ask for votes while the candidate's own vote is being written

Cause: a candidate asked for votes only once its own vote was on the disk. For that second the others knew of no candidate and stood for the same term, each with its own vote given: elections were split until waits drawn at random lay a whole write apart.

Change: votes are asked for at once. A candidate leads only once its own vote is durable: else a crash could let it be elected for one term twice, with two logs, which the planted defect shows.

--- a/include/peppertack/coordination/replica.hpp
+++ b/include/peppertack/coordination/replica.hpp
@@ -49,7 +49,7 @@
 
 /// One voter's part in replicating the log: elections with pre-vote, a leader that steps down
 /// without a quorum, one change of membership at a time. Deterministic: time and messages come in
-/// as arguments, messages go out by `take_outgoing`. A vote is asked for or given, and an entry is
+/// as arguments, messages go out by `take_outgoing`. A vote is given or won by, and an entry is
 /// acknowledged or counted, only once the durable log has synced it; all else, heartbeats and
 /// proofs of leadership above all, goes on while a log that writes behind waits for its disk. Not
 /// thread safe: it belongs to the control thread.
@@ -138,7 +138,6 @@
     void begin_step(instant now);
     void begin_write();
     void send_when_durable(outgoing item);
-    void count_own_vote(instant now);
     std::uint64_t durable_match(std::uint64_t matched) const;
     void acknowledge_durable();
     void note_write(duration time);
--- a/include/peppertack/state/audit_log.hpp
+++ b/include/peppertack/state/audit_log.hpp
@@ -13,8 +13,8 @@
 class storage;
 
 /// A voter's own copy of the chain of decisions: files of JSON lines that are only ever appended to
-/// and stay readable after the log was truncated. Not thread safe: it belongs to the control
-/// thread.
+/// and stay readable after the log was truncated. Not thread safe: it belongs to the thread of the
+/// disk.
 class audit_log {
 public:
     struct options {
--- a/include/peppertack/state/storage.hpp
+++ b/include/peppertack/state/storage.hpp
@@ -8,7 +8,8 @@
 namespace peppertack {
 
 /// Files of one process under one data folder. Names hold no path. Nothing written is durable until
-/// `sync` of that file has returned true. Not thread safe: it belongs to the control thread.
+/// `sync` of that file has returned true. Calls block for as long as the disk takes. Not thread
+/// safe: after the start it belongs to the thread of the disk.
 class storage {
 public:
     virtual ~storage() = default;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -296,7 +296,7 @@
     m_role = role::candidate;
     m_leader.clear();
     m_pre_vote = pre_vote;
-    m_votes.clear();
+    m_votes = {m_options.self};
     if (!pre_vote && m_log->settings().write_behind) {
         ++m_lost_elections; // until it is won
     }
@@ -304,21 +304,12 @@
                                .last_index = m_log->last_index(),
                                .last_term = m_log->term_at(m_log->last_index()).value_or(0),
                                .pre_vote = pre_vote};
+    // Others are asked while this voter's own vote is being written: those that hear of it don't
+    // stand for the same term.
     for (const node_address &peer : peers()) {
-        if (pre_vote || g_defects.own_vote_before_sync) {
-            m_outgoing.push_back({peer, request});
-        } else {
-            send_when_durable({peer, request});
-        }
-    }
-    count_own_vote(now);
-}
-
-void replica::count_own_vote(instant now) {
-    if (m_pre_vote || m_log->vote_durable() || g_defects.own_vote_before_sync) {
-        m_votes.insert(m_options.self);
-        count_votes(now);
+        m_outgoing.push_back({peer, request});
     }
+    count_votes(now);
 }
 
 bool replica::log_is_current(const vote_request &request) const {
@@ -392,7 +383,8 @@
     }
     if (m_pre_vote) {
         start_election(false, now);
-    } else {
+    } else if (m_log->vote_durable() || g_defects.own_vote_before_sync) {
+        // Else a crash would let this voter be elected for the same term again, with another log.
         become_leader(now);
     }
 }
@@ -797,8 +789,8 @@
     switch (m_role) {
     case role::leader: advance_commit(); break;
     case role::candidate:
-        reset_election_timer(now); // the others begin only now
-        count_own_vote(now);
+        reset_election_timer(now); // the writes of the others began later
+        count_votes(now);
         break;
     default:
         if (answers) {
--- a/tests/coordination/failures_test.cpp
+++ b/tests/coordination/failures_test.cpp
@@ -437,3 +437,21 @@
         check_clean(*in);
     }
 }
+
+// Guards against a candidate whose own disk is fast standing again before slower voters can answer.
+TEST_CASE("a leader is elected though the disks of others are slow") {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        const auto in = ready_world({.seed = seed});
+        const std::size_t lost = in->leader().value();
+        for (std::size_t voter = 0; voter < 3; ++voter) {
+            const bool fast = voter == (lost + 1 + seed % 2) % 3;
+            in->set_sync_time(voter, fast ? 1ms : 1200ms);
+        }
+        in->crash(lost);
+        in->run(15s);
+        CHECK(in->leader());
+        in->restart(lost);
+        check_clean(*in);
+    }
+}
--- a/tests/coordination/planted_defects_test.cpp
+++ b/tests/coordination/planted_defects_test.cpp
@@ -36,7 +36,7 @@
 /// Of voters that go on while their disks write.
 constexpr std::array<defect, 4> disk_defects{{
     {"vote given before it is on the disk", &planted_defects::vote_before_sync},
-    {"votes asked for before the own one is on the disk", &planted_defects::own_vote_before_sync},
+    {"term begun before the own vote is on the disk", &planted_defects::own_vote_before_sync},
     {"entries acknowledged before they are on the disk", &planted_defects::acknowledge_before_sync},
     {"leader counts itself before its disk", &planted_defects::commit_before_sync},
 }};
