--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -68,6 +68,13 @@
 }
 
 /// Writes an answer into the attempt that waits for it.
+struct operator_answer {
+    bool over = false;
+    int status = -1;
+    std::string text;
+    std::string location; ///< of a redirection
+};
+
 whole_answer::function fill_in(const std::shared_ptr<caller_attempt> &attempt) {
     return [attempt](int status, const std::string &body, const http_head &head) {
         const std::string *retry_after = head.find("Retry-After");
@@ -481,18 +488,20 @@
             head.method = method;
             head.target = "/peppertack/config";
             head.headers = {{"Host", "voter"}};
-            bool over = false;
-            std::string location;
+            const auto answer = std::make_shared<operator_answer>(); // may come after this call
             call(m_io, m_pool, address, head, body,
-                 [&](int status, const std::string &text, const http_head &answer) {
-                     result = {status, text};
-                     const std::string *next = answer.find("Location");
-                     location = next == nullptr ? std::string() : *next;
-                     over = true;
+                 [answer](int status, const std::string &text, const http_head &received) {
+                     const std::string *next = received.find("Location");
+                     *answer = {.over = true,
+                                .status = status,
+                                .text = text,
+                                .location = next == nullptr ? std::string() : *next};
                  });
-            if (!run_until([&] { return over; }, std::chrono::seconds(5))) {
-                return {-1, {}}; // the call's handler must not outlive this frame unanswered
+            if (!run_until([&] { return answer->over; }, std::chrono::seconds(5))) {
+                return {-1, {}};
             }
+            result = {answer->status, answer->text};
+            const std::string &location = answer->location;
             address = result.first == 307 && location.size() > 7
                           ? location.substr(7, location.find('/', 7) - 7)
                           : std::string();
