Limit requests to cold targets beside each target

Cause: nothing read what a cold target tolerates, and `cold_remaining_s` was used for the reports of capacity only. Ruled out: a limit at each sender (their sum isn't known to any of them); all requests to a target pass the node beside it. Change: `cold_start_s` and `cold_per_s` of a service are part of the routing table, `cold_over` and `cold_slack` of the settings. `cold_start_tracker` follows what a target says in heartbeats and health answers (`X-Cold-Ms`); what is not known counts as cold and is asked: after a start or a stall of the node, when no connection to the target is open, when heartbeats are missing. Reports of capacity and split points go by what the target can do once it is warm.

--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -54,12 +54,18 @@
     std::uint32_t limit() const { return m_options.limit; }
     /// Sets the limit in requests per second that the target announced; none: limited by slots
     /// only. Precondition: above zero.
-    void set_rate(std::optional<double> per_second, instant now) { m_rate.set(per_second, now); }
-    std::optional<double> rate() const { return m_rate.per_second(); }
+    void set_rate(std::optional<double> per_second, instant now);
+    /// The announced limit.
+    std::optional<double> rate() const { return m_announced; }
+    /// Sets the limit on requests to a target that is cold; none: it is warm.
+    void set_cold_limit(const std::optional<rate_limit::bucket> &limit, instant now);
+    const std::optional<rate_limit::bucket> &cold_limit() const { return m_cold_limit; }
     /// Slots that are busy on average at full capacity, at least 1.
     std::uint32_t usable_slots() const;
-    /// Capacity in requests per second, from the mean service time and the announced rate limit.
+    /// Capacity in requests per second, from the mean service time and the limits on the rate.
     double capacity() const;
+    /// The same once the target is no longer cold.
+    double warm_capacity() const;
     /// Whether `offer` would start or queue the request now.
     bool would_accept(const item &request, instant now) const;
     /// A verdict of `start` counts the request as in flight.
@@ -94,6 +100,7 @@
     bool has_room(instant now) const {
         return m_in_flight < m_options.limit && m_waiting.empty() && m_rate.ready(now);
     }
+    void apply_rate_limits(instant now);
     duration time_at_rate(std::size_t requests) const;
     duration slot_wait(const item &request, instant now) const;
     instant useful_until(const item &request) const;
@@ -104,7 +111,9 @@
     double load_before(const item &request, instant now) const;
 
     options m_options;
-    rate_limit m_rate;
+    std::optional<double> m_announced; ///< requests per second
+    std::optional<rate_limit::bucket> m_cold_limit;
+    rate_limit m_rate; ///< the lower of both
     service_share_tracker m_service_shares;
     std::uint32_t m_in_flight = 0;
     std::uint64_t m_finished = 0;
--- a/include/peppertack/state/routing_table.hpp
+++ b/include/peppertack/state/routing_table.hpp
@@ -58,6 +58,9 @@
     hold_delivery delivery = hold_delivery::by_heartbeat; ///< where `keyed`
     std::uint32_t max_connections = 0; ///< per target, over all callers; 0: unlimited
     std::string health_path;
+    duration cold_start{}; ///< how long a target is cold after its start
+    /// Requests per second that a cold target tolerates, over all callers; 0: unlimited.
+    double cold_rate = 0;
     std::string source; ///< as in `route`
 
     friend bool operator==(const routed_service &, const routed_service &) = default;
--- a/include/peppertack/transport/http/http_head.hpp
+++ b/include/peppertack/transport/http/http_head.hpp
@@ -53,6 +53,9 @@
 std::optional<int> keep_alive_seconds(const http_head &head);
 /// A decimal number without sign or spaces; nothing for anything else. Thread safe.
 std::optional<std::uint64_t> parse_decimal(std::string_view text);
+/// A decimal number of at least zero, with or without a fraction, and small enough to count with;
+/// nothing for anything else. Thread safe.
+std::optional<double> parse_number(std::string_view text);
 /// A decimal number above zero, with or without a fraction, and small enough to count with; nothing
 /// for anything else. Thread safe.
 std::optional<double> parse_positive_number(std::string_view text);
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/cold_start.hpp"
 #include "peppertack/coordination/crash_reporter.hpp"
 #include "peppertack/coordination/ended_incarnations.hpp"
 #include "peppertack/coordination/hold_call_scheduler.hpp"
@@ -36,6 +37,12 @@
     friend bool operator==(const target_heartbeat &, const target_heartbeat &) = default;
 };
 
+/// What a target says of itself when it is asked for its health.
+struct target_health {
+    std::string name;                  ///< empty without an answer
+    std::optional<duration> cold_left; ///< how long it stays cold; nullopt if not stated
+};
+
 /// Why a target's call says nothing of the target as it is now.
 enum class call_fault : std::uint8_t {
     none,
@@ -52,11 +59,11 @@
 class node_agent {
 public:
     using sender = std::function<void(const outgoing &)>;
-    /// Asks the target at an address for its name; the answer, or nothing, goes to the callback.
-    using name_probe =
-        std::function<void(const std::string &address, std::function<void(std::string)>)>;
+    /// Asks the target at an address for its health; the answer goes to the callback.
+    using health_probe =
+        std::function<void(const std::string &address, std::function<void(const target_health &)>)>;
 
-    node_agent(const traffic_options &options, sender send, name_probe probe);
+    node_agent(const traffic_options &options, sender send, health_probe probe);
 
     void tick(moment at);
     void receive(const node_address &from, const message &body, moment at);
@@ -96,6 +103,11 @@
     bool target_leaving() const { return m_draining_since != instant{}; }
     /// The target's address takes no connections: its process has ended.
     void target_refused(moment at);
+    /// No connection to the target is open. The process at its address may have been started again,
+    /// so until it is asked it counts as cold.
+    void target_disconnected(instant now);
+    /// Whether the target is cold, or may be.
+    bool target_cold(instant now) const { return m_target && m_cold.cold(now); }
 
     // ---- the local target ----
     /// Registration of the local target; zero while it has none, also where the node still waits
@@ -178,6 +190,9 @@
     void assume_target(const std::string &name, moment at);
     void note_farewell(const target_incarnation &life, instant now);
     void drop_target(const char *why, bool ended, moment at);
+    std::optional<rate_limit::bucket> cold_bucket() const;
+    void update_cold_limit(instant now);
+    void ask_whether_cold(instant now);
     void announce(moment at);
     void follow(const lease_client::change &changed);
     void fill_report(renew_request &request, instant now);
@@ -192,11 +207,14 @@
 
     const traffic_options &m_options;
     sender m_send;
-    name_probe m_probe;
+    health_probe m_probe;
     lease_client m_lease;
     hold_manager m_holds;
     hold_call_scheduler m_caller;
     work_queue m_queue;
+    cold_start_tracker m_cold; ///< of the target
+    instant m_cold_asked{};    ///< when the target was last asked whether it is cold
+    instant m_last_tick{};
     crash_reporter m_crashes;
     route_index m_index;
     std::function<void()> m_on_change;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -77,6 +77,8 @@
     /// The connection of a request that the local target, in a life of that incarnation, was
     /// running broke. If it was the last one, the target is asked whether it has ended.
     void note_target_broke_off(std::uint64_t fingerprint, std::uint64_t life);
+    /// Called before a request is sent to the local target.
+    void note_target_connections();
     /// Which requests to the local target are nested calls.
     nested_call_detector &nested_calls() { return m_nested_calls; }
     /// Which share of callers' requests that came here was taken.
@@ -117,7 +119,7 @@
     void apply_limits();
     void run_hold_calls(instant now);
     void note_hold_call(const hold_call &call, const hold_call_end &how);
-    void probe_name(const std::string &address, std::function<void(std::string)> done);
+    void probe_health(const std::string &address, std::function<void(const target_health &)> done);
 
     asio::io_context &m_io;
     traffic_options m_options;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -28,6 +28,7 @@
         "Expected-Target";                     ///< set here: any other target refuses to run it
     std::string not_executed = "Not-Executed"; ///< with an answer: the target did not run it
     std::string target_name = "Target-Name";   ///< with a health answer: which target this is
+    std::string cold_ms = "Cold-Ms"; ///< with a health answer: how long the target stays cold
     /// With an answer: requests a second that the target takes from all nodes together.
     std::string target_limit = "Target-Limit";
     std::string target_leaving = "Target-Leaving"; ///< with an answer: 1 if the target will stop
@@ -58,6 +59,10 @@
     /// Of these, the part for requests that may have run: each of their runs calls other targets
     /// again.
     retry_budget::options reruns{.share = 0.05, .max_tokens = 2};
+    /// Bound on the requests that reach a cold target in any second: the rate of its service times
+    /// the first, and so many more.
+    double cold_overrun = 1;
+    double cold_slack = 0;
     duration heartbeat_interval = std::chrono::seconds(1);      ///< of targets
     duration stop_acceptance = std::chrono::milliseconds(1800); ///< work is still taken for so long
     /// From then on new requests of callers are refused, so that those taken are finished before
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -51,17 +51,44 @@
     return std::max(by_slots, time_at_rate(m_waiting.size()));
 }
 
-/// Time in which the announced rate limit lets through `requests`; zero without a limit.
+void work_queue::set_rate(std::optional<double> per_second, instant now) {
+    m_announced = per_second;
+    apply_rate_limits(now);
+}
+
+void work_queue::set_cold_limit(const std::optional<rate_limit::bucket> &limit, instant now) {
+    m_cold_limit = limit;
+    apply_rate_limits(now);
+}
+
+void work_queue::apply_rate_limits(instant now) {
+    std::optional<rate_limit::bucket> limit = m_cold_limit;
+    if (m_announced) {
+        const rate_limit::bucket announced = rate_limit::announced(*m_announced);
+        limit = !limit ? announced
+                       : rate_limit::bucket{.per_second =
+                                                std::min(limit->per_second, announced.per_second),
+                                            .depth = std::min(limit->depth, announced.depth)};
+    }
+    m_rate.set(limit, now);
+}
+
+/// Time in which the limit on the rate lets through `requests`; zero without a limit.
 duration work_queue::time_at_rate(std::size_t requests) const {
     const auto rate = m_rate.per_second();
     const double seconds = rate ? static_cast<double>(requests) / *rate : 0;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
-double work_queue::capacity() const {
+double work_queue::warm_capacity() const {
     const double seconds = std::chrono::duration<double>(m_mean).count();
     const double by_slots = m_options.limit / std::max(seconds, min_mean_seconds);
-    return std::min(by_slots, m_rate.per_second().value_or(by_slots));
+    return std::min(by_slots, m_announced.value_or(by_slots));
+}
+
+double work_queue::capacity() const {
+    const double warm = warm_capacity();
+    return m_cold_limit ? std::min(warm, m_cold_limit->per_second) : warm;
 }
 
 std::uint32_t work_queue::usable_slots() const {
--- a/src/state/routing_delta.cpp
+++ b/src/state/routing_delta.cpp
@@ -79,6 +79,8 @@
             {"delivery", item.delivery},
             {"max_connections", item.max_connections},
             {"health_path", item.health_path},
+            {"cold_start_us", item.cold_start.count()},
+            {"cold_rate", item.cold_rate},
             {"source", item.source}};
 }
 
@@ -89,6 +91,9 @@
     item.delivery = json.value("delivery", hold_delivery::by_heartbeat);
     json.at("max_connections").get_to(item.max_connections);
     json.at("health_path").get_to(item.health_path);
+    // Logs of earlier versions lack these fields: those versions set no limit.
+    item.cold_start = duration(json.value("cold_start_us", std::int64_t{0}));
+    item.cold_rate = json.value("cold_rate", 0.0);
     json.at("source").get_to(item.source);
 }
 
--- a/src/transport/http/http_head.cpp
+++ b/src/transport/http/http_head.cpp
@@ -179,13 +179,18 @@
     return whole && !text.empty() ? std::optional(value) : std::nullopt;
 }
 
-std::optional<double> parse_positive_number(std::string_view text) {
+std::optional<double> parse_number(std::string_view text) {
     constexpr double most = 1e9;
     double value = 0;
     const char *end = text.data() + text.size();
     const auto [stop, error] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
     const bool whole = error == std::errc{} && stop == end;
-    return whole && value > 0 && value <= most ? std::optional(value) : std::nullopt;
+    return whole && value >= 0 && value <= most ? std::optional(value) : std::nullopt;
+}
+
+std::optional<double> parse_positive_number(std::string_view text) {
+    const std::optional<double> value = parse_number(text);
+    return value && *value > 0 ? value : std::nullopt;
 }
 
 } // namespace peppertack
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -33,17 +33,24 @@
 constexpr duration refusal_in_flight = std::chrono::milliseconds(200);
 /// A target's limit may change with each answer.
 constexpr duration limit_told_interval = std::chrono::seconds(1);
+/// Heartbeat intervals for which a target's statement that it is cold, or warm, is valid.
+constexpr int cold_statement_intervals = 2;
+/// Pause between two questions whether a target is cold.
+constexpr duration cold_question_interval = std::chrono::milliseconds(300);
+/// A process that did not run for this long may have missed what its target said.
+constexpr duration node_stall = std::chrono::seconds(1);
 /// Requests within an interval from which its target's capacity can be told.
 constexpr std::uint64_t least_sample = 10;
 
 } // namespace
 
-node_agent::node_agent(const traffic_options &options, sender send, name_probe probe)
+node_agent::node_agent(const traffic_options &options, sender send, health_probe probe)
     : m_options(options), m_send(std::move(send)), m_probe(std::move(probe)), m_lease(options.node),
       m_holds(options.holds), m_caller(options.hold_calls, m_holds),
       m_queue({.drain_standing = options.policy.drain_standing,
                .nested_first = options.policy.nested_calls_first,
-               .equal_shares = options.policy.equal_shares}) {}
+               .equal_shares = options.policy.equal_shares}),
+      m_cold(options.heartbeat_interval * cold_statement_intervals) {}
 
 bool node_agent::keyed() const {
     const auto &services = m_lease.routes().services;
@@ -80,13 +87,64 @@
     if (m_options.target_address.empty()) {
         return;
     }
-    m_probe(m_options.target_address, [this](const std::string &name) {
-        if (!name.empty()) {
-            assume_target(name, read_clocks());
+    m_probe(m_options.target_address, [this](const target_health &found) {
+        const moment at = read_clocks();
+        if (found.name.empty()) {
+            return;
+        }
+        assume_target(found.name, at);
+        if (m_assumed && found.cold_left) {
+            m_cold.record_stated(*found.cold_left, at.now);
+            update_cold_limit(at.now);
+        }
+    });
+}
+
+// ---- cold targets ----
+
+/// Nullopt if the target's service sets no limit.
+std::optional<rate_limit::bucket> node_agent::cold_bucket() const {
+    const auto &services = m_lease.routes().services;
+    const auto found = m_target ? services.find(m_target->service) : services.end();
+    return found == services.end() ? std::nullopt
+                                   : cold_start_bucket({.per_second = found->second.cold_rate,
+                                                        .overrun = m_options.cold_overrun,
+                                                        .slack = m_options.cold_slack});
+}
+
+void node_agent::update_cold_limit(instant now) {
+    const auto limit = target_cold(now) ? cold_bucket() : std::nullopt;
+    if (limit == m_queue.cold_limit()) {
+        return;
+    }
+    m_queue.set_cold_limit(limit, now);
+    log_event(log_level::info, "target_cold",
+              {{"target", m_target ? m_target->name : std::string()},
+               {"cold", limit.has_value()},
+               {"stated", !m_cold.unknown(now)},
+               {"per_second", limit ? limit->per_second : 0}});
+}
+
+void node_agent::ask_whether_cold(instant now) {
+    if (!m_target || !m_cold.unknown(now) || now < m_cold_asked + cold_question_interval ||
+        !cold_bucket()) {
+        return;
+    }
+    m_cold_asked = now;
+    m_probe(m_target->address, [this](const target_health &found) {
+        const instant at = steady_instant();
+        if (m_target && found.name == m_target->name && found.cold_left) {
+            m_cold.record_stated(*found.cold_left, at);
+            update_cold_limit(at);
         }
     });
 }
 
+void node_agent::target_disconnected(instant now) {
+    m_cold.record_unknown();
+    update_cold_limit(now);
+}
+
 /// What the map says of the target may be out of date: it may have lost its keys, and refuses their
 /// requests then, or be leaving. Its heartbeat corrects that, or its silence.
 void node_agent::assume_target(const std::string &name, moment at) {
@@ -111,9 +169,15 @@
     m_holds.assume_until(at.now + m_options.node.lease.node_length());
     m_queue.set_limit(std::max<std::uint32_t>(m_target->slots, 1));
     announce(at);
+    update_cold_limit(at.now);
 }
 
 void node_agent::tick(moment at) {
+    if (std::exchange(m_last_tick, at.now) + node_stall < at.now) {
+        m_cold.record_unknown();
+    }
+    update_cold_limit(at.now);
+    ask_whether_cold(at.now);
     decide_waiting(at.now, ready());
     take_unjudged(at.now);
     if (!m_target && !m_looked && ready()) {
@@ -344,6 +408,8 @@
         log_event(log_level::info, "target_draining", {{"target", beat.name}});
     }
     m_queue.set_limit(std::max<std::uint32_t>(beat.slots, 1));
+    m_cold.record_stated(beat.cold_left, at.now);
+    update_cold_limit(at.now);
     announce(at);
     return true;
 }
@@ -385,6 +451,7 @@
     m_draining_since = {};
     m_left = false;
     m_queue.set_rate(std::nullopt, at.now);
+    m_cold.record_unknown();
 }
 
 /// Another target reports from beside this node. Either it was started in place of the one known,
@@ -394,10 +461,10 @@
         return;
     }
     m_probing = beat.name;
-    m_probe(beat.address, [this, name = beat.name](std::string found) {
+    m_probe(beat.address, [this, name = beat.name](const target_health &found) {
         m_probing.clear();
-        log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found}});
-        if (found != name) {
+        log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found.name}});
+        if (found.name != name) {
             return;
         }
         if (m_target && m_target->name != name) {
@@ -424,6 +491,7 @@
     }
     const std::string address = m_target->address;
     m_target.reset();
+    m_cold.record_unknown();
     m_key_loads.clear();
     if (m_unanswered) {
         std::exchange(m_unanswered, nullptr)({}); // what is granted from now on is another's
@@ -622,9 +690,10 @@
     const std::uint64_t finished =
         m_queue.finished() - std::exchange(m_finished_reported, m_queue.finished());
     if (m_target && m_queue.rate()) {
-        return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(m_queue.capacity()));
+        return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(m_queue.warm_capacity()));
     }
-    if (!m_target || m_target->cold_left > duration{} || finished < least_sample) {
+    const bool cold = m_queue.cold_limit() || (m_target && m_target->cold_left > duration{});
+    if (!m_target || cold || finished < least_sample) {
         return 0;
     }
     return static_cast<std::uint32_t>(m_queue.capacity());
@@ -645,7 +714,7 @@
         m_key_loads.clear(); // counted before the target was registered
         return;
     }
-    m_key_loads.report(request, m_lease.own_ranges(), m_queue.capacity(), seconds);
+    m_key_loads.report(request, m_lease.own_ranges(), m_queue.warm_capacity(), seconds);
 }
 
 } // namespace peppertack
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -253,6 +253,7 @@
         return;
     }
     m_host.metrics().note_queue(now - m_received);
+    m_host.note_target_connections();
     m_started = now;
     const target_heartbeat &target = m_host.agent().target();
     m_life = incarnation_id(target.life());
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -29,19 +29,26 @@
 /// case.
 constexpr duration connect_limit = std::chrono::milliseconds(150);
 
-class name_probe_handler final : public http_response_handler {
+class health_probe_handler final : public http_response_handler {
 public:
     /// `refused` is called before `done` if the address takes no connections.
-    name_probe_handler(std::string header, std::function<void()> refused,
-                       std::function<void(std::string)> done)
-        : m_header(std::move(header)), m_refused(std::move(refused)), m_done(std::move(done)) {}
+    health_probe_handler(const traffic_headers &names, std::function<void()> refused,
+                         std::function<void(const target_health &)> done)
+        : m_names(names), m_refused(std::move(refused)), m_done(std::move(done)) {}
 
     void on_response_head(http_head head) override {
-        const std::string *name = head.find(m_header);
-        m_name = name == nullptr ? std::string() : *name;
+        const std::string *name = head.find(m_names.target_name);
+        m_found.name = name == nullptr ? std::string() : *name;
+        const std::string *cold = head.find(m_names.cold_ms);
+        const auto unstated = head.status == 200 ? std::optional(0.0) : std::nullopt; // it is warm
+        const auto ms = cold == nullptr ? unstated : parse_number(*cold);
+        if (ms) {
+            m_found.cold_left = std::chrono::duration_cast<duration>(
+                std::chrono::duration<double, std::milli>(*ms));
+        }
     }
     void on_response_body(std::string_view) override {}
-    void on_response_end() override { m_done(m_name); }
+    void on_response_end() override { m_done(m_found); }
     void on_call_failed(call_failure why, const std::string &) override {
         if (why == call_failure::refused) {
             m_refused();
@@ -51,10 +58,10 @@
     void keep(std::shared_ptr<http_call> call) { m_call = std::move(call); }
 
 private:
-    std::string m_header;
-    std::string m_name;
+    const traffic_headers &m_names;
+    target_health m_found;
     std::function<void()> m_refused;
-    std::function<void(std::string)> m_done;
+    std::function<void(const target_health &)> m_done;
     std::shared_ptr<http_call> m_call;
 };
 
@@ -67,8 +74,8 @@
                   .id_header = m_options.headers.request_id}),
       m_selector(m_options.selector, m_options.node.seed), m_random(m_options.node.seed),
       m_agent(m_options, std::move(send),
-              [this](const std::string &address, std::function<void(std::string)> done) {
-                  probe_name(address, std::move(done));
+              [this](const std::string &address, std::function<void(const target_health &)> done) {
+                  probe_health(address, std::move(done));
               }),
       m_hold_calls(
           m_pool, m_options.hold_format,
@@ -222,13 +229,20 @@
 
 void traffic_host::note_target_broke_off(std::uint64_t fingerprint, std::uint64_t life) {
     m_agent.run_unanswered(fingerprint, life, steady_instant());
+    note_target_connections();
     if (m_asking || !m_agent.has_target() || m_pool.established_to(m_agent.target().address) != 0) {
         return;
     }
     // Without this the end of a target that is seldom asked is known only when another has taken
     // its address.
     m_asking = true;
-    probe_name(m_agent.target().address, [this](const std::string &) { m_asking = false; });
+    probe_health(m_agent.target().address, [this](const target_health &) { m_asking = false; });
+}
+
+void traffic_host::note_target_connections() {
+    if (m_agent.has_target() && m_pool.established_to(m_agent.target().address) == 0) {
+        m_agent.target_disconnected(steady_instant());
+    }
 }
 
 void traffic_host::judge_refusal(moment at) {
@@ -304,7 +318,8 @@
     }
 }
 
-void traffic_host::probe_name(const std::string &address, std::function<void(std::string)> done) {
+void traffic_host::probe_health(const std::string &address,
+                                std::function<void(const target_health &)> done) {
     http_head head;
     head.method = "GET";
     const auto &services = m_agent.lease().routes().services;
@@ -314,16 +329,16 @@
                       : service->second.health_path;
     head.headers = {{"Host", address}};
     // The handler lives until it has been told the end.
-    auto handler = std::make_shared<std::shared_ptr<name_probe_handler>>();
-    *handler = std::make_shared<name_probe_handler>(
-        m_options.headers.target_name,
+    auto handler = std::make_shared<std::shared_ptr<health_probe_handler>>();
+    *handler = std::make_shared<health_probe_handler>(
+        m_options.headers,
         [this, address] {
             if (m_agent.has_target() && m_agent.target().address == address) {
                 note_target_refused();
             }
         },
-        [this, handler, done = std::move(done)](std::string name) {
-            done(std::move(name));
+        [this, handler, done = std::move(done)](const target_health &found) {
+            done(found);
             asio::post(m_io, [handler] { handler->reset(); });
         });
     const auto call = m_pool.start(address, head, *handler, true);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -57,6 +57,25 @@
     CHECK(delivery_with(7) == hold_delivery::unknown);
 }
 
+TEST_CASE("a service says what its cold targets tolerate") {
+    // Guards against bounds that are kept with the text of the service only.
+    nlohmann::json config = sample_config();
+    config["services"]["keyed"]["cold_start_s"] = 3.0;
+    config["services"]["keyed"]["cold_per_s"] = 15.5;
+    routing_problem problem;
+    const auto routing = routing_of(config, problem);
+    REQUIRE_MESSAGE(routing, problem.reason);
+    CHECK(routing->services.at("keyed").cold_start == 3s);
+    CHECK(routing->services.at("keyed").cold_rate == 15.5);
+    CHECK(routing->services.at("plain").cold_rate == 0);
+    for (const nlohmann::json &wrong : {nlohmann::json(-1), nlohmann::json("15"),
+                                        nlohmann::json(nullptr), nlohmann::json(1e12)}) {
+        config["services"]["keyed"]["cold_per_s"] = wrong;
+        CHECK_FALSE(routing_of(config, problem));
+        CHECK(problem.place == "service keyed");
+    }
+}
+
 TEST_CASE("a configuration becomes a routing table, and is read back as it was written") {
     routing_problem problem;
     const auto routing = routing_of(sample_config(), problem);
@@ -281,6 +300,8 @@
     CHECK(options.body_turns == 2);
     CHECK(options.retries.share == doctest::Approx(0.08));
     CHECK(options.retry_slack == doctest::Approx(80));
+    CHECK(options.cold_overrun == 1);
+    CHECK(options.cold_slack == 0);
     CHECK_FALSE(read_platform_settings(node_settings, process_role::voter, problems));
     CHECK(problems.size() == 1);
     CHECK(problems[0].setting == "data-folder");
@@ -295,6 +316,19 @@
     CHECK(problems[0].setting == "caller-address");
 }
 
+TEST_CASE("the bound on cold targets is read from the settings") {
+    std::vector<settings_problem> problems;
+    const std::string with_bound = std::string(node_settings) + "cold-over = 1.5\ncold-slack = 8\n";
+    const auto settings = read_platform_settings(with_bound, process_role::beside_target, problems);
+    REQUIRE(settings);
+    CHECK(traffic_options_of(*settings, 1).cold_overrun == 1.5);
+    CHECK(traffic_options_of(*settings, 1).cold_slack == 8);
+    CHECK_FALSE(read_platform_settings(std::string(node_settings) + "cold-slack = -1\n",
+                                       process_role::beside_target, problems));
+    REQUIRE(problems.size() == 1);
+    CHECK(problems[0].setting == "cold-slack");
+}
+
 // Guards against a request that is taken just before the refusal and is still running when the
 // process has to end: the platform excuses that for requests of the first three seconds of a stop.
 TEST_CASE("a node that stops refuses new requests while those taken can still be finished") {
--- a/tests/state/routing_delta_test.cpp
+++ b/tests/state/routing_delta_test.cpp
@@ -19,6 +19,8 @@
                                       .keyed = random() % 2 == 0,
                                       .delivery = by_call ? hold_delivery::by_call
                                                           : hold_delivery::by_heartbeat,
+                                      .cold_start = 1s * (random() % 2),
+                                      .cold_rate = 0.5 * static_cast<double>(random() % 3),
                                       .source = "{}"};
         }
     }
@@ -81,6 +83,15 @@
     CHECK(routing->limits.body_bytes == 2);
 }
 
+TEST_CASE("services in logs of earlier versions set no limit on cold targets") {
+    std::string reason;
+    const auto delta = decode_delta(
+        R"({"v":1,"base":0,"version":1,"routes":[],"removed_routes":[],"removed_services":[],"services":[{"name":"a","keyed":false,"max_connections":0,"health_path":"","source":"{}"}]})",
+        reason);
+    REQUIRE_MESSAGE(delta, reason);
+    CHECK(delta->services.at("a").cold_rate == 0);
+}
+
 TEST_CASE("compressed text is restored and other input is rejected") {
     std::string text;
     for (int i = 0; i < 20'000; ++i) {
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -115,6 +115,8 @@
     m_holds.clear();
     m_freed = nlohmann::json::array();
     m_life = std::make_shared<bool>(true);
+    m_cold_arrivals.clear();
+    m_cold_until = steady_instant() + m_cluster.m_options.cold_start;
     const std::string address =
         m_cluster.behind_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
     m_server = std::make_unique<http_server>(
@@ -140,8 +142,34 @@
     });
 }
 
+void stand_in_platform_target::become_cold(duration length) {
+    m_cold_until = steady_instant() + length;
+}
+
+bool stand_in_platform_target::cold() const {
+    return m_cluster.m_options.cold_per_s > 0 && steady_instant() < m_cold_until;
+}
+
+void stand_in_platform_target::note_arrival_while_cold() {
+    const instant now = steady_instant();
+    m_cold_arrivals.push_back(now);
+    while (m_cold_arrivals.front() + std::chrono::seconds(1) < now) {
+        m_cold_arrivals.pop_front();
+    }
+    m_most_while_cold = std::max(m_most_while_cold, m_cold_arrivals.size());
+    const platform_cluster::options &limits = m_cluster.m_options;
+    const double bound = limits.cold_per_s * limits.cold_over + limits.cold_slack;
+    if (static_cast<double>(m_cold_arrivals.size()) > bound) {
+        m_cluster.violate(life() + " got " + std::to_string(m_cold_arrivals.size()) +
+                          " requests in a second while it was cold");
+        m_cold_arrivals.clear();
+    }
+}
+
 nlohmann::json stand_in_platform_target::heartbeat_body() const {
     const instant now = steady_instant();
+    const double cold_left =
+        cold() ? std::chrono::duration<double>(m_cold_until - now).count() : 0.0;
     nlohmann::json holds = nlohmann::json::array();
     for (const stand_in_hold &hold : m_holds) {
         if (now < hold.until) {
@@ -152,7 +180,10 @@
              m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"))},
             {"born", m_born},
             {"info", {{"service", m_service}, {"slots", 8}}},
-            {"status", {{"state", m_draining ? "draining" : "ready"}, {"sequence", m_sequence}}},
+            {"status",
+             {{"state", m_draining ? "draining" : "ready"},
+              {"sequence", m_sequence},
+              {"cold_remaining_s", cold_left}}},
             {"holds", holds},
             {"freed", m_freed}};
 }
@@ -223,6 +254,9 @@
     const std::string *key = head.find("X-Shard-Key");
     std::vector<header_field> headers{{"X-Instance-Id", m_name}};
     if (id == nullptr) { // a health check
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            cold() ? m_cold_until - steady_instant() : duration{});
+        headers.push_back({"X-Cold-Ms", std::to_string(left.count())});
         caller->respond(200, headers, {});
         return;
     }
@@ -240,6 +274,9 @@
         caller->respond(421, headers, {});
         return;
     }
+    if (cold()) {
+        note_arrival_while_cold();
+    }
     m_cluster.note_run(*id, body);
     if (head.target == crashing_path) {
         ++m_crashes;
@@ -411,6 +448,8 @@
            "\nlosses = " + std::to_string(m_options.losses) +
            "\nheartbeat-interval-s = " + std::to_string(m_options.heartbeat_s) +
            "\ngrants = " + m_options.grants +
+           "\ncold-over = " + std::to_string(m_options.cold_over) +
+           "\ncold-slack = " + std::to_string(m_options.cold_slack) +
            "\nmost-hold-s = 10\ngrace-s = 6\nlink-mbps = " + std::to_string(m_options.link_mbps) +
            "\n";
 }
@@ -479,14 +518,15 @@
 }
 
 std::pair<int, std::string> platform_cluster::operate(const std::string &method,
-                                                      const std::string &body) {
+                                                      const std::string &body,
+                                                      const std::string &path) {
     std::pair<int, std::string> result{-1, {}};
     for (std::size_t i = 0; i < m_options.voters && result.first != 200; ++i) {
         std::string address = voter_ip(i) + ":" + std::to_string(m_ports.at("control"));
         for (int redirections = 0; redirections < 3 && !address.empty(); ++redirections) {
             http_head head;
             head.method = method;
-            head.target = "/peppertack/config";
+            head.target = path;
             head.headers = {{"Host", "voter"}};
             const auto answer = std::make_shared<operator_answer>(); // may come after this call
             call(m_io, m_pool, address, head, body,
@@ -549,6 +589,12 @@
     config["services"] = {
         {"keyed", {{"sharded", true}, {"health_path", "/healthz"}, {"grants", m_options.grants}}},
         {"plain", {{"health_path", "/healthz"}}}};
+    if (m_options.cold_per_s > 0) {
+        for (auto &[name, service] : config["services"].items()) {
+            service["cold_per_s"] = m_options.cold_per_s;
+            service["cold_start_s"] = std::chrono::duration<double>(m_options.cold_start).count();
+        }
+    }
     config["limits"] = {{"max_header_bytes", 16384},
                         {"max_body_bytes", 1000000},
                         {"header_timeout_s", 3},
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -6,6 +6,7 @@
 #include "peppertack/transport/http/http_server.hpp"
 
 #include <asio/io_context.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -56,6 +57,11 @@
     void begin_drain() { m_draining = true; }
     /// Names a limit in all answers from now on, as it goes over the wire; empty: none.
     void name_limit(const std::string &per_second) { m_limit = per_second; }
+    /// Becomes cold for so long under the incarnation that it has. It crashes as soon as it gets
+    /// more requests in one second than the cluster's options allow.
+    void become_cold(duration length);
+    /// Most requests that came to this place within one second while it was cold.
+    std::size_t most_while_cold() const { return m_most_while_cold; }
     /// Says in all answers of this life that it leaves, and in no heartbeat.
     void say_leaving() { m_leaving = true; }
     bool leaving() const { return m_leaving; }
@@ -79,6 +85,8 @@
 
 private:
     void come_up();
+    bool cold() const;
+    void note_arrival_while_cold();
     void beat();
     void take_answer(const std::string &body, instant sent);
     void take_request(const std::shared_ptr<http_server_connection> &caller,
@@ -104,6 +112,9 @@
     hold_call_faults m_faults;
     std::string m_limit;
     bool m_leaving = false;
+    instant m_cold_until{};
+    std::deque<instant> m_cold_arrivals; ///< in the last second
+    std::size_t m_most_while_cold = 0;
     std::uint64_t m_requests = 0;
     std::uint64_t m_crashes = 0;
     bool m_unreachable = false; ///< its address takes no connections
@@ -137,6 +148,10 @@
         double heartbeat_s = 0.2;
         duration work = std::chrono::milliseconds(5);
         double link_mbps = 8;             ///< as told to the processes
+        double cold_per_s = 0;            ///< requests that a cold target tolerates; 0: any number
+        duration cold_start{};            ///< targets are cold for so long after their start
+        double cold_over = 1.5;           ///< factor on `cold_per_s` that bounds any second
+        double cold_slack = 4;            ///< and so many more
         std::string grants = "heartbeat"; ///< how the keyed service's targets are handed keys
         std::uint64_t seed = 1;
     };
@@ -166,7 +181,8 @@
     /// The word for how keys are handed over that the next configuration has.
     void set_grants(const std::string &word) { m_options.grants = word; }
     /// Status and body of an operator's call, following redirections over the voters.
-    std::pair<int, std::string> operate(const std::string &method, const std::string &body);
+    std::pair<int, std::string> operate(const std::string &method, const std::string &body,
+                                        const std::string &path = "/peppertack/config");
     /// Sends one request to a node; the attempt is filled in as the loop runs.
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -33,8 +33,9 @@
                       asked = renewal->sequence;
                   }
               },
-              [this](const std::string &, std::function<void(std::string)> done) { done(found); }) {
-    }
+              [this](const std::string &, const std::function<void(const target_health &)> &done) {
+                  done({.name = found, .cold_left = found_cold});
+              }) {}
 
     void answer(instant now, renew_reply reply, const routing_table &routing) {
         agent.tick({now, 0});
@@ -51,6 +52,7 @@
 public:
     std::uint64_t asked = 0;
     std::string found; ///< name that the target tells when it is asked
+    std::optional<duration> found_cold;
     node_agent agent;
 };
 
