Admit more once a called service is back after a mass restart

Cause: the admitted share of requests that make calls grows by 0.05 in each 200 ms without rejections, from 0.05. Change: the step doubles after three windows in a row, up to 0.4; a rejection sets it back.

--- a/include/peppertack/coordination/dependency_admission.hpp
+++ b/include/peppertack/coordination/dependency_admission.hpp
@@ -44,6 +44,8 @@
     struct dependency {
         admission_level reported; ///< smoothed
         double share = 1;         ///< decreased while nested calls are rejected
+        double increase = 0;      ///< of the share with the next window without rejections
+        unsigned int windows_without_rejections = 0; ///< in a row
         unsigned int calls = 0;
         unsigned int rejected = 0; ///< of `calls`
         instant window_end{};
--- a/src/coordination/dependency_admission.cpp
+++ b/src/coordination/dependency_admission.cpp
@@ -12,6 +12,11 @@
 /// Rejections up to this share of the nested calls of a window don't lower the admitted share.
 constexpr double tolerated_rejections = 0.04;
 constexpr double share_increase = 0.05; ///< of the share, per window with tolerated rejections
+/// After this many such windows in a row the increase doubles with each further one: a service
+/// whose capacity comes back at once, as after a mass restart, is in full use again after a second.
+/// Under a lasting overload rejections come sooner.
+constexpr unsigned int windows_before_doubling = 3;
+constexpr double max_share_increase = 0.4;
 /// Some requests are always admitted: only their calls show when capacity is available again.
 constexpr double min_share = 0.05;
 /// Without calls a level loses weight linearly and expires after this time.
@@ -51,7 +56,7 @@
                                   instant now) {
     dependency &known = m_routes[route];
     if (now >= known.last_report + level_lifetime) {
-        known = {};
+        known = {.increase = share_increase};
         known.window_end = now + window_length;
     }
     known.last_report = now;
@@ -65,8 +70,16 @@
         return;
     }
     const double part = static_cast<double>(known.rejected) / known.calls;
-    known.share =
-        part > tolerated_rejections ? known.share * (1 - part) : known.share + share_increase;
+    if (part > tolerated_rejections) {
+        known.share *= 1 - part;
+        known.increase = share_increase;
+        known.windows_without_rejections = 0;
+    } else {
+        known.share += known.increase;
+        if (++known.windows_without_rejections >= windows_before_doubling) {
+            known.increase = std::min(known.increase * 2, max_share_increase);
+        }
+    }
     known.share = std::clamp(known.share, min_share, 1.0);
     known.calls = 0;
     known.rejected = 0;
