--- a/include/peppertack/coordination/control_core.hpp
+++ b/include/peppertack/coordination/control_core.hpp
@@ -29,6 +29,8 @@
     replica_options replication;
     lease_timing lease;
     placement_options placement;
+    /// Failure domains of the deployment; empty: not known, so any name may be one.
+    std::vector<std::string> failure_domains;
     duration placement_interval = std::chrono::milliseconds(50);
     duration balance_interval = std::chrono::seconds(1);
     /// Delay before the first placement of a service, so that its first targets can register.
@@ -85,6 +87,8 @@
     /// delivers the result under the returned ticket, without an error once a quorum has confirmed.
     /// The state read in that same step contains every acknowledged command.
     std::uint64_t confirm_leadership(moment at);
+    /// Whether a failure domain of this name exists, by the configuration or by its targets.
+    bool knows_domain(const std::string &domain) const;
     /// Whether there are as many voters as the configured fault tolerance requires.
     bool enough_voters() const;
     /// Announces that this process is about to end, so that a spare voter can replace it at once.
@@ -145,6 +149,7 @@
     void assign_standbys(const std::string &service, moment at);
     void retire_drained_targets(const std::string &service, moment at);
     void end_expired_key_retention(moment at);
+    bool is_evacuated(const target_record &record) const;
     placement_view view_of(const std::string &service) const;
     void split(const std::string &service, const std::vector<std::uint64_t> &split_points,
                moment at);
--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace peppertack {
 
@@ -36,6 +38,7 @@
         bool table = false;
         bool routes = false;
         bool suspects = false;
+        bool evacuations = false;
         std::string
             unreadable_routes; ///< why a received routing table was rejected; empty if none was
     };
@@ -67,6 +70,8 @@
     bool table_trusted(instant now) const { return trusted(m_table_confirmed_at, now); }
     /// Requests suspected of crashing targets.
     const suspect_list &suspects() const { return m_suspects; }
+    /// Failure domains whose targets must get no requests, as last received from a leader.
+    const std::set<std::string> &evacuated() const { return m_evacuated; }
     /// A range of the local target, with its last hash.
     struct own_range {
         range_record record;
@@ -121,6 +126,8 @@
     std::uint64_t m_table_version = 0;
     routing_table m_routes;
     suspect_list m_suspects;
+    std::set<std::string> m_evacuated;
+    std::uint64_t m_evacuations_version = 0;
     instant m_routes_confirmed_at{};
     instant m_table_confirmed_at{};
     std::uint64_t m_sequence; ///< of the last renewal
--- a/include/peppertack/coordination/messages.hpp
+++ b/include/peppertack/coordination/messages.hpp
@@ -133,7 +133,8 @@
     std::vector<hot_key> hot_keys;
     std::uint64_t suspects_version = 0; ///< version of the node's list of suspect requests
     std::vector<crash_report> crashes;  ///< repeated until a reply confirms that they are recorded
-    std::vector<std::uint64_t> acquitted; ///< suspect requests that a target has completed
+    std::vector<std::uint64_t> acquitted;  ///< suspect requests that a target has completed
+    std::uint64_t evacuations_version = 0; ///< version of the node's set of evacuated domains
     /// The leader does not answer this node: the receiving voter should relay the request to it.
     bool wants_relay = false;
     node_address origin; ///< the requesting node if a voter relays the request; else empty
@@ -197,7 +198,9 @@
     std::vector<suspect_request> suspects; ///< the full list if the node's version differs
     std::vector<std::uint64_t>
         crashes_recorded; ///< incarnations, among those that the request reported
-    node_address origin;  ///< the requesting node if a voter must relay the reply; else empty
+    std::uint64_t evacuations_version = 0;
+    std::vector<std::string> evacuated; ///< all evacuated domains if the node's version differs
+    node_address origin; ///< the requesting node if a voter must relay the reply; else empty
 
     friend bool operator==(const renew_reply &, const renew_reply &) = default;
 };
--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -14,10 +14,11 @@
 struct placement_target {
     target_number number = no_target;
     std::string failure_domain;
-    double weight = 0;     ///< its share of its table row's weight
-    bool accepts = true;   ///< is serving and may get ranges
-    bool draining = false; ///< is draining: its ranges must move away
-    double capacity = 0;   ///< measured requests per second it can serve; 0 if unknown
+    double weight = 0;      ///< its share of its table row's weight
+    bool accepts = true;    ///< is serving and may get ranges
+    bool draining = false;  ///< is draining: its ranges must move away
+    bool evacuated = false; ///< its failure domain is evacuated: the same, all at once
+    double capacity = 0;    ///< measured requests per second it can serve; 0 if unknown
 };
 
 /// Placement input for one service. `loads` holds requests per second by the first hash of a range;
@@ -43,6 +44,9 @@
     /// that is more. A limit of 0 stays 0.
     std::size_t targets_per_concurrent_move = 3;
     std::size_t max_concurrent_drain_moves = 32; ///< concurrent moves for planned stops
+    /// Concurrent moves out of evacuated failure domains. What has not moved within the bound of an
+    /// evacuation is refused, and each move takes a heartbeat or two, so few can follow each other.
+    std::size_t max_concurrent_evacuation_moves = 512;
     double tolerance = 0.10; ///< relative load above the weight share that triggers no move
     double min_gain_per_price =
         0.01; ///< least gain at price 1, relative to the source's weight share
--- a/include/peppertack/coordination/planted_defects.hpp
+++ b/include/peppertack/coordination/planted_defects.hpp
@@ -29,6 +29,9 @@
     bool own_vote_before_sync = false;
     bool acknowledge_before_sync = false;
     bool commit_before_sync = false;
+    bool acknowledge_evacuation_early = false;
+    bool keep_first_evacuations = false;
+    bool keep_evacuated_ranges = false;
 #else
     static constexpr bool lease_from_receipt = false;
     static constexpr bool no_leader_wait = false;
@@ -52,6 +55,9 @@
     static constexpr bool own_vote_before_sync = false;
     static constexpr bool acknowledge_before_sync = false;
     static constexpr bool commit_before_sync = false;
+    static constexpr bool acknowledge_evacuation_early = false;
+    static constexpr bool keep_first_evacuations = false;
+    static constexpr bool keep_evacuated_ranges = false;
 #endif
 };
 
--- a/include/peppertack/state/command.hpp
+++ b/include/peppertack/state/command.hpp
@@ -161,10 +161,19 @@
     friend bool operator==(const clear_suspects &, const clear_suspects &) = default;
 };
 
+/// Evacuates a failure domain, so that its targets get no requests and no ranges, or withdraws
+/// that.
+struct evacuate_domain {
+    std::string domain;
+    bool withdrawn = false;
+
+    friend bool operator==(const evacuate_domain &, const evacuate_domain &) = default;
+};
+
 using command_body =
     std::variant<change_table, register_target, expire_targets, drain_target, retire_target,
                  grant_ranges, plan_moves, release_range, split_range, merge_range, set_standby,
-                 restore_memory, change_routes, report_crash, clear_suspects>;
+                 restore_memory, change_routes, report_crash, clear_suspects, evacuate_domain>;
 
 struct command {
     std::int64_t wall_ms = 0; ///< leader's wall clock at proposal, recorded for auditing only
--- a/include/peppertack/state/control_state.hpp
+++ b/include/peppertack/state/control_state.hpp
@@ -81,6 +81,10 @@
     /// State version at which the list of suspect requests that nodes receive last changed; 0
     /// before the first change.
     std::uint64_t suspects_version() const { return m_suspects_version; }
+    /// Failure domains whose targets get no requests and no ranges.
+    const std::set<std::string> &evacuated() const { return m_evacuated; }
+    /// State version at which `evacuated()` last changed; 0 before the first change.
+    std::uint64_t evacuations_version() const { return m_evacuations_version; }
     const audit_head &audit() const { return m_audit; }
     /// Changes after `version`, or nullopt if the feed no longer reaches back that far and a full
     /// map is needed.
@@ -116,6 +120,7 @@
     error_kind apply_body(const restore_memory &, const command &, audit_detail &, applied &);
     error_kind apply_body(const report_crash &, const command &, audit_detail &, applied &);
     error_kind apply_body(const clear_suspects &, const command &, audit_detail &, applied &);
+    error_kind apply_body(const evacuate_domain &, const command &, audit_detail &, applied &);
 
     service_ranges &ranges_of(const target_record &record);
     void end_target(target_record &record);
@@ -146,6 +151,8 @@
     std::deque<std::pair<std::string, change_answer>> m_answers;
     crash_history m_crash_history;
     std::uint64_t m_suspects_version = 0;
+    std::set<std::string> m_evacuated;
+    std::uint64_t m_evacuations_version = 0;
     audit_head m_audit;
     std::deque<change_feed_item> m_change_feed;
     std::uint64_t m_feed_base_version = 0; ///< the feed is complete above this version
--- a/include/peppertack/transport/control_host.hpp
+++ b/include/peppertack/transport/control_host.hpp
@@ -35,6 +35,18 @@
     std::optional<routing_table> routing; ///< for a reading
 };
 
+/// An operator's order to evacuate a failure domain, or to withdraw that.
+struct evacuation_order {
+    evacuate_domain body;
+    std::string actor;
+};
+
+/// Answer to such an order. `none`: it is in the replicated state, whether or not it was before.
+struct evacuation_answer {
+    error_kind error = error_kind::none; ///< `not_found`: no such failure domain
+    node_address leader;                 ///< for `not_leader`: who leads, if that is known
+};
+
 /// Runs the control part of a voter on a thread of its own, with its files. All public methods are
 /// thread safe; they hand work to that thread.
 class control_host {
@@ -56,6 +68,9 @@
     std::optional<submit_answer> submit(command value, duration patience);
     /// Judges a change and puts it into force. The answer comes on the control thread.
     void change_routes(routes_change change, std::function<void(routes_answer)> done);
+    /// Evacuates a failure domain, or takes it back into use. The answer comes on the control
+    /// thread.
+    void change_evacuation(evacuation_order order, std::function<void(evacuation_answer)> done);
     /// The routing table in force, read with proof that this voter leads. The answer comes as
     /// above.
     void read_routes(std::function<void(routes_answer)> done);
@@ -74,6 +89,9 @@
     std::optional<nlohmann::json> table_view() const;
     std::optional<nlohmann::json> table_status() const;
     std::optional<nlohmann::json> targets_view() const;
+    /// Evacuated failure domains, with the targets and ranges left there; nothing if this voter
+    /// does not lead.
+    std::optional<nlohmann::json> evacuations_view() const;
     /// Requests under which targets have ended; nothing if this voter does not lead.
     std::optional<nlohmann::json> suspects_view() const;
     /// Records of the audit chain held by this voter, oldest first.
--- a/include/peppertack/transport/daemon_settings.hpp
+++ b/include/peppertack/transport/daemon_settings.hpp
@@ -18,6 +18,7 @@
     node_address peer_address; ///< IP:port for other processes of the system
     std::string http_address;  ///< IP:port for callers, the target and operators
     std::string failure_domain;
+    std::vector<std::string> failure_domains; ///< of the deployment; empty: not known
     std::vector<node_address> voters;
     std::string data_folder; ///< empty: this process is no voter
     /// Losses of voters, disks included, to be borne at once. Above 0 the voters find each other
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -13,7 +13,9 @@
 #include "peppertack/transport/traffic/traffic_options.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -161,8 +163,14 @@
     const lease_client &lease() const { return m_lease; }
     const route_index &routes() const { return m_index; }
     bool ready() const { return m_lease.routes().version != 0; }
-    /// Targets of a service that take new work.
+    /// Targets of a service that take new work: none in evacuated failure domains.
     const std::vector<const target_route *> &serving(const std::string &service) const;
+    /// Whether no target of a service may get requests, since all failure domains with targets of
+    /// it are evacuated.
+    bool all_evacuated(const std::string &service) const;
+    /// Whether targets in that failure domain get no request any more, not even for keys that have
+    /// not moved yet.
+    bool evacuation_in_force(const std::string &domain, instant now) const;
     /// Called when routes, map or target change.
     void set_on_change(std::function<void()> on_change) { m_on_change = std::move(on_change); }
     /// Called with its address when the target was replaced or is gone.
@@ -194,7 +202,9 @@
     void update_cold_limit(instant now);
     void ask_whether_cold(instant now);
     void announce(moment at);
-    void follow(const lease_client::change &changed);
+    void follow_evacuations(instant now);
+    void index_targets();
+    void follow(const lease_client::change &changed, instant now);
     void fill_report(renew_request &request, instant now);
     std::uint32_t measured_capacity();
     bool keyed() const;
@@ -229,6 +239,9 @@
     bool m_looked = false;  ///< for a target that was here before this process
     bool m_assumed = false; ///< known from the map, not by a heartbeat, nor in which life
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
+    std::set<std::string> m_evacuated_services;    ///< with targets in evacuated domains only
+    std::map<std::string, instant> m_evacuated_at; ///< by failure domain: when it became known
+    bool m_evacuations_known = false;
     key_load_counter m_key_loads;
     instant m_loads_at{};
     std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -63,6 +63,9 @@
     /// the first, and so many more.
     double cold_overrun = 1;
     double cold_slack = 0;
+    /// After a node learns of an evacuation, targets in that failure domain get requests for keys
+    /// that have not moved yet for this long.
+    duration evacuation_grace = std::chrono::milliseconds(2500);
     duration heartbeat_interval = std::chrono::seconds(1);      ///< of targets
     duration stop_acceptance = std::chrono::milliseconds(1800); ///< work is still taken for so long
     /// From then on new requests of callers are refused, so that those taken are finished before
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace peppertack {
@@ -190,6 +191,15 @@
     }
 }
 
+bool control_core::knows_domain(const std::string &domain) const {
+    const std::vector<std::string> &configured = m_options.failure_domains;
+    return configured.empty() ||
+           std::find(configured.begin(), configured.end(), domain) != configured.end() ||
+           m_state.evacuated().count(domain) != 0 ||
+           std::any_of(m_state.targets().begin(), m_state.targets().end(),
+                       [&](const auto &item) { return item.second.failure_domain == domain; });
+}
+
 std::uint64_t control_core::submit(command value, moment at) {
     const std::uint64_t ticket = m_next_ticket++;
     value.wall_ms = at.wall_ms;
@@ -199,6 +209,11 @@
         m_answers.push_back({.ticket = ticket, .error = error_kind::not_leader});
         return ticket;
     }
+    if (g_defects.acknowledge_evacuation_early &&
+        std::holds_alternative<evacuate_domain>(value.body)) {
+        m_answers.push_back({.ticket = ticket, .version = *index});
+        return ticket;
+    }
     m_last_proposed_index = *index;
     m_tickets[*index] = {m_replica->term(), ticket};
     run_pending_work(at);
@@ -298,6 +313,9 @@
         if (const auto *body = std::get_if<report_crash>(&value->body)) {
             m_pending_crash_reports.erase(body->life);
         }
+        if (std::holds_alternative<evacuate_domain>(value->body)) {
+            m_next_balance = {}; // its ranges leave at once, or may come back
+        }
     }
     const auto ticket = m_tickets.find(entry.index);
     if (ticket == m_tickets.end()) {
@@ -464,6 +482,10 @@
         }
     }
     handle_crash_reports(request, from, reply, at);
+    reply.evacuations_version = m_state.evacuations_version();
+    if (request.evacuations_version != m_state.evacuations_version()) {
+        reply.evacuated.assign(m_state.evacuated().begin(), m_state.evacuated().end());
+    }
     reply.origin = request.origin;
     m_outgoing.push_back({pending.from, std::move(reply)});
 }
@@ -714,6 +736,11 @@
     return services;
 }
 
+bool control_core::is_evacuated(const target_record &record) const {
+    return !g_defects.keep_evacuated_ranges &&
+           m_state.evacuated().count(record.failure_domain) != 0;
+}
+
 placement_view control_core::view_of(const std::string &service) const {
     placement_view view;
     view.key_spacing = m_state.has_ordered_keys(service) ? ordered_key_stride : 1;
@@ -722,18 +749,21 @@
     std::map<std::string, std::size_t> in_domain;
     for (const target_number number : numbers) {
         const target_record &record = m_state.targets().at(number);
-        if (record.phase == target_phase::serving) {
+        if (record.phase == target_phase::serving && !is_evacuated(record)) {
             ++in_domain[record.failure_domain];
         }
     }
     for (const target_number number : numbers) {
         const target_record &record = m_state.targets().at(number);
-        const bool serving = record.phase == target_phase::serving && !m_leases.revoked(number);
+        const bool evacuated = is_evacuated(record);
+        const bool serving =
+            record.phase == target_phase::serving && !m_leases.revoked(number) && !evacuated;
         const table_row *row = m_state.current_table().find(service, record.failure_domain);
         placement_target target{.number = number,
                                 .failure_domain = record.failure_domain,
                                 .accepts = serving,
-                                .draining = record.phase == target_phase::draining};
+                                .draining = record.phase == target_phase::draining,
+                                .evacuated = evacuated};
         if (row != nullptr && serving) {
             target.weight = row->weight / static_cast<double>(in_domain[record.failure_domain]);
             view.churn_price = row->churn_price;
@@ -769,11 +799,12 @@
         std::any_of(ranges.begin(), ranges.end(),
                     [](const range_record &range) { return range.owner == no_target; });
     const std::set<target_number> &numbers = m_state.live_targets(service);
-    const bool has_draining_targets =
+    const bool has_leaving_targets =
         std::any_of(numbers.begin(), numbers.end(), [&](target_number number) {
-            return m_state.targets().at(number).phase == target_phase::draining;
+            const target_record &record = m_state.targets().at(number);
+            return record.phase == target_phase::draining || is_evacuated(record);
         });
-    if (!has_unowned_ranges && !has_draining_targets && !balance_due) {
+    if (!has_unowned_ranges && !has_leaving_targets && !balance_due) {
         return;
     }
     // At the first start targets register one by one; without this delay the first would get every
@@ -806,7 +837,8 @@
         // many.
         const bool same_domain = candidate.failure_domain == record.failure_domain;
         const auto found = standby_counts.find(candidate.number);
-        return std::pair(same_domain, found == standby_counts.end() ? 0 : found->second);
+        return std::tuple(is_evacuated(candidate), same_domain,
+                          found == standby_counts.end() ? 0 : found->second);
     };
     for (const target_number number : m_state.live_targets(record.service)) {
         const target_record &candidate = m_state.targets().at(number);
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -145,6 +145,7 @@
     request.target.number = m_number;
     request.target.incarnation = incarnation();
     request.suspects_version = m_suspects.version();
+    request.evacuations_version = m_evacuations_version;
     // Once registered, the number identifies the target; the other fields would be half of a
     // renewal's size.
     if (m_announcement && m_number == no_target) {
@@ -223,6 +224,12 @@
         m_suspects.replace(reply.suspects_version, reply.suspects);
         changed.suspects = true;
     }
+    const bool frozen = g_defects.keep_first_evacuations && m_evacuations_version != 0;
+    if (reply.evacuations_version > m_evacuations_version && !frozen) {
+        m_evacuations_version = reply.evacuations_version;
+        m_evacuated = {reply.evacuated.begin(), reply.evacuated.end()};
+        changed.evacuations = true;
+    }
     if (reply.routes_version != 0 && reply.routes_version == m_routes.version) {
         m_routes_confirmed_at = std::max(m_routes_confirmed_at, renewal.at);
     }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -154,12 +154,14 @@
                       [](const range_record &range) { return range.next != no_target; }));
 }
 
-std::vector<std::size_t> ranges_to_drain(const placement_view &view, const load_model &model) {
+/// Ranges of the targets for which `leaves` is set.
+std::vector<std::size_t> ranges_to_drain(const placement_view &view, const load_model &model,
+                                         bool placement_target::*leaves) {
     std::vector<std::size_t> result;
     for (std::size_t i = 0; i < view.ranges->size(); ++i) {
         const range_record &range = (*view.ranges)[i];
         const std::size_t owner = model.index_of(range.owner);
-        if (range.next == no_target && owner != load_model::none && view.targets[owner].draining) {
+        if (range.next == no_target && owner != load_model::none && view.targets[owner].*leaves) {
             result.push_back(i);
         }
     }
@@ -414,15 +416,25 @@
     if (!decision.grants.empty()) {
         return decision; // every key gets an owner before balancing
     }
-    std::vector<std::size_t> to_drain = ranges_to_drain(view, model);
     const std::size_t in_progress = moves_in_progress(view);
-    if (!to_drain.empty()) {
-        const std::size_t room = m_options.max_concurrent_drain_moves -
-                                 std::min(m_options.max_concurrent_drain_moves, in_progress);
-        to_drain.resize(std::min(to_drain.size(), room));
-        assign_to_least_loaded(view, model, std::move(to_drain), decision.moves);
-        decision.move_cause = "planned stop";
-        return decision;
+    struct departure {
+        bool placement_target::*leaves;
+        std::size_t max_moves;
+        const char *cause;
+    };
+    for (const departure &kind :
+         {departure{&placement_target::evacuated, m_options.max_concurrent_evacuation_moves,
+                    "failure domain evacuated"},
+          departure{&placement_target::draining, m_options.max_concurrent_drain_moves,
+                    "planned stop"}}) {
+        std::vector<std::size_t> to_drain = ranges_to_drain(view, model, kind.leaves);
+        if (!to_drain.empty()) {
+            const std::size_t room = kind.max_moves - std::min(kind.max_moves, in_progress);
+            to_drain.resize(std::min(to_drain.size(), room));
+            assign_to_least_loaded(view, model, std::move(to_drain), decision.moves);
+            decision.move_cause = kind.cause;
+            return decision;
+        }
     }
     // Also while moves are in progress: a group of adjacent keys that becomes busy is split at
     // once.
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -90,6 +90,16 @@
     return numbers;
 }
 
+void write_texts(capnp::List<capnp::Text>::Builder list, const std::vector<std::string> &texts) {
+    for (unsigned int at = 0; at < list.size(); ++at) {
+        list.set(at, text_of(texts[at]));
+    }
+}
+
+std::vector<std::string> read_texts(capnp::List<capnp::Text>::Reader list) {
+    return read_list<std::string>(list, [](capnp::Text::Reader item) { return string_of(item); });
+}
+
 unsigned int size_of(std::size_t size) {
     if (size > std::numeric_limits<std::uint32_t>::max() / 2) {
         throw bad_value("a list is too long");
@@ -472,6 +482,7 @@
     write_list(out.initCrashes(size_of(value.crashes.size())), value.crashes,
                [](const crash_report &item, auto builder) { write(item, builder); });
     write_numbers(out.initAcquitted(size_of(value.acquitted.size())), value.acquitted);
+    out.setEvacuationsVersion(value.evacuations_version);
     if (!value.origin.empty()) {
         out.setOrigin(text_of(value.origin));
     }
@@ -504,6 +515,7 @@
     value.suspects_version = in.getSuspectsVersion();
     value.crashes = read_list<crash_report>(in.getCrashes(), [](auto item) { return read(item); });
     value.acquitted = read_numbers(in.getAcquitted());
+    value.evacuations_version = in.getEvacuationsVersion();
     value.origin = string_of(in.getOrigin());
     return value;
 }
@@ -521,10 +533,7 @@
     out.setRoutesVersion(value.routes_version);
     out.setRoutes(data_of(value.routes));
     write(value.map, out.initMap());
-    auto voters = out.initVoters(size_of(value.voters.size()));
-    for (unsigned int i = 0; i < voters.size(); ++i) {
-        voters.set(i, text_of(value.voters[i]));
-    }
+    write_texts(out.initVoters(size_of(value.voters.size())), value.voters);
     out.setSuspectsVersion(value.suspects_version);
     write_list(out.initSuspects(size_of(value.suspects.size())), value.suspects,
                [](const suspect_request &item, auto builder) {
@@ -533,6 +542,8 @@
                });
     write_numbers(out.initCrashesRecorded(size_of(value.crashes_recorded.size())),
                   value.crashes_recorded);
+    out.setEvacuationsVersion(value.evacuations_version);
+    write_texts(out.initEvacuated(size_of(value.evacuated.size())), value.evacuated);
     if (!value.origin.empty()) {
         out.setOrigin(text_of(value.origin));
     }
@@ -551,13 +562,14 @@
     value.routes_version = in.getRoutesVersion();
     value.routes = string_of(in.getRoutes());
     value.map = read(in.getMap());
-    value.voters = read_list<node_address>(
-        in.getVoters(), [](capnp::Text::Reader item) { return string_of(item); });
+    value.voters = read_texts(in.getVoters());
     value.suspects_version = in.getSuspectsVersion();
     value.suspects = read_list<suspect_request>(in.getSuspects(), [](auto item) {
         return suspect_request{item.getFingerprint(), item.getQuarantined()};
     });
     value.crashes_recorded = read_numbers(in.getCrashesRecorded());
+    value.evacuations_version = in.getEvacuationsVersion();
+    value.evacuated = read_texts(in.getEvacuated());
     value.origin = string_of(in.getOrigin());
     return value;
 }
--- a/src/state/command.cpp
+++ b/src/state/command.cpp
@@ -11,9 +11,10 @@
 constexpr int command_version = 1;
 
 constexpr std::array<const char *, std::variant_size_v<command_body>> kind_names{
-    "change_table", "register_target", "expire_targets", "drain_target", "retire_target",
-    "grant_ranges", "plan_moves",      "release_range",  "split_range",  "merge_range",
-    "set_standby",  "restore_memory",  "change_routes",  "report_crash", "clear_suspects"};
+    "change_table",  "register_target", "expire_targets", "drain_target",
+    "retire_target", "grant_ranges",    "plan_moves",     "release_range",
+    "split_range",   "merge_range",     "set_standby",    "restore_memory",
+    "change_routes", "report_crash",    "clear_suspects", "evacuate_domain"};
 
 template <std::size_t Index = 0>
 bool read_body(const std::string &kind, const nlohmann::json &json, command_body &body) {
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -687,6 +687,20 @@
     return cleared.empty() ? error_kind::cancelled : error_kind::none;
 }
 
+error_kind control_state::apply_body(const evacuate_domain &body, const command &,
+                                     audit_detail &detail, applied &) {
+    const bool changed = body.withdrawn ? m_evacuated.erase(body.domain) != 0
+                                        : m_evacuated.insert(body.domain).second;
+    if (!changed) {
+        return error_kind::cancelled;
+    }
+    m_evacuations_version = m_version;
+    detail.subject = body.domain;
+    detail.before = body.withdrawn ? "evacuated" : "in use";
+    detail.after = body.withdrawn ? "in use" : "evacuated";
+    return error_kind::none;
+}
+
 std::string control_state::encode() const {
     nlohmann::json targets = nlohmann::json::array();
     for (const auto &[number, record] : m_targets) {
@@ -706,6 +720,8 @@
                               {"crashes", m_crash_history.entries()},
                               {"crashed_lives", m_crash_history.recorded_incarnations()},
                               {"suspects_version", m_suspects_version},
+                              {"evacuated", m_evacuated},
+                              {"evacuations_version", m_evacuations_version},
                               {"audit", m_audit}};
     return dump(json);
 }
@@ -759,6 +775,9 @@
                 json.at("crashed_lives").get<std::deque<std::uint64_t>>());
             json.at("suspects_version").get_to(state.m_suspects_version);
         }
+        // Nor evacuations.
+        state.m_evacuated = json.value("evacuated", state.m_evacuated);
+        state.m_evacuations_version = json.value("evacuations_version", std::uint64_t{0});
         state.m_feed_base_version = state.m_version;
         for (const auto &[service, ranges] : state.m_ranges) {
             const bool sorted = std::is_sorted(
--- a/src/state/json_fields.hpp
+++ b/src/state/json_fields.hpp
@@ -47,5 +47,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(restore_memory, service, first, token, owner, was)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(report_crash, target, life, running)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(clear_suspects, fingerprints, probation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(evacuate_domain, domain, withdrawn)
 
 } // namespace peppertack
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -126,6 +126,31 @@
             });
     }
 
+    /// An order that changes nothing is logged too: one before it, which does, may not be committed
+    /// yet.
+    void change_evacuation(evacuation_order order, std::function<void(evacuation_answer)> done) {
+        post([this, order = std::move(order), done = std::move(done)](control_core &core) mutable {
+            if (!core.established() || !core.enough_voters()) {
+                done({.error = error_kind::not_leader, .leader = core.replication().leader()});
+                return;
+            }
+            if (!core.knows_domain(order.body.domain)) {
+                done({.error = error_kind::not_found});
+                return;
+            }
+            command value{.actor = order.actor,
+                          .cause = order.body.withdrawn ? "evacuation withdrawn"
+                                                        : "failure domain evacuated",
+                          .body = std::move(order.body)};
+            const std::uint64_t ticket = core.submit(std::move(value), read_clocks());
+            m_waiting[ticket] = [this, done = std::move(done)](const submit_answer &answer) {
+                const bool unchanged = answer.error == error_kind::cancelled;
+                done({.error = unchanged ? error_kind::none : answer.error,
+                      .leader = part().replication().leader()});
+            };
+        });
+    }
+
     void read_routes(std::function<void(routes_answer)> done) {
         post([this, done = std::move(done)](control_core &core) mutable {
             const std::uint64_t ticket = core.confirm_leadership(read_clocks());
@@ -409,6 +434,11 @@
     m_impl->change_routes(std::move(change), std::move(done));
 }
 
+void control_host::change_evacuation(evacuation_order order,
+                                     std::function<void(evacuation_answer)> done) {
+    m_impl->change_evacuation(std::move(order), std::move(done));
+}
+
 void control_host::read_routes(std::function<void(routes_answer)> done) {
     m_impl->read_routes(std::move(done));
 }
@@ -430,6 +460,7 @@
         << "peppertack_state_version " << core.state().version() << "\n"
         << "peppertack_routes_version " << core.state().routes().version << "\n"
         << "peppertack_quarantined_requests " << quarantined << "\n"
+        << "peppertack_evacuated_domains " << core.state().evacuated().size() << "\n"
         << "peppertack_nodes_known " << core.nodes().size() << "\n"
         << "peppertack_log_lines_dropped_total " << dropped_log_lines() << "\n";
     for (const auto &[service, ranges] : core.state().ranges()) {
@@ -510,6 +541,29 @@
     return list;
 }
 
+/// Evacuated failure domains, with what is left there.
+nlohmann::json evacuations_json(const control_core &core) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const std::string &domain : core.state().evacuated()) {
+        std::set<target_number> targets;
+        for (const auto &[number, record] : core.state().targets()) {
+            if (record.phase != target_phase::gone && record.failure_domain == domain) {
+                targets.insert(number);
+            }
+        }
+        std::size_t left = 0;
+        for (const auto &[service, ranges] : core.state().ranges()) {
+            left += static_cast<std::size_t>(
+                std::count_if(ranges.begin(), ranges.end(), [&](const range_record &range) {
+                    return targets.count(range.owner) != 0;
+                }));
+        }
+        list.push_back(
+            {{"failure_domain", domain}, {"targets", targets.size()}, {"ranges_left", left}});
+    }
+    return list;
+}
+
 nlohmann::json table_status_json(const control_core &core) {
     const std::uint64_t version = core.state().table_version();
     nlohmann::json laggards = nlohmann::json::array();
@@ -539,6 +593,7 @@
                             {"voters", log.members().voters},
                             {"audit_sequence", core.state().audit().sequence},
                             {"audit_hash", core.state().audit().hash},
+                            {"evacuations", evacuations_json(core)},
                             {"delays", body.delays_json()},
                             {"targets", targets_json(core)}};
         nlohmann::json &services = json["services"];
@@ -596,6 +651,14 @@
     return m_impl->ask<view>(work).value_or(std::nullopt);
 }
 
+std::optional<nlohmann::json> control_host::evacuations_view() const {
+    const std::function<view(control_core &, impl &)> work = [](control_core &core,
+                                                                impl &) -> view {
+        return core.established() ? view(evacuations_json(core)) : std::nullopt;
+    };
+    return m_impl->ask<view>(work).value_or(std::nullopt);
+}
+
 std::optional<nlohmann::json> control_host::suspects_view() const {
     const std::function<view(control_core &, impl &)> work = [](control_core &core,
                                                                 impl &) -> view {
--- a/src/transport/daemon_settings.cpp
+++ b/src/transport/daemon_settings.cpp
@@ -275,6 +275,7 @@
     options.replication.heartbeat_interval = settings.heartbeat;
     options.replication.seed = seed;
     options.lease.length = settings.lease;
+    options.failure_domains = settings.failure_domains;
     options.key_retention = std::chrono::seconds(settings.key_retention_s);
     return options;
 }
--- a/src/transport/operator_api.cpp
+++ b/src/transport/operator_api.cpp
@@ -122,6 +122,34 @@
     write_error(out, error_kind::not_found, "target " + name);
 }
 
+void change_evacuation(control_host &control, const httplib::Request &request,
+                       httplib::Response &out) {
+    const std::string domain = request.get_param_value("domain");
+    if (domain.empty() || domain.size() > longest_change_id) {
+        write_error(out, error_kind::malformed_request, "domain: 1 to 128 characters");
+        return;
+    }
+    const auto promise = std::make_shared<std::promise<evacuation_answer>>();
+    std::future<evacuation_answer> answer = promise->get_future();
+    const bool withdrawn = request.has_param("withdraw");
+    control.change_evacuation(
+        {.body = {.domain = domain, .withdrawn = withdrawn}, .actor = actor_of(request)},
+        [promise](evacuation_answer told) { promise->set_value(std::move(told)); });
+    if (answer.wait_for(answer_patience) != std::future_status::ready) {
+        write_error(out, error_kind::not_leader,
+                    "no answer in time: it may or may not take effect; send it again",
+                    outcome::unknown);
+        return;
+    }
+    const evacuation_answer told = answer.get();
+    if (told.error != error_kind::none) {
+        write_error(out, told.error,
+                    told.error == error_kind::not_found ? "failure domain " + domain : "");
+        return;
+    }
+    write_json(out, {{"failure_domain", domain}, {"evacuated", !withdrawn}});
+}
+
 void clear_suspect(control_host &control, const httplib::Request &request, httplib::Response &out) {
     const std::string text = request.get_param_value("clear");
     const std::optional<std::uint64_t> fingerprint = parse_fingerprint(text);
@@ -266,6 +294,9 @@
         const std::optional<nlohmann::json> targets = host.targets_view();
         write_view(out, targets ? std::optional(stops_of(*targets)) : std::nullopt);
     });
+    reading("/v1/evacuations", [](control_host &host, const auto &, auto &out) {
+        write_view(out, host.evacuations_view());
+    });
     reading("/v1/suspects", [](control_host &host, const auto &, auto &out) {
         write_view(out, host.suspects_view());
     });
@@ -277,6 +308,7 @@
     });
     changing("/v1/table", apply_table);
     changing("/v1/stops", announce_stop);
+    changing("/v1/evacuations", change_evacuation);
     changing("/v1/suspects", clear_suspect);
     changing("/v1/voters", replace_voter);
 }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -234,7 +234,8 @@
     const target_number number = choose(now);
     const target_route *target = m_host.agent().lease().map().find_target(number);
     if (target == nullptr) {
-        if (!m_key && !m_tried.empty()) {
+        const bool evacuated = m_host.agent().all_evacuated(m_service);
+        if (!m_key && (!m_tried.empty() || evacuated)) {
             refuse(m_parked_for == error_kind::none ? error_kind::no_target_left : m_parked_for,
                    outcome::not_run, usual_retry_after);
             return;
@@ -242,6 +243,11 @@
         park(m_key ? error_kind::no_owner : error_kind::no_target_left, now);
         return;
     }
+    if (m_key && m_host.agent().all_evacuated(m_service) &&
+        m_host.agent().evacuation_in_force(target->failure_domain, now)) {
+        refuse(error_kind::no_owner, outcome::not_run, usual_retry_after);
+        return;
+    }
     send_to(*target, now);
 }
 
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -126,8 +126,9 @@
 }
 
 void node_agent::ask_whether_cold(instant now) {
-    if (!m_target || !m_cold.unknown(now) || now < m_cold_asked + cold_question_interval ||
-        !cold_bucket()) {
+    const bool evacuated = m_evacuated_at.count(m_options.node.failure_domain) != 0;
+    if (!m_target || evacuated || !m_cold.unknown(now) ||
+        now < m_cold_asked + cold_question_interval || !cold_bucket()) {
         return;
     }
     m_cold_asked = now;
@@ -236,15 +237,64 @@
 void node_agent::receive(const node_address &from, const message &body, moment at) {
     if (const auto *reply = std::get_if<renew_reply>(&body)) {
         m_crashes.recorded(reply->crashes_recorded);
-        follow(m_lease.receive(from, *reply, at));
+        follow(m_lease.receive(from, *reply, at), at.now);
         answer_heartbeat_if_due(at.now);
     } else if (const auto *update = std::get_if<map_update>(&body)) {
-        follow(m_lease.receive(*update));
+        follow(m_lease.receive(*update), at.now);
         answer_heartbeat_if_due(at.now);
     }
 }
 
-void node_agent::follow(const lease_client::change &changed) {
+/// Requests for keys of an evacuated domain are served for a while, in which the keys move. A
+/// process that learns of an evacuation with its first table can't tell how long ago it began.
+void node_agent::follow_evacuations(instant now) {
+    const std::set<std::string> &evacuated = m_lease.evacuated();
+    const std::string &own = m_options.node.failure_domain;
+    const bool own_before = m_evacuated_at.count(own) != 0;
+    std::erase_if(m_evacuated_at,
+                  [&](const auto &item) { return evacuated.count(item.first) == 0; });
+    for (const std::string &domain : evacuated) {
+        m_evacuated_at.try_emplace(domain, m_evacuations_known ? now : instant{});
+    }
+    if (own_before && m_evacuated_at.count(own) == 0) {
+        m_cold.record_unknown(); // a target without requests may have become cold
+        update_cold_limit(now);
+    }
+    log_event(log_level::info, "evacuations_in_force", {{"failure_domains", evacuated}});
+}
+
+bool node_agent::evacuation_in_force(const std::string &domain, instant now) const {
+    const auto found = m_evacuated_at.find(domain);
+    return found != m_evacuated_at.end() && now >= found->second + m_options.evacuation_grace;
+}
+
+bool node_agent::all_evacuated(const std::string &service) const {
+    return m_evacuated_services.count(service) != 0;
+}
+
+void node_agent::index_targets() {
+    m_serving.clear();
+    m_evacuated_services.clear();
+    for (const auto &[number, target] : m_lease.map().targets()) {
+        if (target.phase != target_phase::serving) {
+            continue;
+        }
+        if (m_evacuated_at.count(target.failure_domain) == 0) {
+            m_serving[target.service].push_back(&target);
+        } else {
+            m_evacuated_services.insert(target.service);
+        }
+    }
+    for (const auto &[service, targets] : m_serving) {
+        m_evacuated_services.erase(service);
+    }
+}
+
+void node_agent::follow(const lease_client::change &changed, instant now) {
+    if (changed.evacuations) {
+        follow_evacuations(now);
+    }
+    m_evacuations_known = m_evacuations_known || changed.routes;
     if (changed.routes) {
         m_index = route_index(m_lease.routes());
         log_event(
@@ -262,13 +312,8 @@
             log_level::info, "registration",
             {{"number", m_lease.number()}, {"target", m_target ? m_target->name : std::string()}});
     }
-    if (changed.map) {
-        m_serving.clear();
-        for (const auto &[number, target] : m_lease.map().targets()) {
-            if (target.phase == target_phase::serving) {
-                m_serving[target.service].push_back(&target);
-            }
-        }
+    if (changed.map || changed.evacuations) {
+        index_targets();
     }
     if (changed.suspects) {
         const suspect_list &known = m_lease.suspects();
@@ -277,8 +322,8 @@
                    {"suspects", known.size()},
                    {"quarantined", known.quarantined()}});
     }
-    if (m_on_change &&
-        (changed.map || changed.routes || changed.registration || changed.suspects)) {
+    if (m_on_change && (changed.map || changed.routes || changed.registration || changed.suspects ||
+                        changed.evacuations)) {
         m_on_change();
     }
 }
@@ -615,6 +660,10 @@
     if (m_refusing) {
         return error_kind::draining;
     }
+    const std::string &domain = m_options.node.failure_domain;
+    if (keyed() ? evacuation_in_force(domain, now) : m_evacuated_at.count(domain) != 0) {
+        return error_kind::draining;
+    }
     const bool leaving = m_draining_since != instant{};
     if (!keyed()) {
         return leaving ? std::optional(error_kind::draining) : std::nullopt;
--- a/tests/coordination/fuzz_actions.cpp
+++ b/tests/coordination/fuzz_actions.cpp
@@ -6,19 +6,30 @@
 
 namespace {
 
-constexpr std::array<const char *, action_kinds> names{
-    "wait",          "read",          "once",         "once_without_key",
-    "resend",        "change_table",  "race_tables",  "resend_change",
-    "announce_stop", "begin_stop",    "crash",        "restart",
-    "pause",         "resume",        "cut",          "isolate",
-    "heal",          "silence",       "losses",       "break_disk",
-    "clock_rate",    "crash_target",  "start_target", "freeze_target",
-    "thaw_target",   "replace_voter", "burst",        "slow_links",
-    "split",         "pause_leader",  "mend_disk",    "slow_disk"};
+constexpr std::array<const char *, action_kinds> names{"wait",          "read",
+                                                       "once",          "once_without_key",
+                                                       "resend",        "change_table",
+                                                       "race_tables",   "resend_change",
+                                                       "announce_stop", "begin_stop",
+                                                       "crash",         "restart",
+                                                       "pause",         "resume",
+                                                       "cut",           "isolate",
+                                                       "heal",          "silence",
+                                                       "losses",        "break_disk",
+                                                       "clock_rate",    "crash_target",
+                                                       "start_target",  "freeze_target",
+                                                       "thaw_target",   "replace_voter",
+                                                       "burst",         "slow_links",
+                                                       "split",         "pause_leader",
+                                                       "mend_disk",     "slow_disk",
+                                                       "evacuate",      "withdraw_evacuation"};
+
+/// Kinds that `any_actions` draws from; the others have generators of their own.
+constexpr std::size_t common_kinds = static_cast<std::size_t>(action_kind::slow_disk) + 1;
 
 /// Relative frequency of each kind. Requests and waiting dominate, so that faults hit a cluster
 /// under load.
-constexpr std::array<unsigned int, action_kinds> weights{14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4,
+constexpr std::array<unsigned int, common_kinds> weights{14, 6, 10, 3, 6, 3, 2, 2, 2, 1, 4,
                                                          4,  3, 3,  3, 2, 3, 3, 2, 1, 1, 2,
                                                          2,  1, 1,  1, 8, 5, 3, 3, 3, 3};
 
@@ -125,6 +136,8 @@
     case action_kind::slow_disk:
         cluster.set_sync_time(value.a % voters, std::chrono::milliseconds(1 + value.b % 4 * 300));
         break;
+    case action_kind::evacuate: cluster.evacuate(leading, value.b, false); break;
+    case action_kind::withdraw_evacuation: cluster.evacuate(leading, value.b, true); break;
     }
 }
 
@@ -170,6 +183,45 @@
     });
 }
 
+rc::Gen<std::vector<action>> evacuation_actions() {
+    using kind = action_kind;
+    const rc::Gen<action> one = rc::gen::apply(
+        [](action_kind drawn, unsigned int a, unsigned int b) {
+            return action{drawn, a, b};
+        },
+        rc::gen::elementOf(std::vector<kind>{kind::wait,
+                                             kind::wait,
+                                             kind::wait,
+                                             kind::once,
+                                             kind::read,
+                                             kind::evacuate,
+                                             kind::evacuate,
+                                             kind::evacuate,
+                                             kind::withdraw_evacuation,
+                                             kind::withdraw_evacuation,
+                                             kind::crash,
+                                             kind::restart,
+                                             kind::restart,
+                                             kind::isolate,
+                                             kind::split,
+                                             kind::heal,
+                                             kind::heal,
+                                             kind::pause_leader,
+                                             kind::resume,
+                                             kind::resume,
+                                             kind::crash_target,
+                                             kind::start_target,
+                                             kind::losses,
+                                             kind::replace_voter,
+                                             kind::change_table}),
+        rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 1000U));
+    return rc::gen::container<std::vector<action>>(one);
+}
+
+std::vector<action> evacuation_actions_of(std::uint64_t seed, int size) {
+    return evacuation_actions()(rc::Random(seed), size).value();
+}
+
 rc::Gen<std::vector<action>> disk_actions() {
     using kind = action_kind;
     const rc::Gen<action> one = rc::gen::apply(
--- a/tests/coordination/fuzz_actions.hpp
+++ b/tests/coordination/fuzz_actions.hpp
@@ -44,9 +44,11 @@
     pause_leader,
     mend_disk,
     slow_disk,
+    evacuate,
+    withdraw_evacuation,
 };
 
-inline constexpr int action_kinds = static_cast<int>(action_kind::slow_disk) + 1;
+inline constexpr int action_kinds = static_cast<int>(action_kind::withdraw_evacuation) + 1;
 
 /// One step of a sequence. `kind` determines the meaning of `a` and `b`.
 struct action {
@@ -76,10 +78,13 @@
                              disk_mode disks = disk_mode::asynchronous);
 
 rc::Gen<std::vector<action>> any_actions(disk_mode disks = disk_mode::asynchronous);
+/// Mostly evacuations, their withdrawals and lost voters.
+rc::Gen<std::vector<action>> evacuation_actions();
 /// Mostly slow disks and lost voters, so that crashes coincide with writes in progress.
 rc::Gen<std::vector<action>> disk_actions();
 /// Generates the sequence of a seed; the same on every run.
 std::vector<action> disk_actions_of(std::uint64_t seed, int size);
+std::vector<action> evacuation_actions_of(std::uint64_t seed, int size);
 std::vector<action> actions_of(std::uint64_t seed, int size,
                                disk_mode disks = disk_mode::asynchronous);
 
--- a/tests/coordination/fuzz_test.cpp
+++ b/tests/coordination/fuzz_test.cpp
@@ -39,3 +39,7 @@
 TEST_CASE("any sequence of slow disks and lost voters keeps what must always hold") {
     CHECK(check_sequences("oracle finds no violation of writing behind", disk_actions()));
 }
+
+TEST_CASE("any sequence of evacuations and lost voters keeps what must always hold") {
+    CHECK(check_sequences("oracle finds no violation of evacuations", evacuation_actions()));
+}
--- a/tests/coordination/planted_defects_test.cpp
+++ b/tests/coordination/planted_defects_test.cpp
@@ -58,6 +58,13 @@
     {"end of a target told to one leader only", &planted_defects::report_crash_once},
 }};
 
+constexpr std::array<defect, 3> evacuation_defects{{
+    {"evacuation acknowledged before it is committed",
+     &planted_defects::acknowledge_evacuation_early},
+    {"nodes follow the first evacuation only", &planted_defects::keep_first_evacuations},
+    {"ranges stay in evacuated failure domains", &planted_defects::keep_evacuated_ranges},
+}};
+
 constexpr std::uint64_t max_sequences = 3000;
 constexpr int sequence_size = 120;
 
@@ -113,6 +120,14 @@
     });
 }
 
+TEST_CASE("the oracle notices every planted defect of evacuations") {
+    check_detected(evacuation_defects, [](std::uint64_t seed) {
+        const sequence_result result =
+            run_sequence(seed, evacuation_actions_of(seed, sequence_size));
+        return result.violations.empty() ? "" : result.violations.front();
+    });
+}
+
 TEST_CASE("the oracle notices every planted defect of calls of holds") {
     check_detected(hold_defects, run_hold_sequence);
 }
--- a/tests/coordination/simulated_cluster.cpp
+++ b/tests/coordination/simulated_cluster.cpp
@@ -74,6 +74,7 @@
     item.table_seen = 0;
     item.tickets.clear();
     item.changes.clear();
+    item.evacuations.clear();
     item.deferred.clear();
     item.cancelled.clear();
     std::vector<node_address> voters;
@@ -166,7 +167,10 @@
     switch (news) {
     case durable_voter::disk_event::none:
     case durable_voter::disk_event::failed: break;
-    case durable_voter::disk_event::recovered: item.changes.clear(); break;
+    case durable_voter::disk_event::recovered:
+        item.changes.clear();
+        item.evacuations.clear();
+        break;
     case durable_voter::disk_event::damaged:
         report_violation("a voter reports its disk as damaged: " + item.voting->last_reason());
         break;
@@ -251,6 +255,7 @@
             send(index, out);
         }
         for (const submit_answer &answer : item.voting->core().take_answers()) {
+            note_evacuation_answer(item, answer);
             const auto found = item.changes.find(answer.ticket);
             if (found == item.changes.end() || !answer.change) {
                 continue;
@@ -562,6 +567,67 @@
     process_effects(voter);
 }
 
+void simulated_cluster::evacuate(std::size_t voter, std::size_t zone, bool withdrawn) {
+    host &item = *m_hosts[voter];
+    if (!item.alive || item.paused || !item.voting) {
+        return;
+    }
+    const std::string domain = "zone-" + std::to_string(zone % 3);
+    m_orders.push_back({.domain = domain, .withdrawn = withdrawn});
+    const std::uint64_t ticket = item.voting->core().submit(
+        {0, "operator", "ordered", evacuate_domain{.domain = domain, .withdrawn = withdrawn}},
+        clock_of(item));
+    item.evacuations[ticket] = m_orders.size() - 1;
+    process_effects(voter);
+}
+
+void simulated_cluster::note_evacuation_answer(host &at, const submit_answer &answer) {
+    const auto found = at.evacuations.find(answer.ticket);
+    if (found == at.evacuations.end()) {
+        return;
+    }
+    const bool taken = answer.error == error_kind::none || answer.error == error_kind::cancelled;
+    m_orders[found->second].acknowledged_at = taken ? answer.version : 0;
+    at.evacuations.erase(found);
+}
+
+/// The last order for a failure domain holds if it was acknowledged; one before it that was not may
+/// have been applied, but not after it.
+void simulated_cluster::check_evacuations() {
+    const control_state &state = control(*leader()).state();
+    std::map<std::string, evacuation_order> last;
+    for (const evacuation_order &order : m_orders) {
+        last[order.domain] = order;
+    }
+    for (const auto &[domain, order] : last) {
+        const bool evacuated = state.evacuated().count(domain) != 0;
+        if (order.acknowledged_at != 0 && evacuated == order.withdrawn) {
+            report_violation("an acknowledged evacuation, or its withdrawal, is lost");
+        }
+    }
+    for (std::size_t i = 0; i < m_options.nodes; ++i) {
+        if (m_hosts[i]->node && m_hosts[i]->node->lease().evacuated() != state.evacuated()) {
+            report_violation("an evacuation, or its withdrawal, is not known to a node");
+        }
+    }
+    for (const auto &[service, ranges] : state.ranges()) {
+        const auto evacuated = [&](target_number number) {
+            const target_record *record = state.find_target(number);
+            return record != nullptr && state.evacuated().count(record->failure_domain) != 0;
+        };
+        const auto &live = state.live_targets(service);
+        const bool elsewhere = std::any_of(live.begin(), live.end(), [&](target_number number) {
+            return !evacuated(number) && state.find_target(number)->phase == target_phase::serving;
+        });
+        const bool left = std::any_of(ranges.begin(), ranges.end(), [&](const range_record &range) {
+            return evacuated(range.owner);
+        });
+        if (elsewhere && left) {
+            report_violation("a target in an evacuated failure domain keeps ranges");
+        }
+    }
+}
+
 void simulated_cluster::announce_stop(std::size_t node) {
     const std::optional<std::size_t> leading = leader();
     const target_number number =
@@ -835,6 +901,13 @@
         report_violation("no leader after healing");
         return;
     }
+    if (!m_orders.empty()) {
+        check_evacuations();
+        for (std::size_t zone = 0; zone < 3; ++zone) {
+            evacuate(*leader(), zone, true);
+        }
+        run(std::chrono::seconds(3));
+    }
     if (m_accepted.empty()) {
         return;
     }
--- a/tests/coordination/simulated_cluster.hpp
+++ b/tests/coordination/simulated_cluster.hpp
@@ -51,6 +51,8 @@
     void change_table(std::size_t voter, std::uint64_t base_version, const std::string &change_id,
                       double weight);
     void announce_stop(std::size_t node);
+    /// Evacuates the failure domain `zone` % 3, or withdraws that.
+    void evacuate(std::size_t voter, std::size_t zone, bool withdrawn);
     void begin_stop(std::size_t node);
     void crash(std::size_t host);
     void restart(std::size_t host);
@@ -125,8 +127,9 @@
         std::map<std::uint64_t, std::size_t> tickets; ///< of the node, to submission numbers
         std::set<std::uint64_t> cancelled;
         std::map<std::uint64_t, std::pair<std::string, std::uint64_t>>
-            changes;                                 ///< of the control plane
-        std::vector<std::function<void()>> deferred; ///< events held back until a pause ends
+            changes;                                      ///< of the control plane
+        std::map<std::uint64_t, std::size_t> evacuations; ///< tickets, to positions in `m_orders`
+        std::vector<std::function<void()>> deferred;      ///< events held back until a pause ends
     };
     struct event {
         instant at{};
@@ -180,6 +183,8 @@
     void check_replicated_state();
     void check_unanswered();
     void check_final();
+    void check_evacuations();
+    void note_evacuation_answer(host &at, const submit_answer &answer);
     void report_violation(const std::string &what);
     std::size_t index_of(const node_address &address) const;
     std::string table_csv(double weight) const;
@@ -209,6 +214,12 @@
     std::map<std::uint64_t, std::uint64_t> m_accepted_term;
     std::map<std::string, change_answer> m_change_answers;
     std::map<std::string, double> m_change_weights;
+    struct evacuation_order {
+        std::string domain;
+        bool withdrawn = false;
+        std::uint64_t acknowledged_at = 0; ///< log index; 0: not acknowledged
+    };
+    std::vector<evacuation_order> m_orders;       ///< in the order in which they were sent
     std::map<std::uint64_t, std::string> m_audit; ///< hash by sequence
     std::map<std::uint64_t, std::size_t> m_term_leaders;
     std::vector<std::string> m_violations;
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -46,6 +46,7 @@
     renewal.suspects_version = 8;
     renewal.crashes = {{"t", 5, {6, 7}}};
     renewal.acquitted = {8};
+    renewal.evacuations_version = 11;
     const map_update update{
         1,
         2,
@@ -72,7 +73,9 @@
                         {"h:1", "h:2"},
                         9,
                         {{5, true}, {6, false}},
-                        {5}},
+                        {5},
+                        11,
+                        {"z"}},
             update,
             forward_request{{1, 2}, 3, request},
             forward_reply{{1, 2}, sample_response()},
--- a/tests/state/control_state_test.cpp
+++ b/tests/state/control_state_test.cpp
@@ -129,6 +129,39 @@
     CHECK_FALSE(reason.empty());
 }
 
+TEST_CASE("evacuations survive snapshots, and an order that changes nothing is void") {
+    // Guards against an acknowledged evacuation that is gone once the log was compacted.
+    state_driver driven;
+    CHECK(driven.state.evacuations_version() == 0);
+    CHECK(driven.apply(evacuate_domain{"z"}).audit);
+    CHECK(driven.apply(evacuate_domain{"y"}).audit);
+    const auto again = driven.apply(evacuate_domain{"z"});
+    CHECK(again.error == error_kind::cancelled);
+    CHECK_FALSE(again.audit);
+    CHECK(driven.state.evacuations_version() == 2);
+    driven.apply(evacuate_domain{.domain = "y", .withdrawn = true});
+    std::string reason;
+    const auto restored = control_state::decode(driven.state.encode(), reason);
+    REQUIRE_MESSAGE(restored, reason);
+    CHECK(restored->evacuated() == std::set<std::string>{"z"});
+    CHECK(restored->evacuations_version() == 4);
+}
+
+TEST_CASE("a snapshot from before there were evacuations is read") {
+    state_driver driven;
+    driven.apply(change_table{"one", 0, one_service});
+    std::string text = driven.state.encode();
+    for (const std::string field : {R"("evacuated":[],)", R"("evacuations_version":0,)"}) {
+        const std::size_t at = text.find(field);
+        REQUIRE(at != std::string::npos);
+        text.erase(at, field.size());
+    }
+    std::string reason;
+    const auto restored = control_state::decode(text, reason);
+    REQUIRE_MESSAGE(restored, reason);
+    CHECK(restored->evacuated().empty());
+}
+
 TEST_CASE("old registrations that ended are removed") {
     state_driver driven;
     driven.apply(change_table{"one", 0, one_service});
@@ -197,6 +230,8 @@
     const std::string written = encode(command{5, "a", "b", grant_ranges{"s", {{1, 2}}}});
     std::string reason;
     CHECK(decode_command(written, reason) == command{5, "a", "b", grant_ranges{"s", {{1, 2}}}});
+    const command evacuation{6, "a", "b", evacuate_domain{.domain = "z", .withdrawn = true}};
+    CHECK(decode_command(encode(evacuation), reason) == evacuation);
     CHECK(rc::check("changed bytes", [&] {
         std::string bytes = written;
         bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -440,6 +440,7 @@
     }
     return "peer-address = " + at("peer") + "\nmetrics-address = " + at("metrics") +
            "\nfailure-domain = " + zone + "\nservice = " + service +
+           "\nfailure-domains = " + R"({"z":"r","z0":"r","z1":"r","z2":"r"})" + "\nevacuate-s = 3" +
            "\ntarget-address = " + at("target") + "\ncaller-address = " + at("callers") +
            "\nnode-address = " + behind + ":" + std::to_string(m_ports.at("nodes")) +
            "\nready-address = " + at("ready") + "\ncontrol-address = " + at("control") +
--- a/tools/command_line.hpp
+++ b/tools/command_line.hpp
@@ -19,6 +19,7 @@
     std::map<std::string, std::string> values;
     bool json = false;
     bool summary = false;
+    bool withdraw = false;
 
     std::string value(const std::string &name) const {
         const auto found = values.find(name);
--- a/tools/peppertack.cpp
+++ b/tools/peppertack.cpp
@@ -43,6 +43,9 @@
   table history                 every change of the table
   stop announce TARGET          announces a planned stop
   stop status                   planned stops under way
+  evacuate DOMAIN               sends nothing more to the targets of a failure domain
+      --withdraw                takes the failure domain back into use
+  evacuations                   evacuated failure domains, and what is left there
   targets                       the targets and what they own
   suspects list                 requests under which targets have ended, and which are quarantined
   suspects clear FINGERPRINT    lets such a request reach targets again
@@ -351,6 +354,36 @@
     });
 }
 
+int evacuate(const call_options &options) {
+    if (options.words.size() != 2) {
+        return usage_error("evacuate takes one failure domain");
+    }
+    const std::string &domain = options.words[1];
+    const std::string path =
+        "/v1/evacuations?domain=" + encoded(domain) + (options.withdraw ? "&withdraw=yes" : "");
+    const std::optional<answer> given = ask_leader(options, [&](httplib::Client &client) {
+        return client.Post(path.c_str(), "", "text/plain");
+    });
+    if (const std::optional<int> code = print_error(options, given)) {
+        return *code;
+    }
+    std::cout << (options.json ? given->body
+                               : domain + (options.withdraw ? " is in use\n" : " is evacuated\n"));
+    return exit_done;
+}
+
+int list_evacuations(const call_options &options) {
+    return show(options, "/v1/evacuations", [](const nlohmann::json &json) {
+        for (const nlohmann::json &item : json) {
+            std::cout << item.value("failure_domain", "") << ": " << item.value("targets", 0ULL)
+                      << " targets, " << item.value("ranges_left", 0ULL) << " ranges left\n";
+        }
+        if (json.empty()) {
+            std::cout << "no failure domain is evacuated\n";
+        }
+    });
+}
+
 int list_suspects(const call_options &options) {
     return show(options, "/v1/suspects", [](const nlohmann::json &json) {
         for (const nlohmann::json &suspect : json) {
@@ -507,13 +540,15 @@
     bool offline = false; ///< asks no process
 };
 
-constexpr std::array<command_entry, 16> commands{{{"table check", table_check, true},
+constexpr std::array<command_entry, 18> commands{{{"table check", table_check, true},
                                                   {"table get", table_get},
                                                   {"table apply", table_apply},
                                                   {"table status", table_status},
                                                   {"table history", table_history},
                                                   {"stop announce", stop_announce},
                                                   {"stop status", stop_status},
+                                                  {"evacuate", evacuate},
+                                                  {"evacuations", list_evacuations},
                                                   {"targets", list_targets},
                                                   {"suspects list", list_suspects},
                                                   {"suspects clear", clear_suspect},
@@ -554,6 +589,7 @@
     }
     add("json", "");
     add("summary", "");
+    add("withdraw", "");
     add("help", "");
     add("version", "");
     call_options options;
@@ -574,6 +610,7 @@
         }
         options.json = parsed.count("json") != 0;
         options.summary = parsed.count("summary") != 0;
+        options.withdraw = parsed.count("withdraw") != 0;
         options.words = parsed.unmatched();
     } catch (const cxxopts::exceptions::exception &error) {
         return usage_error(error.what());
