Tell in logs and metrics what a stopping node gives up, and why

The logs could not tell its hypotheses apart: the node beside the target wrote no line when it gave a request up, and the node that had taken it logged the same words as for a target that broke off.

Change: a hop reply says why the target's answer is missing (`failure`; `draining`: the node stops). It is told in the number that said "may have run", which older nodes read as true for any number above 0, so old and new nodes mix. Lines `request_given_up` and `stop_step`, fields `failure` and `stopping_ms` in `request_ended` and `attempt_failed`, counter `peppertack_given_up_total`. No decision changes.

--- a/include/peppertack/protocol/hop_header.hpp
+++ b/include/peppertack/protocol/hop_header.hpp
@@ -42,6 +42,9 @@
     error_kind refused = error_kind::none;
     duration retry_after{};    ///< with a refusal: when there will be room
     bool may_have_run = false; ///< the answer is this node's, and the request was with the target
+    /// With `may_have_run`: why the target's answer is missing; `draining` if this node stops.
+    /// `none` from a node that doesn't tell.
+    error_kind failure = error_kind::none;
     /// Given for a nested call: how far requests that make such calls should be admitted.
     std::optional<admission_level> level;
 
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -106,6 +106,10 @@
     std::string forward_address(const node_address &peer) const;
     /// Whether this node will not be there long enough to finish what it takes now.
     bool refuses_callers() const { return m_refuses_callers; }
+    /// Time since this node was told to stop; zero if it was not.
+    duration stopping_for(instant now) const {
+        return m_stopping ? now - m_stop_since : duration{};
+    }
     std::size_t in_flight() const { return m_requests.size(); }
 
 private:
@@ -115,6 +119,7 @@
     void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
     void tell_end(instant now);
+    void log_stop(const char *step, instant now) const;
     void wake_all(instant now);
     void apply_limits();
     void run_hold_calls(instant now);
@@ -160,6 +165,7 @@
     bool m_changed = false; ///< what is known of the system has changed since the last step
     bool m_stopping = false;
     bool m_refuses_callers = false;
+    bool m_refuses_forwarded = false;
     bool m_told_end = false; ///< requests have heard that the process ends
     instant m_stop_since{};
     std::function<void()> m_stopped;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -33,6 +33,8 @@
     void note_unreadable_limit() { ++m_unreadable_limits; }
     void note_retry() { ++m_retries; }
     void note_cancelled() { ++m_cancelled; }
+    /// A forwarded request was not finished when this node stopped; `running`: the target had it.
+    void note_given_up(bool running) { ++(running ? m_given_up_running : m_given_up_waiting); }
     /// A call of a target, or of another writer in its name, was refused.
     void note_refused_call() { ++m_refused_calls; }
     /// A call by which the target is handed keys, or asked for them, is over.
@@ -70,6 +72,8 @@
     std::uint64_t m_unreadable_limits = 0;
     std::uint64_t m_cancelled = 0;
     std::uint64_t m_refused_calls = 0;
+    std::uint64_t m_given_up_running = 0;
+    std::uint64_t m_given_up_waiting = 0;
     std::map<std::pair<hold_call::kind, hold_call_end::kind>, std::uint64_t> m_hold_calls;
 };
 
--- a/src/protocol/hop_header.cpp
+++ b/src/protocol/hop_header.cpp
@@ -137,7 +137,8 @@
     put(out, value.load.route_time.count());
     put(out, static_cast<int>(value.refused));
     put(out, value.retry_after.count());
-    put(out, value.may_have_run ? 1 : 0);
+    // Nodes that don't know the failure read any number above 0 as true.
+    put(out, value.may_have_run ? 1 + static_cast<int>(value.failure) : 0);
     put_share(out, value.level ? std::optional(value.level->fresh) : std::nullopt);
     put_share(out, value.level ? std::optional(value.level->expired) : std::nullopt);
     return out;
@@ -155,7 +156,7 @@
     value.load.route_time = duration(in.number<duration::rep>());
     const int refused = in.number<int>();
     value.retry_after = duration(in.number<duration::rep>());
-    value.may_have_run = in.number<int>() != 0;
+    const int unfinished = in.number<int>();
     const std::optional<double> fresh = in.share();
     const std::optional<double> expired = in.share();
     if (fresh && expired) {
@@ -164,6 +165,10 @@
     if (!in.done() || refused < 0 || refused >= error_kind_count) {
         return std::nullopt;
     }
+    value.may_have_run = unfinished != 0;
+    if (unfinished > 0 && unfinished <= error_kind_count) {
+        value.failure = static_cast<error_kind>(unfinished - 1);
+    }
     value.refused = refusal_by_other_node(static_cast<error_kind>(refused));
     return value;
 }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -481,6 +481,7 @@
                       {{"request", m_id},
                        {"target", m_target_name},
                        {"reason", reason},
+                       {"stopping_ms", ms_of(m_host.stopping_for(now))},
                        {"after_ms", ms_of(now - m_sent)}},
                       now);
     if (m_passing_on) {
@@ -608,6 +609,8 @@
               {"status", status},
               {"kind", answer_for(kind).name},
               {"phase", phase_name()},
+              {"failure", answer_for(m_hop.failure).name},
+              {"stopping_ms", ms_of(m_host.stopping_for(now))},
               {"route", m_route.name},
               {"service", m_service},
               {"priority", m_route.priority},
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -502,6 +502,16 @@
     }
     const auto self = shared_from_this();
     const bool given = m_phase == phase::running;
+    const bool running = m_call && m_call->sent();
+    m_host.metrics().note_given_up(running);
+    m_host.log().note("request_given_up",
+                      {{"request", m_request_id},
+                       {"target", m_target_name},
+                       {"phase", phase_name()},
+                       {"ran_ms", running ? ms_of(now - m_started) : 0},
+                       {"left_ms", ms_of(m_deadline - now)},
+                       {"stopping_ms", ms_of(m_host.stopping_for(now))}},
+                      now);
     if (m_call) {
         m_call->cancel();
         m_call.reset();
@@ -509,7 +519,7 @@
     m_body.detach();
     leave_queue(std::nullopt);
     if (given) {
-        fail(error_kind::target_lost, now);
+        fail(error_kind::draining, now);
     } else {
         refuse(error_kind::draining, now, usual_retry_after);
     }
@@ -538,7 +548,9 @@
 }
 
 void target_relay::fail(error_kind kind, instant) {
-    answer(kind, {.load = m_host.load(m_hop.route), .may_have_run = true});
+    // `draining` would promise that the request did not run.
+    answer(kind == error_kind::draining ? error_kind::target_lost : kind,
+           {.load = m_host.load(m_hop.route), .may_have_run = true, .failure = kind});
 }
 
 void target_relay::answer(error_kind kind, const hop_reply &hop) {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -368,6 +368,17 @@
     }
 }
 
+void traffic_host::log_stop(const char *step, instant now) const {
+    log_event(log_level::info, "stop_step",
+              {{"step", step},
+               {"in_flight", m_requests.size()},
+               {"callers", m_callers.busy()},
+               {"running", m_agent.queue().in_flight()},
+               {"waiting", m_agent.queue().waiting()},
+               {"after_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(stopping_for(now)).count()}});
+}
+
 /// Callers learn within two probes of readiness that this node stops. Until then their requests are
 /// served as ever; later ones would only be cut off.
 void traffic_host::step_stop(instant now) {
@@ -375,15 +386,22 @@
         return;
     }
     const duration passed = now - m_stop_since;
-    m_refuses_callers = passed > m_options.stop_refusal;
+    if (!m_refuses_callers && passed > m_options.stop_refusal) {
+        m_refuses_callers = true;
+        log_stop("callers_refused", now);
+    }
     const bool callers_gone = passed > m_options.stop_acceptance && m_callers.busy() == 0;
     if (callers_gone || passed > m_options.stop_acceptance * 2) {
         // Other nodes go on sending what only this target can do, and would never let it become
         // quiet.
         m_agent.refuse_new_work();
+        if (!std::exchange(m_refuses_forwarded, true)) {
+            log_stop("forwarded_refused", now);
+        }
     }
     if (!m_told_end && passed > m_options.stop_limit - m_options.stop_answers) {
         m_told_end = true;
+        log_stop("unfinished_given_up", now);
         tell_end(now);
     }
     const bool quiet = callers_gone && m_requests.empty();
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -89,6 +89,8 @@
     out << "peppertack_cancelled_total " << m_cancelled << "\n";
     out << "peppertack_target_limits_unreadable_total " << m_unreadable_limits << "\n";
     out << "peppertack_target_calls_refused_total " << m_refused_calls << "\n";
+    out << "peppertack_given_up_total{state=\"running\"} " << m_given_up_running << "\n";
+    out << "peppertack_given_up_total{state=\"waiting\"} " << m_given_up_waiting << "\n";
     for (const auto &[call, count] : m_hold_calls) {
         out << "peppertack_hold_calls_total{call=\""
             << (call.first == hold_call::kind::grant ? "grant" : "release") << "\",result=\""
--- a/tests/protocol/hop_header_test.cpp
+++ b/tests/protocol/hop_header_test.cpp
@@ -28,6 +28,11 @@
                           .retry_after = 250ms,
                           .may_have_run = true};
     CHECK(decode_hop_reply(encode(reply)) == reply);
+    for (int kind = 0; kind < error_kind_count; ++kind) {
+        hop_reply unfinished = reply;
+        unfinished.failure = static_cast<error_kind>(kind);
+        CHECK(decode_hop_reply(encode(unfinished)) == unfinished);
+    }
     hop_reply nested = reply;
     nested.level = admission_level{.fresh = 0.5, .expired = 0};
     CHECK(decode_hop_reply(encode(nested)) == nested);
