Take no request that a stopping node can't finish, and agree on its last step

Cause: a node that stops took what others forward until 3.6 s after its SIGTERM, and gave up whatever was at work at 5.4 s: a run of more than 1.8 s was cut, though its route gave it 3 s. The 502s: the process ended in the step in which it found itself quiet; requests on kept connections crossed that and counted as perhaps run. Class: a stop whose last step isn't agreed with those who still send.

Change: `graceful_stop` decides, without I/O: work of other nodes is taken only where its deadline lies before the moment of giving up; what was taken and still waits is finished, not refused, when new work is; nested calls of running requests are taken to the end and don't count as callers that hold up the stop. When nothing is in flight, other nodes are told on each connection that nothing more is taken (`refuse_further`), which their pool reads as the answer of a request that crosses it: not run. The process ends when they have closed, at most 150 ms later, and no answer is left to write.

--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,10 @@
     void drop();
     /// Ends what has waited longer than the limits allow.
     void check_time(instant now);
+    bool idle() const { return !m_handling && !m_reader.in_message(); }
+    /// Answers the next request, which may be on its way, and handles none. Precondition: `idle()`.
+    void answer_unread(int status, std::vector<header_field> headers);
+    void end_after_writes();
 
     http_server *m_server; ///< null once the server is gone
     std::shared_ptr<byte_stream> m_stream;
@@ -124,17 +129,26 @@
     void begin_drain() { m_draining = true; }
     /// Takes no more connections and ends those that are idle.
     void stop_accepting();
+    /// Takes no more connections. On those that are idle the next request, even if it was sent
+    /// already, has this answer; it is not handled. The others end with their present answer.
+    void refuse_further(int status, std::vector<header_field> headers);
     /// In force for requests that begin from now on.
     void set_limits(http_reader::limits limits, duration header_timeout, duration idle_timeout);
     std::size_t connections() const { return m_connections.size(); }
     /// Connections on which a request is being handled.
     std::size_t busy() const;
+    /// Connections that the other side has not closed, also after their last answer.
+    std::size_t open_streams();
+    /// Connections to which bytes are still to be written.
+    std::size_t unsent();
 
 private:
     friend class http_server_connection;
 
     void accept();
+    void take_in(asio::ip::tcp::socket socket);
     void sweep();
+    void forget_ended();
 
     asio::io_context &m_io;
     options m_options;
@@ -142,6 +156,12 @@
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_sweep;
     std::list<std::shared_ptr<http_server_connection>> m_connections;
+    struct refusal {
+        int status = 0;
+        std::vector<header_field> headers;
+    };
+    std::optional<refusal> m_refusal; ///< of requests on connections that are taken in from now on
+    std::vector<std::weak_ptr<byte_stream>> m_ending; ///< after their last answer
     bool m_draining = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< ends with this server
 };
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -87,8 +87,6 @@
     void keep_unjudged(const target_heartbeat &beat, moment at);
     /// This node is about to end. Work that others can do goes to them from now on.
     void begin_stop(moment at);
-    /// Nothing more is given to the target; what it runs is finished.
-    void refuse_new_work() { m_refusing = true; }
     /// What is wrong with a call of this life; what is, must change nothing. The clock of a target
     /// may have been set back between two lives: the one that began earlier by it is taken on once
     /// the one in force is known to have ended, or has been silent for as long as it may hold keys.
@@ -256,7 +254,6 @@
     std::optional<hold_delivery> m_delivery_told; ///< in the log
     instant m_limit_told{};                       ///< when the log was last told of a limit
     bool m_stopping = false;
-    bool m_refusing = false;
 };
 
 } // namespace peppertack
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -28,6 +28,8 @@
     virtual void on_time(instant now) = 0;
     /// The process ends in a moment: whoever waits is told what is known.
     virtual void on_process_end(instant now) = 0;
+    /// Whether a caller waits for it, and not another node or a request that the local target runs.
+    virtual bool awaited_by_caller() const { return false; }
 };
 
 /// The traffic of one node on one thread: takes requests of callers, forwards each to the node
@@ -46,7 +48,7 @@
     node_agent &agent() { return m_agent; }
     const node_agent &agent() const { return m_agent; }
     /// Whether callers should be sent here.
-    bool ready() const { return m_agent.ready() && !m_stopping; }
+    bool ready() const { return m_agent.ready() && !m_stop.begun(); }
     /// Stops in order: what is in flight is finished, answers end their connections. `done` is
     /// called once that is so, or the limit has passed.
     void begin_stop(std::function<void()> done);
@@ -104,12 +106,8 @@
     std::uint64_t next_id() { return ++m_last_id; }
     /// host:port for forwarded requests of the node with this peer address.
     std::string forward_address(const node_address &peer) const;
-    /// Whether this node will not be there long enough to finish what it takes now.
-    bool refuses_callers() const { return m_refuses_callers; }
-    /// Time since this node was told to stop; zero if it was not.
-    duration stopping_for(instant now) const {
-        return m_stopping ? now - m_stop_since : duration{};
-    }
+    /// What this node still takes if it was told to stop.
+    const graceful_stop &stop() const { return m_stop; }
     std::size_t in_flight() const { return m_requests.size(); }
 
 private:
@@ -118,6 +116,8 @@
     void log_summary(instant now);
     void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
+    graceful_stop::open_work open_work();
+    void close_connections();
     void tell_end(instant now);
     void log_stop(const char *step, instant now) const;
     void wake_all(instant now);
@@ -163,11 +163,7 @@
     bool m_asking = false; ///< the target is being asked whether it has ended
     instant m_summary_at{};
     bool m_changed = false; ///< what is known of the system has changed since the last step
-    bool m_stopping = false;
-    bool m_refuses_callers = false;
-    bool m_refuses_forwarded = false;
-    bool m_told_end = false; ///< requests have heard that the process ends
-    instant m_stop_since{};
+    graceful_stop m_stop;
     std::function<void()> m_stopped;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/graceful_stop.hpp"
 #include "peppertack/coordination/hold_call_scheduler.hpp"
 #include "peppertack/coordination/hold_manager.hpp"
 #include "peppertack/coordination/messages.hpp"
@@ -66,15 +67,12 @@
     /// After a node learns of an evacuation, targets in that failure domain get requests for keys
     /// that have not moved yet for this long.
     duration evacuation_grace = std::chrono::milliseconds(2500);
-    duration heartbeat_interval = std::chrono::seconds(1);      ///< of targets
-    duration stop_acceptance = std::chrono::milliseconds(1800); ///< work is still taken for so long
-    /// From then on new requests of callers are refused, so that those taken are finished before
-    /// the limit: callers that were not told, or have nowhere else to go, never stop sending.
-    duration stop_refusal = std::chrono::milliseconds(2800);
-    duration stop_limit = std::chrono::milliseconds(5700); ///< a stop takes no longer than this
-    /// So long before the limit whatever still waits is answered, so that the answers leave in
-    /// time.
-    duration stop_answers = std::chrono::milliseconds(200);
+    duration heartbeat_interval = std::chrono::seconds(1); ///< of targets
+    graceful_stop::options stop{.acceptance = std::chrono::milliseconds(1800),
+                                .refusal = std::chrono::milliseconds(2800),
+                                .limit = std::chrono::milliseconds(5700),
+                                .answers = std::chrono::milliseconds(200),
+                                .closing_time = std::chrono::milliseconds(150)};
     /// Longest wait of a request for its key to get an owner, as a part of its latency objective: a
     /// planned move is over by then, and the caller is told soon enough to come back if it is not.
     double parked_part = 0.6;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -188,8 +188,11 @@
     void on_bytes(std::string_view bytes) override {
         const auto self = shared_from_this();
         if (!m_in_call) {
-            // Nobody has asked: a second answer, or what is left of an earlier one.
-            log_event(log_level::info, "unasked_bytes", {{"peer", m_address}});
+            m_reader.take(bytes, *this);
+            if (!m_end_announced) {
+                // Nobody has asked: a second answer, or what is left of an earlier one.
+                log_event(log_level::info, "unasked_bytes", {{"peer", m_address}});
+            }
             close();
             return;
         }
@@ -255,6 +258,12 @@
 
     void on_head(http_head head) override {
         const std::string *id = head.find(m_pool->m_options.id_header);
+        if (!m_in_call) {
+            // A server that stops answers requests that it has not read.
+            m_end_announced = !head.keep_alive && id == nullptr;
+            m_skipping = true;
+            return;
+        }
         const bool interim = head.status < first_final_status;
         if (interim || of_another_request(head.status, id)) {
             m_skipping = true;
@@ -343,6 +352,7 @@
     bool m_keep_alive = true;
     bool m_paused = false;
     bool m_sent = false;
+    bool m_end_announced = false; ///< while no call was made
     bool m_closed = false;
     bool m_established = false;
     std::uint64_t m_calls = 0;
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -196,8 +196,7 @@
     m_answer_done = true;
     m_handler.reset();
     if (m_close_after) {
-        m_stream->close_after_writes();
-        drop();
+        end_after_writes();
         return;
     }
     m_stream->pause_reading(false);
@@ -211,6 +210,22 @@
     }
 }
 
+void http_server_connection::end_after_writes() {
+    m_stream->close_after_writes();
+    if (m_server != nullptr) {
+        m_server->m_ending.push_back(m_stream);
+    }
+    drop();
+}
+
+void http_server_connection::answer_unread(int status, std::vector<header_field> headers) {
+    m_handling = true;
+    m_request_done = true;
+    m_close_after = true;
+    m_request = {};
+    respond(status, std::move(headers), {});
+}
+
 void http_server_connection::next_request() {
     m_handling = false;
     m_reader.next();
@@ -329,7 +344,13 @@
 void http_server::accept() {
     m_acceptor.async_accept([this, alive = std::weak_ptr(m_alive)](asio::error_code error,
                                                                    asio::ip::tcp::socket socket) {
-        if (alive.expired() || !m_acceptor.is_open()) {
+        if (alive.expired()) {
+            return;
+        }
+        if (!m_acceptor.is_open()) {
+            if (!error && m_refusal) {
+                take_in(std::move(socket));
+            }
             return;
         }
         if (error) {
@@ -344,15 +365,22 @@
             });
             return;
         }
-        if (m_connections.size() < m_options.most_connections) {
-            auto connection = std::make_shared<http_server_connection>(*this, std::move(socket));
-            m_connections.push_back(connection);
-            connection->start();
-        }
+        take_in(std::move(socket));
         accept();
     });
 }
 
+void http_server::take_in(asio::ip::tcp::socket socket) {
+    if (m_connections.size() < m_options.most_connections) {
+        auto connection = std::make_shared<http_server_connection>(*this, std::move(socket));
+        m_connections.push_back(connection);
+        connection->start();
+        if (m_refusal) {
+            connection->answer_unread(m_refusal->status, m_refusal->headers);
+        }
+    }
+}
+
 void http_server::sweep() {
     m_sweep.expires_after(sweep_interval);
     m_sweep.async_wait([this, alive = std::weak_ptr(m_alive)](asio::error_code error) {
@@ -365,6 +393,7 @@
         for (const auto &connection : all) {
             connection->check_time(now);
         }
+        forget_ended();
         sweep();
     });
 }
@@ -375,13 +404,62 @@
     const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
                                                                    m_connections.end());
     for (const auto &connection : all) {
-        if (!connection->m_handling && !connection->m_reader.in_message()) {
+        if (connection->idle()) {
             connection->m_stream->close();
             connection->drop();
         }
     }
 }
 
+void http_server::refuse_further(int status, std::vector<header_field> headers) {
+    m_draining = true;
+    const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
+                                                                   m_connections.end());
+    for (const auto &connection : all) {
+        if (connection->idle()) {
+            connection->answer_unread(status, headers);
+        }
+    }
+    m_refusal = refusal{.status = status, .headers = std::move(headers)};
+    // Connections that the kernel has accepted would be reset with the listening socket, and their
+    // requests count as perhaps handled.
+    asio::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            take_in(std::move(socket));
+        }
+    }
+    m_acceptor.close(error);
+}
+
+void http_server::forget_ended() {
+    std::erase_if(m_ending, [](const std::weak_ptr<byte_stream> &item) {
+        const auto stream = item.lock();
+        return !stream || stream->closed();
+    });
+}
+
+std::size_t http_server::open_streams() {
+    forget_ended();
+    return m_connections.size() + m_ending.size();
+}
+
+std::size_t http_server::unsent() {
+    forget_ended();
+    const auto ending =
+        std::count_if(m_ending.begin(), m_ending.end(), [](const std::weak_ptr<byte_stream> &item) {
+            const auto stream = item.lock();
+            return stream && stream->queued() != 0;
+        });
+    const auto others =
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto &connection) { return connection->queued() != 0; });
+    return static_cast<std::size_t>(ending + others);
+}
+
 void http_server::set_limits(http_reader::limits limits, duration header_timeout,
                              duration idle_timeout) {
     m_options.limits = limits;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -72,10 +72,6 @@
     if (const std::string *id = m_caller->request().find(m_host.options().headers.request_id)) {
         m_id = *id;
     }
-    if (m_host.refuses_callers()) {
-        refuse(error_kind::draining, outcome::not_run, restart_time);
-        return;
-    }
     if (!m_host.agent().ready()) {
         refuse(error_kind::not_ready, outcome::not_run, usual_retry_after);
         return;
@@ -83,6 +79,10 @@
     if (!read_route() || !read_key()) {
         return;
     }
+    if (!m_host.stop().takes_from_caller(m_nested, m_deadline, m_received)) {
+        refuse(error_kind::draining, outcome::not_run, restart_time);
+        return;
+    }
     m_host.note_request(m_service);
     m_host.meter().record_offered(admission(), m_received);
 }
@@ -102,6 +102,7 @@
     }
     m_route = *found;
     m_service = pick_service();
+    m_nested = m_host.dependencies().calls(m_route.name);
     m_objective = m_received + m_route.latency_objective;
     m_deadline = m_received + m_route.timeout;
     if (const std::string *text = head.find(m_host.options().headers.deadline_ms)) {
@@ -481,7 +482,7 @@
                       {{"request", m_id},
                        {"target", m_target_name},
                        {"reason", reason},
-                       {"stopping_ms", ms_of(m_host.stopping_for(now))},
+                       {"stopping_ms", ms_of(m_host.stop().elapsed(now))},
                        {"after_ms", ms_of(now - m_sent)}},
                       now);
     if (m_passing_on) {
@@ -610,7 +611,7 @@
               {"kind", answer_for(kind).name},
               {"phase", phase_name()},
               {"failure", answer_for(m_hop.failure).name},
-              {"stopping_ms", ms_of(m_host.stopping_for(now))},
+              {"stopping_ms", ms_of(m_host.stop().elapsed(now))},
               {"route", m_route.name},
               {"service", m_service},
               {"priority", m_route.priority},
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -31,6 +31,7 @@
     void on_call_drained() override { m_body.on_drained(); }
     void on_time(instant now) override;
     void on_process_end(instant now) override;
+    bool awaited_by_caller() const override { return !m_done && !m_nested; }
 
 private:
     void begin();
@@ -63,6 +64,7 @@
     std::string m_id;
     route m_route; ///< a copy: the routing table may change meanwhile
     std::string m_service;
+    bool m_nested = false; ///< called by a request that the local target runs
     std::optional<std::uint32_t> m_key;
     std::uint64_t m_fingerprint = 0; ///< of what is asked; zero until it is first sent on
     instant m_received{};
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -657,9 +657,6 @@
     if (!m_target || m_target->service != request.service) {
         return error_kind::target_unreachable;
     }
-    if (m_refusing) {
-        return error_kind::draining;
-    }
     const std::string &domain = m_options.node.failure_domain;
     if (keyed() ? evacuation_in_force(domain, now) : m_evacuated_at.count(domain) != 0) {
         return error_kind::draining;
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -82,7 +82,14 @@
 std::optional<error_kind> target_relay::refusal(instant now) const {
     const node_agent &agent = m_host.agent();
     const bool replaced = agent.has_target() && agent.target().name != m_target_name;
-    return replaced ? error_kind::target_unreachable : agent.refusal(m_hop, now);
+    if (replaced) {
+        return error_kind::target_unreachable;
+    }
+    const graceful_stop &stop = m_host.stop();
+    if (!(m_taken ? stop.may_start(m_deadline) : stop.takes_forwarded(m_deadline))) {
+        return error_kind::draining;
+    }
+    return agent.refusal(m_hop, now);
 }
 
 /// Until when a key may come that the target is being granted: a caller that was refused before has
@@ -128,6 +135,7 @@
         refuse(*kind, now, usual_retry_after);
         return;
     }
+    m_taken = true;
     m_admitted = admitted(now);
     if (!m_admitted) {
         refuse(error_kind::dependency_overloaded, now, queue.retry_after());
@@ -208,6 +216,7 @@
         }
         return;
     }
+    m_taken = true;
     count_key();
     work_queue &queue = m_host.agent().queue();
     if (!m_admitted && !admitted(now)) {
@@ -510,7 +519,7 @@
                        {"phase", phase_name()},
                        {"ran_ms", running ? ms_of(now - m_started) : 0},
                        {"left_ms", ms_of(m_deadline - now)},
-                       {"stopping_ms", ms_of(m_host.stopping_for(now))}},
+                       {"stopping_ms", ms_of(m_host.stop().elapsed(now))}},
                       now);
     if (m_call) {
         m_call->cancel();
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -84,6 +84,7 @@
     bool m_key_refused = false; ///< the target does not hold the key, by the answer that comes
     bool m_not_executed = false;
     bool m_counted = false;  ///< for the load of its key
+    bool m_taken = false;    ///< not refused when it came: this node finishes it before it stops
     bool m_admitted = false; ///< the services that the target calls leave room for it
     bool m_offered = false;  ///< noted by the board of admission
 };
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -2,6 +2,7 @@
 
 #include "../wall_clock.hpp"
 #include "entry_relay.hpp"
+#include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/transport/json_log.hpp"
 #include "target_relay.hpp"
 
@@ -24,6 +25,9 @@
 /// Kept below `forwarded_idle`, so that no request meets a connection that is being closed.
 constexpr duration pool_idle = std::chrono::seconds(30);
 
+/// With the refusals of a node that ends: it mostly serves again about as much later.
+constexpr duration restart_retry_after = std::chrono::milliseconds(250);
+
 /// Several round trips, and short enough that a call with an objective of 400 ms can still be made
 /// to another target. A lost opening packet is sent again after a second only, too late in any
 /// case.
@@ -96,7 +100,7 @@
                .idle_timeout = forwarded_idle,
                .continue_at_once = false},
               [this](const auto &connection) { return target_relay::make(*this, connection); }),
-      m_timer(io) {
+      m_timer(io), m_stop(m_options.stop) {
     const std::string &address = m_options.node_address;
     m_forward_port = address.substr(address.rfind(':'));
     m_agent.set_on_change([this] { m_changed = true; });
@@ -347,11 +351,10 @@
 }
 
 void traffic_host::begin_stop(std::function<void()> done) {
-    if (m_stopping) {
+    if (m_stop.begun()) {
         return;
     }
-    m_stopping = true;
-    m_stop_since = steady_instant();
+    m_stop.begin(steady_instant());
     m_stopped = std::move(done);
     m_callers.begin_drain();
     m_agent.begin_stop(read_clocks());
@@ -369,51 +372,55 @@
 }
 
 void traffic_host::log_stop(const char *step, instant now) const {
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(m_stop.elapsed(now));
     log_event(log_level::info, "stop_step",
               {{"step", step},
                {"in_flight", m_requests.size()},
                {"callers", m_callers.busy()},
                {"running", m_agent.queue().in_flight()},
                {"waiting", m_agent.queue().waiting()},
-               {"after_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(stopping_for(now)).count()}});
+               {"after_ms", passed.count()}});
+}
+
+graceful_stop::open_work traffic_host::open_work() {
+    const auto callers =
+        std::count_if(m_requests.begin(), m_requests.end(),
+                      [](const timed_request *item) { return item->awaited_by_caller(); });
+    return {.callers = static_cast<std::size_t>(callers),
+            .requests = m_requests.size(),
+            .unsent = m_callers.unsent() + m_nodes.unsent(),
+            .connections = m_nodes.open_streams()};
+}
+
+/// A request that crosses the end of its connection could not be told from one that has run: other
+/// nodes are told on each connection that nothing more is taken.
+void traffic_host::close_connections() {
+    const hop_reply refusal{
+        .load = load({}), .refused = error_kind::draining, .retry_after = restart_retry_after};
+    m_callers.stop_accepting();
+    m_nodes.refuse_further(answer_for(error_kind::draining).status,
+                           {{std::string(hop_header), encode(refusal)}});
 }
 
-/// Callers learn within two probes of readiness that this node stops. Until then their requests are
-/// served as ever; later ones would only be cut off.
 void traffic_host::step_stop(instant now) {
-    if (!m_stopping || !m_stopped) {
+    if (!m_stop.begun() || !m_stopped) {
         return;
     }
-    const duration passed = now - m_stop_since;
-    if (!m_refuses_callers && passed > m_options.stop_refusal) {
-        m_refuses_callers = true;
-        log_stop("callers_refused", now);
-    }
-    const bool callers_gone = passed > m_options.stop_acceptance && m_callers.busy() == 0;
-    if (callers_gone || passed > m_options.stop_acceptance * 2) {
-        // Other nodes go on sending what only this target can do, and would never let it become
-        // quiet.
-        m_agent.refuse_new_work();
-        if (!std::exchange(m_refuses_forwarded, true)) {
-            log_stop("forwarded_refused", now);
-        }
-    }
-    if (!m_told_end && passed > m_options.stop_limit - m_options.stop_answers) {
-        m_told_end = true;
+    if (m_stop.take_give_up(now)) {
         log_stop("unfinished_given_up", now);
         tell_end(now);
     }
-    const bool quiet = callers_gone && m_requests.empty();
-    if (quiet || passed > m_options.stop_limit) {
-        m_callers.stop_accepting();
-        m_nodes.stop_accepting();
-        const auto stopped = std::exchange(m_stopped, nullptr);
-        log_event(
-            log_level::info, "stop_finished",
-            {{"in_flight", m_requests.size()},
-             {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(passed).count()}});
-        stopped();
+    const graceful_stop::phase before = m_stop.current();
+    const graceful_stop::phase after = m_stop.advance(open_work(), now);
+    if (after == before) {
+        return;
+    }
+    log_stop(name_of(after), now);
+    if (before < graceful_stop::phase::closing && after >= graceful_stop::phase::closing) {
+        close_connections();
+    }
+    if (after == graceful_stop::phase::ended) {
+        std::exchange(m_stopped, nullptr)();
     }
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -338,7 +338,7 @@
     REQUIRE(settings);
     constexpr duration excused = 3s;
     constexpr duration on_its_way = 100ms; // the signal, or the request
-    CHECK(traffic_options_of(*settings, 1).stop_refusal + on_its_way <= excused);
+    CHECK(traffic_options_of(*settings, 1).stop.refusal + on_its_way <= excused);
 }
 
 TEST_CASE("mechanisms are switched off by name, and a name that is none is told") {
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -65,7 +65,7 @@
 /// One node with hand-made answers of a leader, and the target beside it, all on one thread.
 class node_under_test {
 public:
-    node_under_test()
+    explicit node_under_test(void (*adjust)(traffic_options &) = nullptr)
         : m_target_address(loopback("127.0.0.1", free_port())), m_node_port(free_port()),
           m_caller_address(loopback("127.0.0.1", free_port())),
           m_target(m_io, {.address = m_target_address},
@@ -85,7 +85,8 @@
                           caller->respond(answer_for(neighbour_refuses).status,
                                           {{std::string(hop_header), encode(reply)}}, {});
                       })),
-          m_host(m_io, options(), [this](const outgoing &item) { note(item); }), m_pool(m_io, {}) {
+          m_host(m_io, options(adjust), [this](const outgoing &item) { note(item); }),
+          m_pool(m_io, {}) {
         std::string reason;
         REQUIRE_MESSAGE(m_target.start(reason), reason);
         REQUIRE_MESSAGE(m_neighbour.start(reason), reason);
@@ -212,6 +213,10 @@
         REQUIRE(run_until([&] { return runs > before; }));
         return open;
     }
+    /// What came for the request of `forward_without_end`.
+    const seen_answer &open_answer() const { return *m_open_answer; }
+    /// Where other nodes send requests.
+    std::string node_address() const { return loopback("127.0.0.1", m_node_port); }
     /// The target takes no new connections; those that it has taken stay open.
     void stop_target_listening() { m_target.stop_accepting(); }
 
@@ -222,7 +227,7 @@
     }
 
 private:
-    traffic_options options() const {
+    traffic_options options(void (*adjust)(traffic_options &)) const {
         traffic_options result{.caller_address = m_caller_address,
                                .node_address = loopback("127.0.0.1", m_node_port),
                                .service = plain};
@@ -231,8 +236,11 @@
         result.node.named_registrations = true;
         result.node.announce_timeout = 60s; // heartbeats come by hand
         result.heartbeat_interval = 60s;
-        result.stop_acceptance = 100ms;
-        result.stop_limit = 800ms;
+        result.stop.acceptance = 100ms;
+        result.stop.limit = 800ms;
+        if (adjust != nullptr) {
+            adjust(result);
+        }
         return result;
     }
 
