Ask a node that stops or is gone by one request at a time

Change: `unavailable_targets` remembers whose node refuses since it stops, or takes no connection; one request in 40 ms is sent on, others wait, or are refused at once where the node has said that it is back too late for them. Its refusal tells the time.

--- a/include/peppertack/coordination/graceful_stop.hpp
+++ b/include/peppertack/coordination/graceful_stop.hpp
@@ -55,6 +55,9 @@
     bool may_start(instant deadline) const { return !m_begun || deadline <= gives_up_at(); }
     /// Whether unfinished requests are to be answered now. True once.
     bool take_give_up(instant now);
+    /// Estimated time until the process ends; `run`: how long requests take. Precondition:
+    /// `begun()`.
+    duration remaining(duration run, instant now) const;
     /// Moves on to the next phase where `open` and the time allow it; past the limit to the last.
     /// Precondition: `begun()`.
     phase advance(const open_work &open, instant now);
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -4,6 +4,7 @@
 #include "peppertack/coordination/dependency_admission.hpp"
 #include "peppertack/coordination/nested_call_detector.hpp"
 #include "peppertack/coordination/retry_detector.hpp"
+#include "peppertack/coordination/unavailable_targets.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
 #include "peppertack/transport/request_log.hpp"
@@ -108,6 +109,10 @@
     std::string forward_address(const node_address &peer) const;
     /// What this node still takes if it was told to stop.
     const graceful_stop &stop() const { return m_stop; }
+    /// Estimated time until this node, which stops, has been started again.
+    duration returns_in(instant now) const;
+    /// Targets of keys that can't be reached for now.
+    unavailable_targets &unavailable() { return m_unavailable; }
     std::size_t in_flight() const { return m_requests.size(); }
 
 private:
@@ -141,6 +146,7 @@
     admission_level_aggregator m_board;
     dependency_admission m_dependencies;
     retry_detector m_returning;
+    unavailable_targets m_unavailable;
     node_agent m_agent;
     hold_call_runner m_hold_calls;
     work_queue m_body_turns;
--- a/src/coordination/graceful_stop.cpp
+++ b/src/coordination/graceful_stop.cpp
@@ -1,5 +1,7 @@
 #include "peppertack/coordination/graceful_stop.hpp"
 
+#include <algorithm>
+
 namespace peppertack {
 
 void graceful_stop::begin(instant now) {
@@ -24,6 +26,15 @@
     return true;
 }
 
+duration graceful_stop::remaining(duration run, instant now) const {
+    if (m_phase >= phase::closing) {
+        return {};
+    }
+    const duration passed = elapsed(now);
+    const duration acceptance = std::max(m_options.acceptance - passed, duration{});
+    return std::clamp(acceptance + run, duration{}, std::max(m_options.limit - passed, duration{}));
+}
+
 graceful_stop::phase graceful_stop::advance(const open_work &open, instant now) {
     const duration passed = elapsed(now);
     const bool callers_gone = passed > m_options.acceptance && open.callers == 0;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -249,6 +249,11 @@
         refuse(error_kind::no_owner, outcome::not_run, usual_retry_after);
         return;
     }
+    const auto gone = m_key ? m_host.unavailable().absent(number, now) : std::nullopt;
+    if (gone) {
+        await_return(*gone, now);
+        return;
+    }
     send_to(*target, now);
 }
 
@@ -314,6 +319,15 @@
     m_retry_at = now + park_interval;
 }
 
+/// Waits for a node that is restarted if it may be back in time, or refuses at once.
+void entry_relay::await_return(const unavailable_targets::absence &gone, instant now) {
+    if (gone.expected > park_limit()) {
+        refuse(gone.cause, outcome::not_run, gone.expected - now);
+    } else {
+        park(gone.cause, now);
+    }
+}
+
 void entry_relay::on_time(instant now) {
     if (m_done) {
         return;
@@ -403,6 +417,9 @@
     const instant now = steady_instant();
     m_body.detach();
     m_call.reset();
+    if (m_key && m_hop_known && m_hop.refused != error_kind::draining) {
+        m_host.unavailable().record_present(m_target);
+    }
     if (!m_hop_known) {
         m_host.selector().record_outcome(m_target, call_outcome::failed, now);
         after_unknown(error_kind::target_lost, now);
@@ -504,6 +521,12 @@
         refuse(kind, outcome::not_run, retry_after);
     } else if (!m_key && m_tried.size() < most_refusals && now < m_objective) {
         dispatch(now);
+    } else if (m_key && (kind == error_kind::draining || kind == error_kind::owner_unreachable)) {
+        const bool told = kind == error_kind::draining;
+        const unavailable_targets::absence gone{.cause = kind,
+                                                .expected = told ? now + retry_after : instant{}};
+        m_host.unavailable().record_absent(m_target, gone.cause, gone.expected, now);
+        await_return(gone, now);
     } else if (m_key && kind != error_kind::overloaded) {
         park(kind, now);
     } else {
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -49,6 +49,7 @@
     void after_unknown(error_kind kind, instant now);
     bool retry_executed_nowhere(instant now);
     void park(error_kind kind, instant now);
+    void await_return(const unavailable_targets::absence &gone, instant now);
     void pass_on();
     void begin_passing_on();
     void refuse(error_kind kind, outcome result, duration retry_after);
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -550,6 +550,9 @@
 }
 
 void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
+    if (kind == error_kind::draining && m_host.stop().begun()) {
+        retry_after = m_host.returns_in(now);
+    }
     answer(kind, {.load = m_host.load(m_hop.route),
                   .refused = kind,
                   .retry_after = retry_after,
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -25,8 +25,8 @@
 /// Kept below `forwarded_idle`, so that no request meets a connection that is being closed.
 constexpr duration pool_idle = std::chrono::seconds(30);
 
-/// With the refusals of a node that ends: it mostly serves again about as much later.
-constexpr duration restart_retry_after = std::chrono::milliseconds(250);
+/// From the end of a process until the next one takes requests, where a supervisor restarts it.
+constexpr duration restart_time = std::chrono::milliseconds(700);
 
 /// Several round trips, and short enough that a call with an objective of 400 ms can still be made
 /// to another target. A lost opening packet is sent again after a second only, too late in any
@@ -162,6 +162,7 @@
     m_changed = false;
     apply_limits();
     m_selector.retain(m_agent.lease().map().targets());
+    m_unavailable.retain(m_agent.lease().map().targets());
     for (auto &[service, budget] : m_retries) {
         budget.all.set_max_tokens(saved_retries_now());
     }
@@ -395,13 +396,18 @@
 /// A request that crosses the end of its connection could not be told from one that has run: other
 /// nodes are told on each connection that nothing more is taken.
 void traffic_host::close_connections() {
-    const hop_reply refusal{
-        .load = load({}), .refused = error_kind::draining, .retry_after = restart_retry_after};
+    const hop_reply refusal{.load = load({}),
+                            .refused = error_kind::draining,
+                            .retry_after = returns_in(steady_instant())};
     m_callers.stop_accepting();
     m_nodes.refuse_further(answer_for(error_kind::draining).status,
                            {{std::string(hop_header), encode(refusal)}});
 }
 
+duration traffic_host::returns_in(instant now) const {
+    return m_stop.remaining(m_agent.queue().mean_service_time(), now) + restart_time;
+}
+
 void traffic_host::step_stop(instant now) {
     if (!m_stop.begun() || !m_stopped) {
         return;
--- a/tests/coordination/graceful_stop_test.cpp
+++ b/tests/coordination/graceful_stop_test.cpp
@@ -89,6 +89,18 @@
     }
 }
 
+TEST_CASE("the time that a stop still takes lies within its limit") {
+    graceful_stop stop = begun_stop();
+    CHECK(stop.remaining(500ms, start) == 2300ms);
+    CHECK(stop.remaining(500ms, start + 1s) == 1300ms);
+    CHECK(stop.remaining(500ms, start + 2s) == 500ms);
+    CHECK(stop.remaining(500ms, start + 5500ms) == 100ms);
+    CHECK(stop.remaining(500ms, start + 6s) == duration{});
+    stop.advance({}, start + 1801ms);
+    stop.advance({}, start + 1802ms);
+    CHECK(stop.remaining(500ms, start + 1803ms) == duration{});
+}
+
 TEST_CASE("a stop takes no longer than its limit") {
     graceful_stop stop = begun_stop();
     const graceful_stop::open_work open{.callers = 1, .requests = 9, .unsent = 1, .connections = 3};
