--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -124,7 +124,7 @@
     graceful_stop::open_work open_work();
     void close_connections();
     void tell_end(instant now);
-    void log_stop(const char *step, instant now) const;
+    void log_stop(const char *step, instant now);
     void wake_all(instant now);
     void apply_limits();
     void run_hold_calls(instant now);
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -205,7 +205,7 @@
 }
 
 void traffic_host::tick() {
-    const duration pause = m_requests.empty() ? idle_tick : busy_tick;
+    const duration pause = m_requests.empty() && !m_stop.begun() ? idle_tick : busy_tick;
     const instant due = steady_instant() + pause;
     m_timer.expires_after(pause);
     m_timer.async_wait([this, due, alive = std::weak_ptr(m_alive)](asio::error_code error) {
@@ -372,7 +372,7 @@
     }
 }
 
-void traffic_host::log_stop(const char *step, instant now) const {
+void traffic_host::log_stop(const char *step, instant now) {
     const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(m_stop.elapsed(now));
     log_event(log_level::info, "stop_step",
               {{"step", step},
@@ -380,6 +380,8 @@
                {"callers", m_callers.busy()},
                {"running", m_agent.queue().in_flight()},
                {"waiting", m_agent.queue().waiting()},
+               {"connections", m_nodes.open_streams()},
+               {"unsent", m_callers.unsent() + m_nodes.unsent()},
                {"after_ms", passed.count()}});
 }
 
