--- a/include/peppertack/coordination/dependency_admission.hpp
+++ b/include/peppertack/coordination/dependency_admission.hpp
@@ -26,8 +26,8 @@
     /// recorded on the route.
     void record_rejected(const std::string &route, const std::optional<admission_level> &reported,
                          instant now);
-    /// Whether nested calls of the local target on `route` were recorded.
-    bool calls(const std::string &route) const { return m_routes.count(route) != 0; }
+    /// Whether nested calls of the local target on `route` were recorded recently.
+    bool calls(const std::string &route, instant now) const;
     /// Shares of requests to admit: the minimum over all called services.
     admission_level level(instant now) const;
     /// Route of nested calls with the lowest share of requests to admit; empty if none limits it.
--- a/include/peppertack/coordination/unavailable_targets.hpp
+++ b/include/peppertack/coordination/unavailable_targets.hpp
@@ -27,19 +27,20 @@
     explicit unavailable_targets(options settings) : m_options(settings) {}
     unavailable_targets() : unavailable_targets(options{}) {}
 
-    /// Records that a request was not taken; `expected` as in `absence`.
-    void record_absent(target_number target, error_kind cause, instant expected, instant now);
+    /// Records that a request with that deadline was not taken; `expected` as in `absence`.
+    void record_absent(target_number target, const absence &found, instant deadline, instant now);
     /// Records that the target's node took a request, or refused it for another reason.
     void record_present(target_number target) { m_absent.erase(target); }
-    /// Why no request should be sent to the target now; nullopt if one should, which then counts
-    /// as a probe.
-    std::optional<absence> absent(target_number target, instant now);
+    /// Why a request with that deadline should not be sent to the target now; nullopt if it should,
+    /// as a probe or since only later deadlines were refused.
+    std::optional<absence> absent(target_number target, instant deadline, instant now);
     /// Forgets targets that are not in the map.
     void retain(const std::unordered_map<target_number, target_route> &known);
 
 private:
     struct record {
         absence found;
+        instant deadline{}; ///< the earliest that was refused
         instant probed{};
     };
     options m_options;
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -79,7 +79,8 @@
     /// Ends what has waited longer than the limits allow.
     void check_time(instant now);
     bool idle() const { return !m_handling && !m_reader.in_message(); }
-    /// Answers the next request, which may be on its way, and handles none. Precondition: `idle()`.
+    /// Answers the next request, which may be on its way, and handles none. Precondition: none is
+    /// being handled.
     void answer_unread(int status, std::vector<header_field> headers);
     void end_after_writes();
 
@@ -129,8 +130,8 @@
     void begin_drain() { m_draining = true; }
     /// Takes no more connections and ends those that are idle.
     void stop_accepting();
-    /// Takes no more connections. On those that are idle the next request, even if it was sent
-    /// already, has this answer; it is not handled. The others end with their present answer.
+    /// Takes no more connections. The next request on each of them, even if it was sent already,
+    /// has this answer and is not handled. Answers that are under way are finished.
     void refuse_further(int status, std::vector<header_field> headers);
     /// In force for requests that begin from now on.
     void set_limits(http_reader::limits limits, duration header_timeout, duration idle_timeout);
--- a/src/coordination/dependency_admission.cpp
+++ b/src/coordination/dependency_admission.cpp
@@ -51,6 +51,11 @@
     }
 }
 
+bool dependency_admission::calls(const std::string &route, instant now) const {
+    const auto found = m_routes.find(route);
+    return found != m_routes.end() && now < found->second.last_report + level_lifetime;
+}
+
 void dependency_admission::record(const std::string &route,
                                   const std::optional<admission_level> &reported, bool rejected,
                                   instant now) {
--- a/src/coordination/graceful_stop.cpp
+++ b/src/coordination/graceful_stop.cpp
@@ -12,10 +12,10 @@
 }
 
 bool graceful_stop::takes_from_caller(bool nested, instant deadline, instant now) const {
-    if (!m_begun || elapsed(now) <= m_options.refusal) {
-        return true;
+    if (m_phase >= phase::closing) {
+        return false;
     }
-    return nested && may_start(deadline);
+    return !m_begun || elapsed(now) <= m_options.refusal || (nested && may_start(deadline));
 }
 
 bool graceful_stop::take_give_up(instant now) {
@@ -46,7 +46,7 @@
     } else if (m_phase == phase::finishing && callers_gone && open.requests == 0) {
         m_phase = phase::closing;
         m_closing_since = now;
-    } else if (m_phase == phase::closing && open.unsent == 0) {
+    } else if (m_phase == phase::closing && open.requests == 0 && open.unsent == 0) {
         const bool told = open.connections == 0 || now > m_closing_since + m_options.closing_time;
         m_phase = told ? phase::ended : phase::closing;
     }
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -230,6 +230,10 @@
     m_handling = false;
     m_reader.next();
     m_since = steady_instant();
+    if (m_server != nullptr && m_server->m_refusal) {
+        answer_unread(m_server->m_refusal->status, m_server->m_refusal->headers);
+        return;
+    }
     const std::string waiting = std::exchange(m_waiting, {});
     if (!waiting.empty() || m_reader.has_unread()) {
         take(waiting);
@@ -416,7 +420,7 @@
     const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
                                                                    m_connections.end());
     for (const auto &connection : all) {
-        if (connection->idle()) {
+        if (!connection->m_handling) {
             connection->answer_unread(status, headers);
         }
     }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -102,7 +102,7 @@
     }
     m_route = *found;
     m_service = pick_service();
-    m_nested = m_host.dependencies().calls(m_route.name);
+    m_nested = m_host.dependencies().calls(m_route.name, m_received);
     m_objective = m_received + m_route.latency_objective;
     m_deadline = m_received + m_route.timeout;
     if (const std::string *text = head.find(m_host.options().headers.deadline_ms)) {
@@ -249,7 +249,7 @@
         refuse(error_kind::no_owner, outcome::not_run, usual_retry_after);
         return;
     }
-    const auto gone = m_key ? m_host.unavailable().absent(number, now) : std::nullopt;
+    const auto gone = m_key ? m_host.unavailable().absent(number, m_deadline, now) : std::nullopt;
     if (gone) {
         await_return(*gone, now);
         return;
@@ -290,7 +290,8 @@
     m_hop_known = false;
     m_answer_body.clear();
     m_host.selector().record_sent(m_target);
-    m_call = m_host.pool().start(m_host.forward_address(target.address), head, weak_from_this());
+    m_address = m_host.forward_address(target.address);
+    m_call = m_host.pool().start(m_address, head, weak_from_this());
     m_body.attach(m_call, announced);
 }
 
@@ -348,7 +349,7 @@
     }
 }
 
-void entry_relay::on_process_end(instant) {
+void entry_relay::on_process_end(instant now) {
     if (m_done || m_passing_on) {
         return;
     }
@@ -356,7 +357,7 @@
     if (m_call && m_call->sent()) {
         refuse(error_kind::target_lost, outcome::unknown, {});
     } else {
-        refuse(error_kind::draining, outcome::not_run, usual_retry_after);
+        refuse(error_kind::draining, outcome::not_run, m_host.returns_in(now));
     }
 }
 
@@ -371,6 +372,9 @@
     if (m_hop_known) {
         m_host.selector().record_load(m_target, m_hop.load, now, m_route.name);
     }
+    if (m_key && m_hop_known && m_hop.refused != error_kind::draining) {
+        m_host.unavailable().record_present(m_target);
+    }
     if (m_hop.level && m_hop.refused == error_kind::none) {
         m_host.dependencies().record_accepted(m_route.name, *m_hop.level, now);
     }
@@ -417,9 +421,6 @@
     const instant now = steady_instant();
     m_body.detach();
     m_call.reset();
-    if (m_key && m_hop_known && m_hop.refused != error_kind::draining) {
-        m_host.unavailable().record_present(m_target);
-    }
     if (!m_hop_known) {
         m_host.selector().record_outcome(m_target, call_outcome::failed, now);
         after_unknown(error_kind::target_lost, now);
@@ -430,6 +431,7 @@
         const bool gone = m_hop.refused == error_kind::target_unreachable ||
                           m_hop.refused == error_kind::owner_unreachable ||
                           m_hop.refused == error_kind::not_ready ||
+                          m_hop.refused == error_kind::draining ||
                           m_hop.refused == error_kind::not_owner;
         m_host.selector().record_outcome(
             m_target, gone ? call_outcome::unreachable : call_outcome::served, now);
@@ -506,6 +508,10 @@
         m_caller->abort();
         done();
     } else if (!connected) {
+        if (m_key && m_host.pool().established_to(m_address) == 0) {
+            m_host.unavailable().record_absent(m_target, {error_kind::owner_unreachable, {}},
+                                               m_deadline, now);
+        }
         after_not_run(error_kind::owner_unreachable, usual_retry_after, now);
     } else {
         after_unknown(error_kind::target_lost, now);
@@ -521,16 +527,16 @@
         refuse(kind, outcome::not_run, retry_after);
     } else if (!m_key && m_tried.size() < most_refusals && now < m_objective) {
         dispatch(now);
-    } else if (m_key && (kind == error_kind::draining || kind == error_kind::owner_unreachable)) {
-        const bool told = kind == error_kind::draining;
-        const unavailable_targets::absence gone{.cause = kind,
-                                                .expected = told ? now + retry_after : instant{}};
-        m_host.unavailable().record_absent(m_target, gone.cause, gone.expected, now);
+    } else if (m_key && kind == error_kind::draining) {
+        const unavailable_targets::absence gone{.cause = kind, .expected = now + retry_after};
+        m_host.unavailable().record_absent(m_target, gone, m_deadline, now);
         await_return(gone, now);
     } else if (m_key && kind != error_kind::overloaded) {
         park(kind, now);
     } else {
-        refuse(kind, outcome::not_run, retry_after);
+        // Other targets of the service have not said that they stop.
+        refuse(kind, outcome::not_run,
+               kind == error_kind::draining ? usual_retry_after : retry_after);
     }
 }
 
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -84,6 +84,7 @@
     std::shared_ptr<http_call> m_call;
     target_number m_target = no_target;
     std::string m_target_name;
+    std::string m_address; ///< IP:port of the node beside the target
     instant m_sent{};
     hop_reply m_hop;
     bool m_hop_known = false;
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -489,6 +489,7 @@
         return;
     }
     if (m_phase == phase::running && now >= m_deadline + deadline_slack) {
+        const bool sent = m_call && m_call->sent();
         if (m_call) {
             m_call->cancel();
             m_call.reset();
@@ -498,8 +499,10 @@
         if (m_sender->answer_begun()) {
             m_phase = phase::done;
             m_sender->abort();
-        } else {
+        } else if (sent) {
             fail(error_kind::deadline_after_target, now);
+        } else {
+            refuse(error_kind::deadline_before_target, now, usual_retry_after);
         }
         m_host.start_waiting(now);
     }
@@ -510,7 +513,6 @@
         return;
     }
     const auto self = shared_from_this();
-    const bool given = m_phase == phase::running;
     const bool running = m_call && m_call->sent();
     m_host.metrics().note_given_up(running);
     m_host.log().note("request_given_up",
@@ -527,7 +529,7 @@
     }
     m_body.detach();
     leave_queue(std::nullopt);
-    if (given) {
+    if (running) {
         fail(error_kind::draining, now);
     } else {
         refuse(error_kind::draining, now, usual_retry_after);
@@ -550,8 +552,9 @@
 }
 
 void target_relay::refuse(error_kind kind, instant now, duration retry_after) {
-    if (kind == error_kind::draining && m_host.stop().begun()) {
-        retry_after = m_host.returns_in(now);
+    if (kind == error_kind::draining) {
+        // Where only the target leaves, its keys are on their way to another.
+        retry_after = m_host.stop().begun() ? m_host.returns_in(now) : duration{};
     }
     answer(kind, {.load = m_host.load(m_hop.route),
                   .refused = kind,
--- a/tests/coordination/dependency_admission_test.cpp
+++ b/tests/coordination/dependency_admission_test.cpp
@@ -359,3 +359,12 @@
     CHECK(aggregator.level(0, start).fresh == 1);
     CHECK(aggregator.level(2, start).expired == 1);
 }
+
+TEST_CASE("a route is one of nested calls while they are reported") {
+    dependency_admission dependencies;
+    CHECK_FALSE(dependencies.calls("called", start));
+    dependencies.record_accepted("called", {}, start);
+    CHECK(dependencies.calls("called", start + 1s));
+    CHECK_FALSE(dependencies.calls("other", start + 1s));
+    CHECK_FALSE(dependencies.calls("called", start + 10s));
+}
--- a/tests/coordination/graceful_stop_test.cpp
+++ b/tests/coordination/graceful_stop_test.cpp
@@ -83,6 +83,12 @@
         CHECK(stop.advance({.connections = 1}, start + 2250ms) == phase::closing);
         CHECK(stop.advance({.connections = 1}, start + 2251ms) == phase::ended);
     }
+    SUBCASE("a request came meanwhile") {
+        CHECK_FALSE(stop.takes_from_caller(false, start + 3s, start + 2101ms));
+        CHECK_FALSE(stop.takes_from_caller(true, start + 3s, start + 2101ms));
+        CHECK_FALSE(stop.takes_forwarded(start + 3s));
+        CHECK(stop.advance({.requests = 1}, start + 2300ms) == phase::closing);
+    }
     SUBCASE("an answer is still being written") {
         CHECK(stop.advance({.unsent = 1}, start + 5600ms) == phase::closing);
         CHECK(stop.advance({}, start + 5600ms) == phase::ended);
--- a/tests/transport/node_stop_test.cpp
+++ b/tests/transport/node_stop_test.cpp
@@ -66,16 +66,23 @@
     node.answer(node.registering("old"), old_number, {});
     asio::ip::tcp::socket peer(node.io());
     peer.connect(endpoint_from(node.node_address()));
-    bool stopped = false;
-    node.host().begin_stop([&] { stopped = true; });
-    REQUIRE(node.run_until(
-        [&] { return node.host().stop().current() == graceful_stop::phase::closing; }));
     http_head head;
     head.method = "GET";
     head.target = "/";
     head.headers = hop_to_target(100ms);
     head.headers.push_back({"Host", plain});
-    asio::write(peer, asio::buffer(request_bytes(head)));
+    const std::string request = request_bytes(head);
+    std::size_t sent = 0;
+    SUBCASE("sent after the node has read all") {}
+    SUBCASE("sent in part before") {
+        sent = request.size() / 2;
+        asio::write(peer, asio::buffer(request, sent));
+    }
+    bool stopped = false;
+    node.host().begin_stop([&] { stopped = true; });
+    REQUIRE(node.run_until(
+        [&] { return node.host().stop().current() == graceful_stop::phase::closing; }));
+    asio::write(peer, asio::buffer(std::string_view(request).substr(sent)));
     std::string answer;
     asio::error_code end;
     asio::read(peer, asio::dynamic_buffer(answer), end);
@@ -85,3 +92,20 @@
     CHECK(node.run_until([&] { return stopped; }));
     CHECK(node.runs == 0);
 }
+
+// Guards against ending a request of a caller that came while the node told others that it ends.
+TEST_CASE("a node that closes its connections takes nothing more of callers") {
+    node_under_test node;
+    node.know_neighbour();
+    asio::ip::tcp::socket caller(node.io());
+    caller.connect(endpoint_from(node.caller_address()));
+    const std::string_view half = "GET / HTTP/1.1\r\n";
+    asio::write(caller, asio::buffer(half));
+    bool stopped = false;
+    node.host().begin_stop([&] { stopped = true; });
+    REQUIRE(node.run_until(
+        [&] { return node.host().stop().current() == graceful_stop::phase::closing; }));
+    asio::write(caller, asio::buffer(std::string_view("Host: plain\r\n\r\n")));
+    CHECK(node.run_until([&] { return stopped; }));
+    CHECK(node.neighbour_asked == 0);
+}
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -215,6 +215,8 @@
     }
     /// What came for the request of `forward_without_end`.
     const seen_answer &open_answer() const { return *m_open_answer; }
+    /// Where callers send requests.
+    const std::string &caller_address() const { return m_caller_address; }
     /// Where other nodes send requests.
     std::string node_address() const { return loopback("127.0.0.1", m_node_port); }
     /// The target takes no new connections; those that it has taken stay open.
