--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -397,11 +397,10 @@
 
 /// A request that crosses the end of its connection could not be told from one that has run: other
 /// nodes are told on each connection that nothing more is taken.
-void traffic_host::close_connections() {
+void traffic_host::tell_other_nodes() {
     const hop_reply refusal{.load = load({}),
                             .refused = error_kind::draining,
                             .retry_after = returns_in(steady_instant())};
-    m_callers.stop_accepting();
     m_nodes.refuse_further(answer_for(error_kind::draining).status,
                            {{std::string(hop_header), encode(refusal)}});
 }
@@ -425,9 +424,10 @@
     }
     log_stop(name_of(after), now);
     if (before < graceful_stop::phase::closing && after >= graceful_stop::phase::closing) {
-        close_connections();
+        tell_other_nodes();
     }
     if (after == graceful_stop::phase::ended) {
+        m_callers.stop_accepting();
         std::exchange(m_stopped, nullptr)();
     }
 }
