Soak: a mode for stops that overlap

A node that stopped gave up requests at which targets were at work, and answered 502 to some that had reached none. Real processes are stopped in series and started again, with slow targets and callers that keep their connections; an oracle of its own judges what was given up.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,4 +1,5 @@
 #include "platform_cluster.hpp"
+#include "stops_run.hpp"
 
 #include <array>
 #include <csignal>
@@ -342,13 +343,15 @@
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words]: plays seeds and names those
-/// that failed. With `signals` the links are left alone, and seeds mean what they meant before
-/// these were disturbed; with `calls` targets get their keys by calls, which go wrong; with `words`
-/// they end under a request, name limits and say that they leave.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | stops [NODES]]: plays seeds
+/// and names those that failed. With `signals` the links are left alone, and seeds mean what they
+/// meant before these were disturbed; with `calls` targets get their keys by calls, which go wrong;
+/// with `words` they end under a request, name limits and say that they leave; with `stops` nodes
+/// are restarted in series.
 int main(int count, char **words) {
     if (count < 4) {
-        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words]\n";
+        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
+                     "stops [NODES]]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
@@ -359,10 +362,12 @@
                                 : chosen == "calls" ? soak_run::mode::hold_calls
                                 : chosen == "words" ? soak_run::mode::target_words
                                                     : soak_run::mode::all;
+    const std::size_t nodes = count > 6 ? std::stoul(words[6]) : 5;
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        const bool good = soak_run(words[1], seed, what).play(steps);
+        const bool good = chosen == "stops" ? stops_run(words[1], seed, nodes).play(steps)
+                                            : soak_run(words[1], seed, what).play(steps);
         failed += good ? 0 : 1;
         std::cout << "seed " << seed << (good ? " passed" : " FAILED") << std::endl;
     }
--- /dev/null
+++ b/tests/soak/stops_run.cpp
@@ -0,0 +1,172 @@
+#include "stops_run.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace peppertack::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration grace = 6s;            ///< as the cluster tells the processes
+constexpr duration restart_pause = 500ms; ///< from the end of a process to the next one's start
+constexpr duration step = 10ms;
+constexpr std::uint64_t per_node = 8; ///< requests a second
+
+} // namespace
+
+stops_run::stops_run(const std::string &programs, std::uint64_t seed, std::size_t nodes)
+    : m_random(seed), m_load(seed), m_cluster(cluster_options(programs, seed, nodes)) {}
+
+platform_cluster::options stops_run::cluster_options(const std::string &programs,
+                                                     std::uint64_t seed, std::size_t nodes) {
+    platform_cluster::options result{.programs = programs, .voters = 3, .losses = 1, .seed = seed};
+    result.services.clear();
+    for (std::size_t i = 0; i < nodes; ++i) {
+        result.services.emplace_back(i % 5 < 3 ? "keyed" : "plain");
+        m_slow.push_back(draw(2) == 0);
+    }
+    result.deadline = 6s;
+    result.timeout = 3s;
+    result.direct = true;
+    result.work_at = [this](std::size_t target) -> duration {
+        const bool slow = m_slow[target] && draw_load(2) == 0;
+        return std::chrono::milliseconds(slow ? 50 + draw_load(2450) : 20);
+    };
+    return result;
+}
+
+bool stops_run::play(int series) {
+    if (!m_cluster.configure(1, 0) || !m_cluster.serves()) {
+        std::cout << "never served\n";
+        return false;
+    }
+    for (int i = 0; i < series; ++i) {
+        play_series();
+    }
+    m_cluster.run_until([this] {
+        tend();
+        return m_stops.empty() && !m_voter;
+    });
+    if (!m_cluster.serves()) {
+        m_violations.push_back("does not serve again: " + m_cluster.last_answers());
+    }
+    m_cluster.run_for(7s); // all deadlines are over then
+    return report();
+}
+
+void stops_run::play_series() {
+    const std::uint64_t stops = 2 + draw(std::max<std::size_t>(m_cluster.nodes() / 2, 1));
+    const std::uint64_t at_once = 1 + m_cluster.nodes() / 20;
+    for (std::uint64_t i = 0; i < stops; ++i) {
+        stop_one();
+        if (i % at_once == 0) {
+            disturb();
+            send_for(std::chrono::milliseconds(100 + draw(2900)));
+        }
+    }
+    if (draw(2) == 0) { // else the next series overlaps with this
+        send_for(grace);
+    }
+}
+
+void stops_run::stop_one() {
+    const std::size_t node = draw(m_cluster.nodes());
+    if (m_stops.count(node) == 0) {
+        m_cluster.stop_node(node);
+        m_stops[node] = stop{clock::now(), std::nullopt};
+    }
+}
+
+void stops_run::disturb() {
+    const std::size_t node = draw(m_cluster.nodes());
+    const std::uint64_t voter = draw(3);
+    const std::uint64_t again = draw(64);
+    switch (draw(6)) {
+    case 0: m_cluster.signal_node(node, SIGHUP); break;
+    case 1:
+        if (m_cluster.configure(m_version + 2, m_version)) {
+            m_version += 2;
+        }
+        break;
+    case 2:
+        if (!m_voter) {
+            m_cluster.signal_voter(voter, SIGTERM);
+            m_voter = voter;
+        }
+        break;
+    case 3:
+    case 4:
+        if (!m_stops.empty()) {
+            m_cluster.signal_node(std::next(m_stops.begin(), again % m_stops.size())->first,
+                                  SIGTERM);
+        }
+        break;
+    default: break;
+    }
+}
+
+void stops_run::send_for(duration time) {
+    const clock::time_point end = clock::now() + time;
+    while (clock::now() < end) {
+        tend();
+        const std::uint64_t second = 1s / step;
+        for (std::uint64_t i = (per_node * m_cluster.nodes() + draw_load(second)) / second; i > 0;
+             --i) {
+            m_cluster.send(draw_load(m_cluster.nodes()), draw_load(5) < 3, draw_load(2) == 0,
+                           static_cast<std::uint32_t>(draw_load(65536)));
+        }
+        m_cluster.run_for(step);
+    }
+}
+
+void stops_run::tend() {
+    const clock::time_point now = clock::now();
+    for (auto it = m_stops.begin(); it != m_stops.end();) {
+        auto &[node, stopping] = *it;
+        if (stopping.again && now >= *stopping.again) {
+            m_cluster.start_node(node);
+            it = m_stops.erase(it);
+            continue;
+        }
+        if (!stopping.again && !m_cluster.node_ended(node) && now > stopping.since + grace) {
+            m_violations.push_back("node " + std::to_string(node) + " outlasts its grace time");
+            m_cluster.end_node(node);
+        }
+        if (!stopping.again && m_cluster.node_ended(node)) {
+            stopping.again = now + restart_pause;
+        }
+        ++it;
+    }
+    if (m_voter && m_cluster.voter_ended(*m_voter)) {
+        m_cluster.start_voter(*m_voter);
+        m_voter.reset();
+    }
+}
+
+bool stops_run::report() {
+    const std::vector<std::string> found = m_cluster.stops().check();
+    m_cluster.check_requests();
+    for (const auto *list : {&found, &m_cluster.violations()}) {
+        m_violations.insert(m_violations.end(), list->begin(), list->end());
+    }
+    const stop_oracle::tally &counts = m_cluster.stops().counts();
+    for (const auto &[status, number] : counts.answers) {
+        std::cout << status << ": " << number << ", ";
+    }
+    std::cout << "runs " << counts.runs << ", cut " << counts.cut << " (served elsewhere "
+              << counts.cut_served << "), given up out of time " << counts.out_of_time
+              << ", in the last sixth " << counts.last_sixth << ", at work " << counts.given_up
+              << "; lost answers " << counts.lost_answers << ", unfounded 502 " << counts.unfounded
+              << "\n";
+    for (const std::string &what : m_violations) {
+        std::cout << what << "\n";
+    }
+    if (!m_violations.empty()) {
+        std::cout << "logs are in " << m_cluster.keep_folder() << "\n";
+    }
+    return m_violations.empty();
+}
+
+} // namespace peppertack::testing
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -67,6 +67,23 @@
     }
 }
 
+/// Tells also when its connection is closed before it was answered.
+class watched_request final : public whole_request {
+public:
+    watched_request(const std::shared_ptr<http_server_connection> &caller, function handle,
+                    std::function<void(const http_head &)> gone)
+        : whole_request(caller, std::move(handle)), m_connection(caller), m_gone(std::move(gone)) {}
+    void on_caller_gone() override {
+        if (const auto connection = m_connection.lock()) {
+            m_gone(connection->request());
+        }
+    }
+
+private:
+    std::weak_ptr<http_server_connection> m_connection;
+    std::function<void(const http_head &)> m_gone;
+};
+
 /// Writes an answer into the attempt that waits for it.
 struct operator_answer {
     bool over = false;
@@ -120,9 +137,16 @@
     const std::string address =
         m_cluster.behind_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
     m_server = std::make_unique<http_server>(
-        m_cluster.m_io, http_server::options{.address = address},
-        whole_request::factory(
-            [this](const auto &caller, const std::string &body) { take_request(caller, body); }));
+        m_cluster.m_io, http_server::options{.address = address}, [this](const auto &caller) {
+            return std::make_shared<watched_request>(
+                caller,
+                [this](const auto &from, const std::string &body) { take_request(from, body); },
+                [this](const http_head &head) {
+                    if (const std::string *id = head.find("X-Request-Id")) {
+                        m_cluster.m_stops.note_run_end(*id, m_place, true);
+                    }
+                });
+        });
     std::string reason;
     if (!m_server->start(reason)) {
         m_cluster.violate("a stand-in target can't listen: " + reason);
@@ -278,6 +302,7 @@
         note_arrival_while_cold();
     }
     m_cluster.note_run(*id, body);
+    m_cluster.m_stops.note_run(*id, m_place);
     if (head.target == crashing_path) {
         ++m_crashes;
         // Not within the call of the server that goes.
@@ -291,10 +316,14 @@
         return;
     }
     headers.push_back({"X-Response-Signature", m_name});
-    auto timer = std::make_shared<asio::steady_timer>(m_cluster.m_io, m_cluster.m_options.work);
-    timer->async_wait([timer, caller, headers, text = "ran " + *id](asio::error_code error) {
+    const platform_cluster::options &settings = m_cluster.m_options;
+    auto timer = std::make_shared<asio::steady_timer>(
+        m_cluster.m_io, settings.work_at ? settings.work_at(m_place) : settings.work);
+    timer->async_wait([timer, caller, headers, id = *id, place = m_place,
+                       &stops = m_cluster.m_stops](asio::error_code error) {
         if (!error && !caller->closed()) {
-            caller->respond(200, headers, text);
+            stops.note_run_end(id, place, false);
+            caller->respond(200, headers, "ran " + id);
         }
     });
 }
@@ -397,8 +426,10 @@
             const std::string port = ":" + std::to_string(m_ports.at(use));
             return std::make_unique<fault_proxy>(m_io, node_ip(i) + port, behind_ip(i) + port);
         };
-        m_node_links.push_back(link("nodes"));
-        m_target_links.push_back(link("target"));
+        if (!m_options.direct) {
+            m_node_links.push_back(link("nodes"));
+            m_target_links.push_back(link("target"));
+        }
         start_node(i);
         m_targets.push_back(std::make_unique<stand_in_platform_target>(*this, i));
         m_targets.back()->start();
@@ -427,7 +458,9 @@
 }
 
 std::string platform_cluster::behind_ip(std::size_t place) const {
-    return "127." + std::to_string(1 + ::getpid() % 200) + ".3." + std::to_string(place + 1);
+    return m_options.direct
+               ? node_ip(place)
+               : "127." + std::to_string(1 + ::getpid() % 200) + ".3." + std::to_string(place + 1);
 }
 
 std::string platform_cluster::settings_text(const std::string &ip, const std::string &behind,
@@ -496,11 +529,16 @@
     }
 }
 
-bool platform_cluster::node_ended(std::size_t place) {
-    if (m_nodes[place] > 0 && ::waitpid(m_nodes[place], nullptr, WNOHANG) == m_nodes[place]) {
-        m_nodes[place] = -1;
+bool platform_cluster::ended(pid_t &process) {
+    if (process > 0 && ::waitpid(process, nullptr, WNOHANG) == process) {
+        process = -1;
     }
-    return m_nodes[place] <= 0;
+    return process <= 0;
+}
+
+void platform_cluster::stop_node(std::size_t place) {
+    m_stops.note_stop(place);
+    signal_node(place, SIGTERM);
 }
 
 bool platform_cluster::run_until(const std::function<bool()> &condition, duration patience) {
@@ -578,10 +616,11 @@
         return std::string(8 - text.size(), '0') + text;
     };
     nlohmann::json config{{"version", digits(version)}, {"base_version", digits(base)}};
-    const auto route = [](const char *host, const char *type, const char *service) {
-        return nlohmann::json{{"host", host},       {"path_prefix", "/a/"},  {"type", type},
-                              {"timeout_s", 2},     {"target_latency_s", 1}, {"priority", 1},
-                              {"service", service}, {"max_attempts", 2}};
+    const auto route = [&](const char *host, const char *type, const char *service) {
+        return nlohmann::json{{"host", host},          {"path_prefix", "/a/"},
+                              {"type", type},          {"timeout_s", m_options.timeout.count()},
+                              {"target_latency_s", 1}, {"priority", 1},
+                              {"service", service},    {"max_attempts", 2}};
     };
     config["routes"] = {{"keyed-safe", route("keyed-safe", "safe", "keyed")},
                         {"keyed-once", route("keyed-once", "unsafe", "keyed")},
@@ -628,12 +667,19 @@
     head.target = path;
     head.headers = {{"Host", std::string(keyed ? "keyed-" : "plain-") + (once ? "once" : "safe")},
                     {"X-Request-Id", attempt->id},
-                    {"X-Deadline-Ms", "1500"}};
+                    {"X-Deadline-Ms", std::to_string(m_options.deadline.count())}};
     if (keyed) {
         head.headers.push_back({"X-Shard-Key", std::to_string(key)});
     }
     const std::string address = caller_address(node);
-    call(m_io, m_pool, address, head, once ? body : "", fill_in(attempt));
+    m_stops.note_sent(attempt->id, node,
+                      steady_instant() + std::min<duration>(m_options.deadline, m_options.timeout));
+    call(m_io, m_pool, address, head, once ? body : "",
+         [this, attempt, fill = fill_in(attempt)](int status, const std::string &text,
+                                                  const http_head &answer) {
+             fill(status, text, answer);
+             m_stops.note_answer(attempt->id, status);
+         });
     return attempt;
 }
 
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -4,6 +4,7 @@
 #include "peppertack/state/time.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
+#include "stop_oracle.hpp"
 
 #include <asio/io_context.hpp>
 #include <deque>
@@ -154,6 +155,12 @@
         double cold_slack = 4;            ///< and so many more
         std::string grants = "heartbeat"; ///< how the keyed service's targets are handed keys
         std::uint64_t seed = 1;
+        std::chrono::milliseconds deadline{1500}; ///< that callers tell
+        std::chrono::seconds timeout{2};          ///< of all routes
+        /// How long a run at a target takes; empty: `work`.
+        std::function<duration(std::size_t target)> work_at;
+        /// No proxies: connections to a process that has ended are refused, as in a real network.
+        bool direct = false;
     };
 
     explicit platform_cluster(options settings);
@@ -174,7 +181,11 @@
     void end_voter(std::size_t place) { end(m_voters[place]); }
     void end_node(std::size_t place) { end(m_nodes[place]); }
     void wipe_voter(std::size_t place);
-    bool node_ended(std::size_t place);
+    bool node_ended(std::size_t place) { return ended(m_nodes[place]); }
+    bool voter_ended(std::size_t place) { return ended(m_voters[place]); }
+    /// Tells a node for the first time to stop.
+    void stop_node(std::size_t place);
+    stop_oracle &stops() { return m_stops; }
 
     /// Puts a configuration whose version is `version` into force; true once it was acknowledged.
     bool configure(std::uint64_t version, std::uint64_t base);
@@ -237,6 +248,7 @@
     pid_t spawn(const std::string &role, const std::string &name, const std::string &settings);
     void signal(pid_t process, int number) const;
     static void end(pid_t &process);
+    static bool ended(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
     void note_run(const std::string &id, const std::string &body);
     void violate(const std::string &what) { m_violations.push_back(what); }
@@ -256,6 +268,7 @@
     std::map<std::string, std::string> m_bodies; ///< by request, as sent
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
         m_tokens; ///< by key: highest, who
+    stop_oracle m_stops;
     std::string m_last_answers;
     bool m_keep = false;
     std::uint64_t m_next_id = 0;
