--- a/tests/support/stop_oracle.cpp
+++ b/tests/support/stop_oracle.cpp
@@ -110,7 +110,8 @@
         return "";
     }
     const auto next = std::upper_bound(found->second.begin(), found->second.end(), at);
-    return next == found->second.begin() ? "" : " (stop + " + ms_text(at - *std::prev(next)) + ")";
+    const bool stopping = next != found->second.begin() && at <= *std::prev(next) + m_options.grace;
+    return stopping ? " (stop + " + ms_text(at - *std::prev(next)) + ")" : "";
 }
 
 std::string stop_oracle::story(const std::string &id, const request &asked) const {
--- a/tests/support/stop_oracle.hpp
+++ b/tests/support/stop_oracle.hpp
@@ -64,7 +64,7 @@
     void judge(const std::string &id, const request &asked, std::vector<std::string> &violations);
     bool in_last_sixth(const request &asked, instant given_up) const;
     std::string story(const std::string &id, const request &asked) const;
-    /// Time since the last SIGTERM of a node before `at`, for people.
+    /// How long a node had been stopping at `at`, for people; empty: it was not.
     std::string since_stop(std::size_t node, instant at) const;
 
     options m_options;
