--- a/tests/soak/stops_run.cpp
+++ b/tests/soak/stops_run.cpp
@@ -12,7 +12,7 @@
 constexpr duration grace = 6s;            ///< as the cluster tells the processes
 constexpr duration restart_pause = 500ms; ///< from the end of a process to the next one's start
 constexpr duration step = 10ms;
-constexpr std::uint64_t per_node = 8; ///< requests a second
+constexpr std::uint64_t per_node = 10; ///< requests a second
 
 } // namespace
 
@@ -25,7 +25,7 @@
     result.services.clear();
     for (std::size_t i = 0; i < nodes; ++i) {
         result.services.emplace_back(i % 5 < 3 ? "keyed" : "plain");
-        m_slow.push_back(draw(2) == 0);
+        m_slow.push_back(draw(4) != 0);
     }
     result.deadline = 6s;
     result.timeout = 3s;
