--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -592,6 +592,17 @@
     return result;
 }
 
+std::shared_ptr<caller_attempt> platform_cluster::ask_voter(std::size_t voter) {
+    http_head head;
+    head.method = "GET";
+    head.target = "/peppertack/config";
+    head.headers = {{"Host", "voter"}};
+    auto attempt = std::make_shared<caller_attempt>();
+    call(m_io, m_pool, voter_ip(voter) + ":" + std::to_string(m_ports.at("control")), head, {},
+         fill_in(attempt));
+    return attempt;
+}
+
 std::string platform_cluster::control_address(std::size_t node) const {
     return node_ip(node) + ":" + std::to_string(m_ports.at("control"));
 }
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -194,6 +194,8 @@
     /// Status and body of an operator's call, following redirections over the voters.
     std::pair<int, std::string> operate(const std::string &method, const std::string &body,
                                         const std::string &path = "/peppertack/config");
+    /// Sends an operator's call to one voter and follows no redirection.
+    std::shared_ptr<caller_attempt> ask_voter(std::size_t voter);
     /// Sends one request to a node; the attempt is filled in as the loop runs.
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
