--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -22,7 +22,16 @@
 constexpr std::uint32_t sample_distance = 1024;
 constexpr duration hold_slack = std::chrono::milliseconds(40); ///< late timers of this process
 constexpr auto beat_again = std::chrono::milliseconds(40);
-constexpr const char *crashing_path = "/a/crash"; ///< ends each target that runs it
+constexpr const char *crashing_path = "/a/crash";     ///< ends each target that runs it
+constexpr std::string_view working_path = "/a/work/"; ///< milliseconds follow
+
+/// How long a target works on a request for that path, if the path says so.
+std::optional<duration> work_on(const std::string &path) {
+    if (path.rfind(working_path, 0) != 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::stoll(path.substr(working_path.size())));
+}
 
 /// Collects an answer and hands it on.
 class whole_answer final : public http_response_handler {
@@ -144,6 +153,7 @@
                 [this](const http_head &head) {
                     if (const std::string *id = head.find("X-Request-Id")) {
                         m_cluster.m_stops.note_run_end(*id, m_place, true);
+                        m_cluster.m_cut_runs.push_back(*id);
                     }
                 });
         });
@@ -317,8 +327,9 @@
     }
     headers.push_back({"X-Response-Signature", m_name});
     const platform_cluster::options &settings = m_cluster.m_options;
-    auto timer = std::make_shared<asio::steady_timer>(
-        m_cluster.m_io, settings.work_at ? settings.work_at(m_place) : settings.work);
+    const duration usual = settings.work_at ? settings.work_at(m_place) : settings.work;
+    auto timer =
+        std::make_shared<asio::steady_timer>(m_cluster.m_io, work_on(head.target).value_or(usual));
     timer->async_wait([timer, caller, headers, id = *id, place = m_place,
                        &stops = m_cluster.m_stops](asio::error_code error) {
         if (!error && !caller->closed()) {
@@ -664,12 +675,20 @@
     return send_to_path(crashing_path, node, keyed, once, key, "body");
 }
 
+std::shared_ptr<caller_attempt> platform_cluster::send_working(std::size_t node, bool keyed,
+                                                               bool once, std::uint32_t key,
+                                                               std::chrono::milliseconds work) {
+    return send_to_path(std::string(working_path) + std::to_string(work.count()), node, keyed, once,
+                        key, "body");
+}
+
 std::shared_ptr<caller_attempt> platform_cluster::send_to_path(const std::string &path,
                                                                std::size_t node, bool keyed,
                                                                bool once, std::uint32_t key,
                                                                const std::string &body) {
     auto attempt = std::make_shared<caller_attempt>();
     attempt->id = "r" + std::to_string(++m_next_id);
+    attempt->node = node;
     attempt->once = once;
     m_bodies[attempt->id] = once ? body : "";
     m_attempts.push_back(attempt);
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -127,6 +127,7 @@
 /// One request of a caller and what became of it.
 struct caller_attempt {
     std::string id;
+    std::size_t node = 0; ///< place of the one that takes it
     bool once = false;
     int status = 0; ///< 0: no answer yet; -1: the connection ended without one
     std::string body;
@@ -203,6 +204,9 @@
     /// Sends a request that ends each target that runs it. The content is the same each time.
     std::shared_ptr<caller_attempt> send_crashing(std::size_t node, bool keyed, bool once,
                                                   std::uint32_t key);
+    /// Sends a request at which the target works for so long.
+    std::shared_ptr<caller_attempt> send_working(std::size_t node, bool keyed, bool once,
+                                                 std::uint32_t key, std::chrono::milliseconds work);
     /// Asks a node for a path that no route of `configure` takes, unless `host` is one of theirs.
     /// `length`: bytes of a body that is announced and not sent.
     std::shared_ptr<caller_attempt> ask(std::size_t node, const std::string &host,
@@ -230,6 +234,10 @@
     /// Last answers that `serves` got, for people.
     const std::string &last_answers() const { return m_last_answers; }
     const std::vector<std::string> &violations() const { return m_violations; }
+    /// Whether a target has begun to run the request.
+    bool has_run(const std::string &id) const { return m_runs.count(id) != 0; }
+    /// Requests whose connection was closed while a target was at work on them.
+    const std::vector<std::string> &cut_runs() const { return m_cut_runs; }
     /// Checks what became of all requests sent so far.
     void check_requests();
 
@@ -267,6 +275,7 @@
     std::vector<std::unique_ptr<stand_in_platform_target>> m_targets;
     std::vector<std::shared_ptr<caller_attempt>> m_attempts;
     std::map<std::string, int> m_runs;
+    std::vector<std::string> m_cut_runs;
     std::map<std::string, std::string> m_bodies; ///< by request, as sent
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
         m_tokens; ///< by key: highest, who
