--- a/include/peppertack/coordination/graceful_stop.hpp
+++ b/include/peppertack/coordination/graceful_stop.hpp
@@ -53,7 +53,7 @@
     }
     /// Whether a request that was taken may still be given to the target.
     bool may_start(instant deadline) const { return !m_begun || deadline <= gives_up_at(); }
-    /// Whether unfinished requests are to be answered now. True once.
+    /// Whether the time has come to answer all unfinished requests. True once.
     bool take_give_up(instant now);
     /// Estimated time until the process ends; `run`: how long requests take. Precondition:
     /// `begun()`.
--- a/include/peppertack/coordination/unavailable_targets.hpp
+++ b/include/peppertack/coordination/unavailable_targets.hpp
@@ -9,9 +9,9 @@
 
 namespace peppertack {
 
-/// Remembers targets that can't be reached for now: their nodes stop, or take no connections. A
-/// keyed request has no other target. Without this each one that waits would ask the node again on
-/// its own, at the cost of a connection each time. Not thread safe.
+/// Remembers targets that can't be reached for now: their nodes stop, or take no connections. For
+/// keyed requests, which have no other target: without this each one that waits would ask the node
+/// again on its own, at the cost of a connection each time. Not thread safe.
 class unavailable_targets {
 public:
     struct options {
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -82,6 +82,7 @@
     /// Answers the next request, which may be on its way, and handles none. Precondition: none is
     /// being handled.
     void answer_unread(int status, std::vector<header_field> headers);
+    /// Ends the connection once the answer is written.
     void end_after_writes();
 
     http_server *m_server; ///< null once the server is gone
@@ -161,7 +162,7 @@
         int status = 0;
         std::vector<header_field> headers;
     };
-    std::optional<refusal> m_refusal; ///< of requests on connections that are taken in from now on
+    std::optional<refusal> m_refusal;                 ///< of all further requests
     std::vector<std::weak_ptr<byte_stream>> m_ending; ///< after their last answer
     bool m_draining = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< ends with this server
--- a/src/coordination/graceful_stop.cpp
+++ b/src/coordination/graceful_stop.cpp
@@ -38,10 +38,11 @@
 graceful_stop::phase graceful_stop::advance(const open_work &open, instant now) {
     const duration passed = elapsed(now);
     const bool callers_gone = passed > m_options.acceptance && open.callers == 0;
-    // Other nodes go on sending what only this target can do, and some callers never cease.
+    // Some callers never cease, and other nodes go on sending what only this target can do.
+    const bool waited_enough = passed > m_options.acceptance * 2;
     if (passed > m_options.limit) {
         m_phase = phase::ended;
-    } else if (m_phase == phase::serving && (callers_gone || passed > m_options.acceptance * 2)) {
+    } else if (m_phase == phase::serving && (callers_gone || waited_enough)) {
         m_phase = phase::finishing;
     } else if (m_phase == phase::finishing && callers_gone && open.requests == 0) {
         m_phase = phase::closing;
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -23,7 +23,7 @@
 constexpr duration hold_slack = std::chrono::milliseconds(40); ///< late timers of this process
 constexpr auto beat_again = std::chrono::milliseconds(40);
 constexpr const char *crashing_path = "/a/crash";     ///< ends each target that runs it
-constexpr std::string_view working_path = "/a/work/"; ///< milliseconds follow
+constexpr std::string_view working_path = "/a/busy/"; ///< milliseconds follow
 
 /// How long a target works on a request for that path, if the path says so.
 std::optional<duration> work_on(const std::string &path) {
