Tests: keep the logs of a failed case, and let disks stand still

The soak returned at "never served" before it kept its folder, and the platform and transport suites removed theirs always.

Change: a listener tells the clusters of a test program that the running case has failed; they then keep their folders and print where, with load, pressure, Dirty and Writeback of the machine and the first warnings of each log, which tell a stalled disk from a lack of processor. The soaks do the same at "never served". libslow_disk.so replaces libslow_sync.so: beside slower syncs it lets syncs, log lines, other writes or creating opens stand still for a while. The harness waits as long as a Retry-After asks before it repeats an operator's call.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -26,6 +26,7 @@
     bool play(int steps) {
         if (!m_cluster.configure(1, 0) || !m_cluster.serves()) {
             std::cout << "never served\n";
+            m_cluster.keep_folder();
             return false;
         }
         for (int i = 0; i < steps; ++i) {
@@ -46,7 +47,7 @@
         }
         const bool good = again && m_sound && m_cluster.violations().empty();
         if (!good) {
-            std::cout << "logs are in " << m_cluster.keep_folder() << "\n";
+            m_cluster.keep_folder();
         }
         return good;
     }
--- a/tests/soak/stops_run.cpp
+++ b/tests/soak/stops_run.cpp
@@ -40,6 +40,7 @@
 bool stops_run::play(int series) {
     if (!m_cluster.configure(1, 0) || !m_cluster.serves()) {
         std::cout << "never served\n";
+        m_cluster.keep_folder();
         return false;
     }
     for (int i = 0; i < series; ++i) {
@@ -164,7 +165,7 @@
         std::cout << what << "\n";
     }
     if (!m_violations.empty()) {
-        std::cout << "logs are in " << m_cluster.keep_folder() << "\n";
+        m_cluster.keep_folder();
     }
     return m_violations.empty();
 }
--- a/tests/support/local_cluster.cpp
+++ b/tests/support/local_cluster.cpp
@@ -1,6 +1,7 @@
 #include "local_cluster.hpp"
 
 #include "child_process.hpp"
+#include "failure_report.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -56,7 +57,10 @@
 
 local_cluster::~local_cluster() {
     end_all();
-    if (std::getenv(keep_folder_variable) != nullptr) {
+    if (case_failed()) {
+        report_failure(m_folder);
+    }
+    if (case_failed() || std::getenv(keep_folder_variable) != nullptr) {
         return;
     }
     std::error_code ignored;
@@ -77,11 +81,20 @@
 
 std::vector<std::string> slow_syncs(const std::string &programs, std::chrono::milliseconds least,
                                     std::chrono::milliseconds most) {
-    return {"LD_PRELOAD=" + programs + "/libslow_sync.so",
+    return {"LD_PRELOAD=" + programs + "/libslow_disk.so",
             "PEPPERTACK_SYNC_MS=" + std::to_string(least.count()),
             "PEPPERTACK_SYNC_MOST_MS=" + std::to_string(most.count())};
 }
 
+std::vector<std::string> stalled_disk(const std::string &programs, const std::string &calls,
+                                      std::chrono::milliseconds length) {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return {"LD_PRELOAD=" + programs + "/libslow_disk.so", "PEPPERTACK_STALL_CALLS=" + calls,
+            "PEPPERTACK_STALL_AT_MS=" + std::to_string(now.count()),
+            "PEPPERTACK_STALL_FOR_MS=" + std::to_string(length.count())};
+}
+
 void local_cluster::start_node(std::size_t place) {
     std::string voters;
     for (std::size_t i = 0; i < m_options.voters; ++i) {
--- a/tests/support/local_cluster.hpp
+++ b/tests/support/local_cluster.hpp
@@ -39,6 +39,11 @@
 std::vector<std::string> slow_syncs(const std::string &programs, std::chrono::milliseconds least,
                                     std::chrono::milliseconds most);
 
+/// For the environment of processes: from now on and for so long their disks stand still, for the
+/// calls named by letters that tests/support/slow_disk.cpp lists.
+std::vector<std::string> stalled_disk(const std::string &programs, const std::string &calls,
+                                      std::chrono::milliseconds length);
+
 /// Real processes of this project on loopback with ports of their own, for tests and benches. Ends
 /// all of them when it goes.
 class local_cluster {
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -1,6 +1,7 @@
 #include "platform_cluster.hpp"
 
 #include "child_process.hpp"
+#include "failure_report.hpp"
 #include "local_cluster.hpp"
 #include "peppertack/transport/http/whole_request.hpp"
 #include "wall_clock.hpp"
@@ -98,7 +99,8 @@
     bool over = false;
     int status = -1;
     std::string text;
-    std::string location; ///< of a redirection
+    std::string location;    ///< of a redirection
+    std::string retry_after; ///< seconds; empty if none
 };
 
 whole_answer::function fill_in(const std::shared_ptr<caller_attempt> &attempt) {
@@ -453,10 +455,12 @@
             end(process);
         }
     }
-    if (!m_keep) {
-        std::error_code ignored;
-        std::filesystem::remove_all(m_folder, ignored);
+    if (m_keep || case_failed()) {
+        report_failure(m_folder);
+        return;
     }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
 }
 
 // Each deployment has addresses of its own, so that several can run on one machine.
@@ -505,8 +509,9 @@
     std::ofstream(path) << settings;
     const std::string program = m_options.programs + "/peppertack_platform";
     const std::string log = m_folder + "/" + name + ".log";
-    return start_child(
-        {.words = {program, role}, .log_file = log, .environment = {"PEPPERTACK_BOOT=" + path}});
+    std::vector<std::string> environment = m_options.environment;
+    environment.push_back("PEPPERTACK_BOOT=" + path);
+    return start_child({.words = {program, role}, .log_file = log, .environment = environment});
 }
 
 void platform_cluster::start_voter(std::size_t place, bool first) {
@@ -526,6 +531,15 @@
     std::filesystem::remove_all(m_folder + "/voter-" + std::to_string(place));
 }
 
+std::size_t platform_cluster::voter_log_lines(std::size_t place, const std::string &event) const {
+    std::ifstream in(m_folder + "/voter-" + std::to_string(place) + ".log");
+    std::size_t count = 0;
+    for (std::string line; std::getline(in, line);) {
+        count += line.find("\"" + event + "\"") != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 void platform_cluster::signal(pid_t process, int number) const {
     if (process > 0) {
         ::kill(process, number);
@@ -582,15 +596,21 @@
             call(m_io, m_pool, address, head, body,
                  [answer](int status, const std::string &text, const http_head &received) {
                      const std::string *next = received.find("Location");
+                     const std::string *pause = received.find("Retry-After");
                      *answer = {.over = true,
                                 .status = status,
                                 .text = text,
-                                .location = next == nullptr ? std::string() : *next};
+                                .location = next == nullptr ? std::string() : *next,
+                                .retry_after = pause == nullptr ? std::string() : *pause};
                  });
             if (!run_until([&] { return answer->over; }, std::chrono::seconds(5))) {
                 return {-1, {}};
             }
             result = {answer->status, answer->text};
+            if (!answer->retry_after.empty()) {
+                run_for(std::chrono::milliseconds(
+                    static_cast<std::int64_t>(1000 * std::stod(answer->retry_after))));
+            }
             const std::string &location = answer->location;
             address = result.first == 307 && location.size() > 7
                           ? location.substr(7, location.find('/', 7) - 7)
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -162,6 +162,7 @@
         std::function<duration(std::size_t target)> work_at;
         /// No proxies: connections to a process that has ended are refused, as in a real network.
         bool direct = false;
+        std::vector<std::string> environment; ///< of the processes: NAME=text
     };
 
     explicit platform_cluster(options settings);
@@ -188,6 +189,9 @@
     void stop_node(std::size_t place);
     stop_oracle &stops() { return m_stops; }
 
+    /// Lines with this event that a voter has logged so far.
+    std::size_t voter_log_lines(std::size_t place, const std::string &event) const;
+
     /// Puts a configuration whose version is `version` into force; true once it was acknowledged.
     bool configure(std::uint64_t version, std::uint64_t base);
     /// The word for how keys are handed over that the next configuration has.
@@ -226,11 +230,9 @@
     fault_proxy &target_links(std::size_t place) { return *m_target_links[place]; }
     stand_in_platform_target &target(std::size_t place) { return *m_targets[place]; }
     std::size_t nodes() const { return m_options.services.size(); }
-    /// Logs and disks stay when this goes; yields where.
-    const std::string &keep_folder() {
-        m_keep = true;
-        return m_folder;
-    }
+    /// Logs and disks stay when this goes, which then tells where. They also do if the running test
+    /// case has failed.
+    void keep_folder() { m_keep = true; }
     /// Last answers that `serves` got, for people.
     const std::string &last_answers() const { return m_last_answers; }
     const std::vector<std::string> &violations() const { return m_violations; }
