Write log lines on a thread of their own

What callers saw: nothing was served, and every key lost its owner, for as long as the disk behind the log of our processes stood still; an operator's change was not acknowledged.

Cause: write_line was called on the thread that logs (control, traffic, peers, operators). poll always calls a regular file writable, and the write then waits for the disk, under the lock of the logging library. With a pipe, poll promises room for one page only, so a longer line, or the second of two, may wait for its reader.

Change: log_writer, a queue bounded in bytes with one writer thread; warnings and errors have room of their own; what doesn't fit is dropped, counted, and told in a line (log_lines_dropped) once there is room. At exit, and before a fatal abort, the queue is flushed for half a second.

--- a/src/transport/json_log.cpp
+++ b/src/transport/json_log.cpp
@@ -1,11 +1,12 @@
 #include "peppertack/transport/json_log.hpp"
 
+#include "peppertack/transport/log_writer.hpp"
+
 #include <array>
-#include <atomic>
 #include <chrono>
+#include <cstdlib>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
-#include <poll.h>
 #include <unistd.h>
 
 namespace peppertack {
@@ -21,21 +22,10 @@
         .count();
 }
 
-std::atomic<std::uint64_t> g_dropped{0};
-
-/// Writes a line whole or not at all. A reader of the log that stalls must never hold up a
-/// decision, so a line that the pipe has no room for is dropped and counted.
-void write_line(const std::string &line) {
-    pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
-    if (::poll(&out, 1, 0) < 1 || (out.revents & POLLOUT) == 0) {
-        ++g_dropped;
-        return;
-    }
-    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
-    if (written != static_cast<ssize_t>(line.size())) {
-        ++g_dropped;
-    }
-}
+/// At the end of a process, time for the lines in the queue to be written.
+constexpr std::chrono::milliseconds flush_limit(500);
+/// Never destroyed: other threads may log while the process exits.
+log_writer *g_writer = nullptr;
 
 /// Writes each message as one line. A message of `log_event` is JSON already; one of a library is
 /// wrapped.
@@ -52,7 +42,11 @@
         json["source"] = std::string(file) + ":" + std::to_string(line);
         const std::string out =
             json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-        write_line(out);
+        g_writer->write(out, severity >= google::GLOG_WARNING ? log_writer::priority::important
+                                                              : log_writer::priority::normal);
+        if (severity == google::GLOG_FATAL) {
+            g_writer->flush(flush_limit); // the process ends without its exit handlers
+        }
     }
 };
 
@@ -62,6 +56,8 @@
     static std::string name = program;
     static json_sink sink;
     g_least = least;
+    g_writer = new log_writer({.descriptor = STDOUT_FILENO});
+    std::atexit([] { g_writer->flush(flush_limit); });
     google::InitGoogleLogging(name.c_str());
     for (const google::LogSeverity severity :
          {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
@@ -72,7 +68,7 @@
 }
 
 std::uint64_t dropped_log_lines() {
-    return g_dropped;
+    return g_writer == nullptr ? 0 : g_writer->dropped();
 }
 
 void log_event(log_level level, const char *event, const nlohmann::json &fields) {
--- a/tests/transport/slow_disk_test.cpp
+++ b/tests/transport/slow_disk_test.cpp
@@ -81,3 +81,12 @@
     std::this_thread::sleep_for(5s);
     CHECK(decisions() == before);
 }
+
+// Guards against leases that end because a process waits for the disk of its log.
+TEST_CASE("keys have owners while no line of any log can be written") {
+    cluster_options options = small_cluster({{"emision", 4}});
+    options.node_environment = stalled_disk(programs, "l", 10min);
+    local_cluster cluster(programs, options);
+    REQUIRE(cluster.make_ready());
+    check_loss_of_leader(cluster);
+}
