Start a voter without waiting for syncs one after the other

What callers saw: a new cluster was never served while syncs took 3 s and more, and answered nobody for four syncs.

Cause: six syncs in a row before a voter could lead: identity and its folder, the empty log and its folder, all on the main thread before any port was open; then the folder again, since each opening of a file synced it; then the vote. The first record of the audit archive, which is never synced itself, cost a folder sync more.

Change: a new log has no file until its first change; that write brings identity and log together (replace_all: the files synced at the same time, the folder once) and the vote with them. A folder is synced once for each file that is synced. What is promised still waits: nothing is reported as durable before both files and the folder are. A crash may keep any of the files: each combination is tested; a log that is kept alone gets its identity before it is used.

One set-up line in "reopening fails if the disk lacks acknowledged data" writes a first vote, since the test takes the name of the log's file, which now begins with the first change; its checks are unchanged. The fake storage names the reason of a failed replacement as it does for an append.

--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peppertack/state/storage.hpp"
+
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -9,8 +11,6 @@
 
 namespace peppertack {
 
-class storage;
-
 enum class entry_kind : std::uint8_t {
     election, ///< first entry of a leader's term; no payload
     command,  ///< payload is an encoded command
@@ -60,6 +60,7 @@
     bool begins_file = false; ///< the records replace the file's content
     std::string snapshot;     ///< encoded; stored before the file is written; empty if none
     std::string obsolete;     ///< file to remove afterwards; empty if none
+    std::optional<stored_file> companion; ///< replaced together with the file that begins
 };
 
 /// Result of a write.
@@ -87,10 +88,14 @@
     struct options {
         bool sync_writes = true; ///< disabled only for fault injection in tests and in benchmarks
         bool write_behind = false;
+        /// A file without which the log must not be used. It is stored together with the first file
+        /// of the log, so before anything is reported as durable, or by `open` if there is a log.
+        std::optional<stored_file> companion;
     };
 
-    /// Opens or creates the log. Truncates an unsynced tail. Returns nullopt and sets `reason` if
-    /// synced data is damaged, since skipping it could lose an acknowledged decision.
+    /// Opens the log. A new log has no file until its first change, so that opening it waits for no
+    /// sync. Truncates an unsynced tail. Returns nullopt and sets `reason` if synced data is
+    /// damaged, since skipping it could lose an acknowledged decision.
     static std::optional<durable_log> open(storage &files, options settings, std::string &reason);
     static std::optional<durable_log> open(storage &files, std::string &reason) {
         return open(files, options{}, reason);
@@ -158,6 +163,7 @@
     void advance_durable();
     void truncate_positions(std::uint64_t last_index);
     log_write initial_write();
+    void begin_file(log_write &write);
     bool write_initial(const log_write &write);
     bool holds_durable_state_of(const durable_log &earlier) const;
     bool set_disk_error(const std::string &what, open_failure &failure) const;
@@ -173,6 +179,7 @@
     bool m_follows_snapshot =
         true; ///< while loading: the next entries continue the snapshot's history
     std::string m_file;
+    bool m_file_begun = false;      ///< the first file of the log exists, or its write is queued
     std::deque<log_write> m_writes; ///< queued; only the last one accepts further changes
     bool m_writing = false;
     std::uint64_t m_staged = 0;
--- a/include/peppertack/state/posix_storage.hpp
+++ b/include/peppertack/state/posix_storage.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace peppertack {
 
@@ -23,6 +24,8 @@
     bool sync(const std::string &name) override;
     bool truncate(const std::string &name, std::size_t size) override;
     bool replace(const std::string &name, std::string_view bytes) override;
+    /// Syncs the files concurrently, and the directory once for all of them.
+    bool replace_all(const std::vector<stored_file> &files) override;
     bool remove(const std::string &name) override;
     const std::string &last_reason() const override { return m_reason; }
 
@@ -32,12 +35,14 @@
     std::string path_of(const std::string &name) const { return m_folder + "/" + name; }
     int handle_of(const std::string &name);
     void close_handle(const std::string &name);
+    bool sync_entry(const std::string &name);
     bool sync_folder();
     bool fail(const std::string &what);
 
     std::string m_folder;
     int m_lock = -1;
     std::map<std::string, int> m_handles;
+    std::set<std::string> m_durable_entries; ///< files whose directory entries are synced
     std::string m_reason;
 };
 
--- a/include/peppertack/state/storage.hpp
+++ b/include/peppertack/state/storage.hpp
@@ -7,6 +7,14 @@
 
 namespace peppertack {
 
+/// A file with its complete content.
+struct stored_file {
+    std::string name;
+    std::string bytes;
+
+    friend bool operator==(const stored_file &, const stored_file &) = default;
+};
+
 /// Files of one process in one data directory. Names contain no path. A write is durable only after
 /// `sync` of that file has returned true. Calls block on disk I/O. Not thread safe: after start-up,
 /// used only on the disk thread.
@@ -29,6 +37,9 @@
     /// Atomically replaces the content of the file; after a crash, the file has either the complete
     /// old or the complete new content.
     virtual bool replace(const std::string &name, std::string_view bytes) = 0;
+    /// Replaces several files. Each is replaced atomically; a crash before this has returned may
+    /// keep any of the replacements without the others.
+    virtual bool replace_all(const std::vector<stored_file> &files) = 0;
     virtual bool remove(const std::string &name) = 0;
     /// Reason why the last call failed.
     virtual const std::string &last_reason() const = 0;
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -1,7 +1,5 @@
 #include "peppertack/state/durable_log.hpp"
 
-#include "peppertack/state/storage.hpp"
-
 #include <algorithm>
 #include <cassert>
 #include <cstring>
@@ -183,7 +181,11 @@
         return failed("can't store the snapshot");
     }
     if (write.begins_file) {
-        if (!files.replace(write.file, make_frame(write.records))) {
+        std::vector<stored_file> stored{{.name = write.file, .bytes = make_frame(write.records)}};
+        if (write.companion) {
+            stored.push_back(*write.companion);
+        }
+        if (!files.replace_all(stored)) {
             return failed("can't start " + write.file);
         }
         if (!write.obsolete.empty()) {
@@ -285,13 +287,16 @@
         }
     }
     if (logs.empty()) {
-        if (!write_initial(initial_write())) {
-            failure = {.reason = m_reason, .retryable = true};
-            return false;
-        }
+        m_file = file_name(m_base_index);
         return true;
     }
     m_file = logs.back();
+    m_file_begun = true;
+    const std::optional<stored_file> &companion = m_options.companion;
+    if (companion && !std::binary_search(names->begin(), names->end(), companion->name) &&
+        !m_files->replace(companion->name, companion->bytes)) {
+        return set_disk_error("can't store " + companion->name, failure);
+    }
     if (!load_file(m_file, failure)) {
         return false;
     }
@@ -470,9 +475,7 @@
                     .records = file_records(m_vote, kept),
                     .begins_file = true,
                     .snapshot = encode(snapshot)};
-    if (m_file != write.file) {
-        write.obsolete = m_file;
-    }
+    begin_file(write);
     const std::string file = write.file;
     if (!stage(std::move(write))) {
         return false;
@@ -494,10 +497,18 @@
     log_write write{.file = file_name(m_base_index),
                     .records = file_records(m_vote, m_entries),
                     .begins_file = true};
-    if (m_file != write.file) {
+    begin_file(write);
+    return write;
+}
+
+/// Completes a write that begins a file.
+void durable_log::begin_file(log_write &write) {
+    if (!m_file_begun) {
+        write.companion = m_options.companion;
+    } else if (m_file != write.file) {
         write.obsolete = m_file;
     }
-    return write;
+    m_file_begun = true;
 }
 
 bool durable_log::write_initial(const log_write &write) {
@@ -509,7 +520,12 @@
 // ---- writes ----
 
 bool durable_log::stage_records(std::string records) {
-    if (m_writes.empty() || m_writes.back().begins_file ||
+    if (!m_file_begun) {
+        log_write write = initial_write();
+        write.records += records;
+        return stage(std::move(write));
+    }
+    if (m_writes.empty() || !m_writes.back().snapshot.empty() ||
         m_writes.back().records.size() + records.size() > max_write_bytes) {
         return stage({.file = m_file, .records = std::move(records)});
     }
--- a/src/state/posix_storage.cpp
+++ b/src/state/posix_storage.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <sys/file.h>
+#include <thread>
 #include <unistd.h>
 
 namespace peppertack {
@@ -53,6 +54,38 @@
     }
 }
 
+/// New content of a file, before it takes the file's place.
+struct temporary_file {
+    std::string path;
+    int handle = -1;
+    int error = 0; ///< errno of the first call that failed
+
+    void write(std::string_view bytes) {
+        handle = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+        if (handle < 0 || !write_all(handle, bytes)) {
+            error = errno;
+        }
+    }
+    void sync_and_close() {
+        if (error == 0 && ::fsync(handle) != 0) {
+            error = errno;
+        }
+        close_if_open(handle);
+    }
+};
+
+/// Takes as long as the slowest sync, not as long as all of them.
+void sync_concurrently(std::vector<temporary_file> &files) {
+    std::vector<std::thread> others;
+    for (std::size_t i = 1; i < files.size(); ++i) {
+        others.emplace_back([&file = files[i]] { file.sync_and_close(); });
+    }
+    files.front().sync_and_close();
+    for (std::thread &thread : others) {
+        thread.join();
+    }
+}
+
 } // namespace
 
 std::unique_ptr<posix_storage> posix_storage::make(const std::string &folder, std::string &reason) {
@@ -125,9 +158,8 @@
     }
     const int handle =
         ::open(path_of(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
-    if (handle < 0 || !sync_folder()) {
+    if (handle < 0) {
         fail("open " + name);
-        close_if_open(handle); // each write opens a new one while the disk fails
         return -1;
     }
     m_handles[name] = handle;
@@ -149,7 +181,7 @@
 
 bool posix_storage::sync(const std::string &name) {
     const int handle = handle_of(name);
-    return handle >= 0 && (::fdatasync(handle) == 0 || fail("sync " + name));
+    return handle >= 0 && (::fdatasync(handle) == 0 || fail("sync " + name)) && sync_entry(name);
 }
 
 bool posix_storage::truncate(const std::string &name, std::size_t size) {
@@ -158,31 +190,59 @@
         return false;
     }
     const bool cut = ::ftruncate(handle, static_cast<off_t>(size)) == 0;
-    return (cut && ::fsync(handle) == 0) || fail("truncate " + name);
+    return ((cut && ::fsync(handle) == 0) || fail("truncate " + name)) && sync_entry(name);
 }
 
 bool posix_storage::replace(const std::string &name, std::string_view bytes) {
-    close_handle(name);
-    const std::string fresh = path_of(name).append(temporary_suffix);
-    const int handle = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
-    if (handle < 0) {
-        return fail("create " + name);
+    return replace_all({{.name = name, .bytes = std::string(bytes)}});
+}
+
+bool posix_storage::replace_all(const std::vector<stored_file> &files) {
+    std::vector<temporary_file> written(files.size());
+    for (std::size_t i = 0; i < files.size(); ++i) {
+        close_handle(files[i].name);
+        m_durable_entries.erase(files[i].name);
+        written[i].path = path_of(files[i].name).append(temporary_suffix);
+        written[i].write(files[i].bytes);
     }
-    const bool written = write_all(handle, bytes) && ::fsync(handle) == 0;
-    ::close(handle);
-    if (!written || ::rename(fresh.c_str(), path_of(name).c_str()) != 0) {
-        fail("replace " + name);
-        ::unlink(fresh.c_str()); // frees the space for a retry on a full disk
+    sync_concurrently(written);
+    bool replaced = true;
+    for (std::size_t i = 0; i < files.size(); ++i) {
+        errno = written[i].error;
+        const bool renamed =
+            errno == 0 && ::rename(written[i].path.c_str(), path_of(files[i].name).c_str()) == 0;
+        if (!renamed) {
+            replaced = fail("replace " + files[i].name);
+            ::unlink(written[i].path.c_str()); // frees the space for a retry on a full disk
+        }
+    }
+    if (!replaced || !sync_folder()) {
         return false;
     }
-    return sync_folder();
+    for (const stored_file &file : files) {
+        m_durable_entries.insert(file.name);
+    }
+    return true;
 }
 
 bool posix_storage::remove(const std::string &name) {
     close_handle(name);
+    m_durable_entries.erase(name);
     return ::unlink(path_of(name).c_str()) == 0 || fail("remove " + name);
 }
 
+/// A file whose directory entry is not synced may be missing after a power loss.
+bool posix_storage::sync_entry(const std::string &name) {
+    if (m_durable_entries.count(name) != 0) {
+        return true;
+    }
+    if (!sync_folder()) {
+        return false;
+    }
+    m_durable_entries.insert(name);
+    return true;
+}
+
 bool posix_storage::sync_folder() {
     const int handle = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     const bool synced = handle >= 0 && ::fsync(handle) == 0;
--- a/src/transport/control_host.cpp
+++ b/src/transport/control_host.cpp
@@ -45,10 +45,13 @@
           m_send(std::move(send)), m_timer(m_io), m_work(asio::make_work_guard(m_io)),
           m_disk_work(asio::make_work_guard(m_disk)) {}
 
-    bool prepare(control_options options, std::string &reason) {
+    bool prepare(control_options options, std::optional<stored_file> companion,
+                 std::string &reason) {
         m_voter = durable_voter::make(
-            {.control = std::move(options), .log = {.write_behind = true}}, *m_files,
-            [this](const audit_record &record) { return note(record); }, read_clocks(), reason);
+            {.control = std::move(options),
+             .log = {.write_behind = true, .companion = std::move(companion)}},
+            *m_files, [this](const audit_record &record) { return note(record); }, read_clocks(),
+            reason);
         return m_voter != nullptr;
     }
 
@@ -402,7 +405,7 @@
     if (!identity.founders.empty()) {
         options.replication.initial.voters = {identity.founders.begin(), identity.founders.end()};
     }
-    if (!body->prepare(std::move(options), reason)) {
+    if (!body->prepare(std::move(options), identity.unstored, reason)) {
         return nullptr;
     }
     return std::unique_ptr<control_host>(new control_host(std::move(body)));
--- a/src/transport/voter_identity.cpp
+++ b/src/transport/voter_identity.cpp
@@ -62,12 +62,9 @@
         reason = "file identity can't be read: " + files->last_reason();
         return std::nullopt;
     }
-    const voter_identity identity = make_identity(settings);
+    voter_identity identity = make_identity(settings);
     const nlohmann::json json{{"name", identity.name}, {"founders", identity.founders}};
-    if (!files->replace(identity_file, json.dump())) {
-        reason = files->last_reason();
-        return std::nullopt;
-    }
+    identity.unstored = stored_file{.name = identity_file, .bytes = json.dump()};
     return identity;
 }
 
--- a/tests/coordination/fake_storage.hpp
+++ b/tests/coordination/fake_storage.hpp
@@ -62,11 +62,16 @@
     }
     bool replace(const std::string &name, std::string_view bytes) override {
         if (m_fault == fault::full || m_fault == fault::sync_fails) {
-            return fail("disk error");
+            return fail(m_fault == fault::full ? "disk full" : "sync failed");
         }
         m_files[name] = {.bytes = std::string(bytes), .synced = bytes.size()};
         return true;
     }
+    bool replace_all(const std::vector<stored_file> &files) override {
+        return std::all_of(files.begin(), files.end(), [this](const stored_file &file) {
+            return replace(file.name, file.bytes);
+        });
+    }
     bool remove(const std::string &name) override {
         m_files.erase(name);
         return true;
--- a/tests/coordination/replica_test.cpp
+++ b/tests/coordination/replica_test.cpp
@@ -68,6 +68,9 @@
     bool replace(const std::string &name, std::string_view bytes) override {
         return m_disk.replace(name, bytes);
     }
+    bool replace_all(const std::vector<stored_file> &files) override {
+        return m_disk.replace_all(files);
+    }
     bool remove(const std::string &name) override { return m_disk.remove(name); }
     const std::string &last_reason() const override { return m_disk.last_reason(); }
 
--- a/tests/state/durable_log_test.cpp
+++ b/tests/state/durable_log_test.cpp
@@ -304,6 +304,7 @@
     const auto tried_with = [](const auto &write, const auto &spoil) {
         fake_storage files;
         durable_log log = opened(files);
+        REQUIRE(log.save_vote({1, "b"})); // the file begins with the first change
         const std::string name = files.list()->back();
         const std::string before = files.bytes_of(name);
         write(log);
--- a/tests/state/log_write_test.cpp
+++ b/tests/state/log_write_test.cpp
@@ -2,6 +2,9 @@
 #include "peppertack/state/durable_log.hpp"
 
 #include <doctest/doctest.h>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace peppertack;
 using namespace peppertack::testing;
@@ -131,3 +134,78 @@
     CHECK_FALSE(durable_log::reopen(log, failure));
     CHECK_FALSE(failure.retryable);
 }
+
+// Guards against syncs one after the other before a voter can answer, and against a voter that goes
+// by a name which it no longer knows after a power loss.
+TEST_CASE("a new log has no file until its first change, which also stores its companion") {
+    const stored_file identity{.name = "identity", .bytes = "name"};
+    const durable_log::options settings{.write_behind = true, .companion = identity};
+    fake_storage files;
+    std::string reason;
+    std::optional<durable_log> log = durable_log::open(files, settings, reason);
+    REQUIRE_MESSAGE(log, reason);
+    CHECK(files.list()->empty());
+    REQUIRE(log->save_vote({1, "a"}));
+    REQUIRE(log->append({entry(1, 1)}));
+    CHECK_FALSE(log->vote_durable());
+    REQUIRE(write_next(*log, files));
+    CHECK(log->vote_durable());
+    CHECK(files.read(identity.name) == identity.bytes);
+    while (write_next(*log, files)) {
+    }
+    CHECK(opened(files).vote() == vote_record{1, "a"});
+    CHECK(opened(files).last_index() == 1);
+}
+
+TEST_CASE("a crash during the first write of a log keeps any of its files") {
+    const stored_file identity{.name = "identity", .bytes = "name"};
+    const durable_log::options settings{.write_behind = true, .companion = identity};
+    fake_storage complete;
+    std::string reason;
+    {
+        std::optional<durable_log> log = durable_log::open(complete, settings, reason);
+        REQUIRE_MESSAGE(log, reason);
+        REQUIRE(log->save_vote({1, "a"}));
+        REQUIRE(write_next(*log, complete));
+    }
+    const std::vector<std::string> names = *complete.list();
+    REQUIRE(names.size() == 2);
+    for (unsigned int kept = 0; kept < 4; ++kept) {
+        CAPTURE(kept);
+        fake_storage files = complete;
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            if ((kept & (1U << i)) == 0) {
+                files.remove(names[i]);
+            }
+        }
+        const bool log_kept = files.list()->size() > files.read(identity.name).has_value();
+        std::optional<durable_log> log = durable_log::open(files, settings, reason);
+        REQUIRE_MESSAGE(log, reason);
+        CHECK(log->vote() == (log_kept ? vote_record{1, "a"} : vote_record{}));
+        // Nothing is promised before both files are there.
+        CHECK((!log_kept || files.read(identity.name) == identity.bytes));
+        REQUIRE(log->save_vote({2, "b"}));
+        REQUIRE(write_next(*log, files));
+        CHECK(log->vote_durable());
+        CHECK(files.read(identity.name) == identity.bytes);
+        CHECK(opened(files).vote() == vote_record{2, "b"});
+    }
+}
+
+TEST_CASE("the companion of a log whose first write failed is stored when it is reopened") {
+    const stored_file identity{.name = "identity", .bytes = "name"};
+    fake_storage files;
+    std::string reason;
+    std::optional<durable_log> log =
+        durable_log::open(files, {.write_behind = true, .companion = identity}, reason);
+    REQUIRE_MESSAGE(log, reason);
+    REQUIRE(log->save_vote({1, "a"}));
+    files.set_fault(fake_storage::fault::full);
+    REQUIRE(write_next(*log, files));
+    CHECK(log->failed());
+    files.set_fault(fake_storage::fault::none);
+    open_failure failure;
+    const std::optional<durable_log> again = durable_log::reopen(*log, failure);
+    REQUIRE_MESSAGE(again, failure.reason);
+    CHECK(files.read(identity.name) == identity.bytes);
+}
