Soak: targets, callers and proxies go on while files wait for the disk

Cause: the harness starts processes, writes their settings, wipes disks and waits for ends of processes on the thread that is also the targets. A target that stands still counts a grant by call from when it reads it, up to seconds after its node has given the call up and another owner has the keys (docs/design/ownership.md, "What remains").

Change: run_beside does such work on a thread of its own, and the loop goes on until it is done. No check is changed. A product process whose target alone stands still is as before.

--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -6,12 +6,14 @@
 #include "peppertack/transport/http/whole_request.hpp"
 #include "wall_clock.hpp"
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -506,12 +508,23 @@
 pid_t platform_cluster::spawn(const std::string &role, const std::string &name,
                               const std::string &settings) {
     const std::string path = m_folder + "/" + name + ".conf";
-    std::ofstream(path) << settings;
-    const std::string program = m_options.programs + "/peppertack_platform";
-    const std::string log = m_folder + "/" + name + ".log";
-    std::vector<std::string> environment = m_options.environment;
-    environment.push_back("PEPPERTACK_BOOT=" + path);
-    return start_child({.words = {program, role}, .log_file = log, .environment = environment});
+    child_options options{.words = {m_options.programs + "/peppertack_platform", role},
+                          .log_file = m_folder + "/" + name + ".log",
+                          .environment = m_options.environment};
+    options.environment.push_back("PEPPERTACK_BOOT=" + path);
+    pid_t process = -1;
+    run_beside([&] {
+        std::ofstream(path) << settings;
+        process = start_child(options);
+    });
+    return process;
+}
+
+void platform_cluster::run_beside(const std::function<void()> &work) {
+    const auto guard = asio::make_work_guard(m_io);
+    const std::future<void> done = std::async(std::launch::async, work);
+    run_until([&] { return done.wait_for(std::chrono::seconds(0)) == std::future_status::ready; },
+              std::chrono::hours(1));
 }
 
 void platform_cluster::start_voter(std::size_t place, bool first) {
@@ -528,7 +541,7 @@
 }
 
 void platform_cluster::wipe_voter(std::size_t place) {
-    std::filesystem::remove_all(m_folder + "/voter-" + std::to_string(place));
+    run_beside([&] { std::filesystem::remove_all(m_folder + "/voter-" + std::to_string(place)); });
 }
 
 std::size_t platform_cluster::voter_log_lines(std::size_t place, const std::string &event) const {
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -180,8 +180,12 @@
     void signal_voter(std::size_t place, int number) { signal(m_voters[place], number); }
     void signal_node(std::size_t place, int number) { signal(m_nodes[place], number); }
     /// Kills a process and waits for its end.
-    void end_voter(std::size_t place) { end(m_voters[place]); }
-    void end_node(std::size_t place) { end(m_nodes[place]); }
+    void end_voter(std::size_t place) {
+        run_beside([&] { end(m_voters[place]); });
+    }
+    void end_node(std::size_t place) {
+        run_beside([&] { end(m_nodes[place]); });
+    }
     void wipe_voter(std::size_t place);
     bool node_ended(std::size_t place) { return ended(m_nodes[place]); }
     bool voter_ended(std::size_t place) { return ended(m_voters[place]); }
@@ -258,6 +262,10 @@
                               const std::string &zone, const std::string &service,
                               const std::string &data, bool first) const;
     pid_t spawn(const std::string &role, const std::string &name, const std::string &settings);
+    /// Does work that may wait for a disk on a thread of its own and goes on with the loop until it
+    /// is done: targets that stand still count grants of keys from when they read them, and hold
+    /// keys longer than they were told.
+    void run_beside(const std::function<void()> &work);
     void signal(pid_t process, int number) const;
     static void end(pid_t &process);
     static bool ended(pid_t &process);
