Tell how late connections are read, and how many bytes pass

Change: read_delay_probe, a pipe that takes its turn among the connections every 50 ms while there are requests (peppertack_read_delay_ms, line reads_late above 250 ms); bytes read and written by all streams (peppertack_stream_bytes_total, bytes_read and bytes_written in traffic_summary). Timers run ahead of reads, so traffic_thread_stalled can't tell it.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,13 @@
 
     byte_stream(asio::ip::tcp::socket socket, listener &owner);
 
+    /// Bytes that all streams of this thread have read and written.
+    struct traffic {
+        std::uint64_t read = 0;
+        std::uint64_t written = 0;
+    };
+    static const traffic &thread_traffic();
+
     /// Begins to read. Precondition: connected.
     void start();
     /// From now on the end of the connection is looked for behind all that is read, see
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -7,6 +7,7 @@
 #include "peppertack/coordination/unavailable_targets.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 #include "peppertack/transport/http/http_server.hpp"
+#include "peppertack/transport/read_delay_probe.hpp"
 #include "peppertack/transport/request_log.hpp"
 #include "peppertack/transport/traffic/hold_call_runner.hpp"
 #include "peppertack/transport/traffic/node_agent.hpp"
@@ -114,6 +115,8 @@
     /// Targets of keys that can't be reached for now.
     unavailable_targets &unavailable() { return m_unavailable; }
     std::size_t in_flight() const { return m_requests.size(); }
+    /// Estimated time for which a request that is read now has waited to be read.
+    duration read_delay(instant now) const { return m_read_delay.delay(now); }
 
 private:
     void tick();
@@ -162,12 +165,15 @@
     std::uint64_t m_last_id = 0;
     http_server m_callers;
     http_server m_nodes;
+    read_delay_probe m_read_delay;
+    instant m_probed_at{}; ///< when the last probe of the read delay was begun
     asio::steady_timer m_timer;
     std::string m_forward_port;
     std::string m_refused_address; ///< of a target that refused a connection; empty: none
     instant m_refused_at{};
     bool m_asking = false; ///< the target is being asked whether it has ended
     instant m_summary_at{};
+    byte_stream::traffic m_bytes_told; ///< at the last summary
     bool m_changed = false; ///< what is known of the system has changed since the last step
     graceful_stop m_stop;
     std::function<void()> m_stopped;
--- a/include/peppertack/transport/traffic/traffic_metrics.hpp
+++ b/include/peppertack/transport/traffic/traffic_metrics.hpp
@@ -49,6 +49,9 @@
     /// How late the traffic thread ran what was due.
     void note_thread_delay(duration delay, instant now) { m_thread_delay.note(delay, now); }
 
+    /// How long a connection that had become readable waited for the traffic thread.
+    void note_read_delay(duration delay, instant now) { m_read_delay.note(delay, now); }
+
     /// Text in the Prometheus exposition format.
     std::string text() const;
 
@@ -64,6 +67,9 @@
     delay_meter m_thread_delay{{.metric = "peppertack_traffic_thread_delay_ms",
                                 .event = "traffic_thread_stalled",
                                 .log_above = std::chrono::milliseconds(250)}};
+    delay_meter m_read_delay{{.metric = "peppertack_read_delay_ms",
+                              .event = "reads_late",
+                              .log_above = std::chrono::milliseconds(250)}};
     std::array<std::uint64_t, error_kind_count> m_by_error{};
     std::map<int, std::uint64_t> m_by_status_class;
     std::map<std::string, std::map<std::string, std::uint64_t>> m_by_cause;
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -29,6 +29,11 @@
     return buffer;
 }
 
+byte_stream::traffic &traffic_of_thread() {
+    thread_local byte_stream::traffic sum;
+    return sum;
+}
+
 /// A buffer that once held a large body would keep its memory for as long as the connection lives.
 void release_if_large(std::string &buffer) {
     if (buffer.capacity() > kept_capacity) {
@@ -69,6 +74,10 @@
 byte_stream::byte_stream(asio::ip::tcp::socket socket, listener &owner)
     : m_socket(std::move(socket)), m_owner(&owner) {}
 
+const byte_stream::traffic &byte_stream::thread_traffic() {
+    return traffic_of_thread();
+}
+
 void byte_stream::start() {
     asio::error_code ignored;
     m_socket.non_blocking(true, ignored);
@@ -131,6 +140,7 @@
     const ssize_t size =
         ::recv(m_socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (size > 0) {
+        traffic_of_thread().read += static_cast<std::uint64_t>(size);
         m_peer_ended = m_watch_end && end_is_next();
         if (!m_closing) {
             m_owner->on_bytes({buffer.data(), static_cast<std::size_t>(size)});
@@ -170,6 +180,7 @@
                                     m_out.size() - m_sent, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (size > 0) {
             m_sent += static_cast<std::size_t>(size);
+            traffic_of_thread().written += static_cast<std::uint64_t>(size);
         } else if (size < 0 && errno == EINTR) {
             continue;
         } else if (size < 0 && errno == EAGAIN) {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -18,6 +18,8 @@
 constexpr duration refusal_lifetime = std::chrono::milliseconds(100);
 constexpr duration summary_interval = std::chrono::seconds(1);
 constexpr duration idle_tick = std::chrono::milliseconds(40);
+/// Of the read delay. Far below the slack that callers have beyond a time-out.
+constexpr duration probe_interval = std::chrono::milliseconds(50);
 /// Requests that other nodes forward have been checked against the callers' limits already.
 constexpr http_reader::limits forwarded_limits{.header_bytes = 128U << 10U,
                                                .body_bytes = 1U << 30U};
@@ -100,6 +102,8 @@
                .idle_timeout = forwarded_idle,
                .continue_at_once = false},
               [this](const auto &connection) { return target_relay::make(*this, connection); }),
+      m_read_delay(io,
+                   [this](duration delay, instant now) { m_metrics.note_read_delay(delay, now); }),
       m_timer(io), m_stop(m_options.stop) {
     const std::string &address = m_options.node_address;
     m_forward_port = address.substr(address.rfind(':'));
@@ -115,7 +119,7 @@
 traffic_host::~traffic_host() = default;
 
 bool traffic_host::start(std::string &reason) {
-    if (!m_callers.start(reason) || !m_nodes.start(reason)) {
+    if (!m_callers.start(reason) || !m_nodes.start(reason) || !m_read_delay.start(reason)) {
         return false;
     }
     tick();
@@ -214,6 +218,10 @@
         }
         const moment at = read_clocks();
         m_metrics.note_thread_delay(std::max(at.now - due, duration{}), at.now);
+        if (!m_requests.empty() && at.now >= m_probed_at + probe_interval) {
+            m_probed_at = at.now;
+            m_read_delay.probe(at.now);
+        }
         judge_refusal(at);
         m_agent.tick(at);
         wake_all(at.now);
@@ -274,6 +282,8 @@
     }
     const admission_level admitted = m_dependencies.level(now);
     const work_queue &queue = m_agent.queue();
+    const byte_stream::traffic bytes = byte_stream::thread_traffic();
+    const byte_stream::traffic before = std::exchange(m_bytes_told, bytes);
     log_event(
         log_level::info, "traffic_summary",
         {{"answers", causes},
@@ -286,7 +296,9 @@
          {"admitted_fresh", admitted.fresh},
          {"admitted_expired", admitted.expired},
          {"limited_by", m_dependencies.limiting_route(now)},
-         {"calls_expendable", m_dependencies.calls_expendable()}});
+         {"calls_expendable", m_dependencies.calls_expendable()},
+         {"bytes_read", bytes.read - before.read},
+         {"bytes_written", bytes.written - before.written}});
 }
 
 void traffic_host::expect_start(std::uint64_t id, std::function<void(bool)> decide) {
--- a/src/transport/traffic/traffic_metrics.cpp
+++ b/src/transport/traffic/traffic_metrics.cpp
@@ -1,5 +1,7 @@
 #include "peppertack/transport/traffic/traffic_metrics.hpp"
 
+#include "peppertack/transport/http/byte_stream.hpp"
+
 #include "peppertack/protocol/error_answer.hpp"
 
 #include <sstream>
@@ -102,7 +104,10 @@
     write_histogram("peppertack_queue_ms", "", m_queue);
     write_histogram("peppertack_body_wait_ms", "", m_body_wait);
     write_histogram("peppertack_target_ms", "", m_target);
-    out << m_thread_delay.text();
+    const byte_stream::traffic &bytes = byte_stream::thread_traffic();
+    out << "peppertack_stream_bytes_total{direction=\"in\"} " << bytes.read << "\n";
+    out << "peppertack_stream_bytes_total{direction=\"out\"} " << bytes.written << "\n";
+    out << m_thread_delay.text() << m_read_delay.text();
     return out.str();
 }
 
