Accept many waiting connections in one turn of the event loop

Cause: the server accepted one connection in each turn of its event loop. While requests keep the loop busy a turn takes tens of milliseconds, so some tens of connections a second were taken in and hundreds came. The others waited in the kernel's queue, with their requests already sent, or were dropped when it was full. The node counts time-outs from when it reads a request.

Change: the listening socket is waited for and up to 64 connections are taken at a time.

Test: "connections that wait are accepted many at a time" failed on the code before (200 turns for 200 connections).

--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -148,6 +148,7 @@
     friend class http_server_connection;
 
     void accept();
+    void accept_waiting(asio::error_code &error);
     void take_in(asio::ip::tcp::socket socket);
     void sweep();
     void forget_ended();
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
+/// Keeps the event loop responsive to connections that are open already.
+constexpr int most_accepted_at_once = 64;
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
 constexpr duration accept_pause = std::chrono::milliseconds(20);
 constexpr int request_timeout = 408;
@@ -336,6 +338,9 @@
     if (!error) {
         m_acceptor.listen(listen_backlog, error);
     }
+    if (!error) {
+        m_acceptor.non_blocking(true, error);
+    }
     if (error) {
         reason = m_options.address + ": " + error.message();
         return false;
@@ -346,34 +351,41 @@
 }
 
 void http_server::accept() {
-    m_acceptor.async_accept([this, alive = std::weak_ptr(m_alive)](asio::error_code error,
-                                                                   asio::ip::tcp::socket socket) {
-        if (alive.expired()) {
-            return;
-        }
-        if (!m_acceptor.is_open()) {
-            if (!error && m_refusal) {
-                take_in(std::move(socket));
-            }
+    m_acceptor.async_wait(asio::socket_base::wait_read, [this, alive = std::weak_ptr(m_alive)](
+                                                            asio::error_code error) {
+        // Once the listening socket is closed, `refuse_further` has taken what was waiting.
+        if (error || alive.expired() || !m_acceptor.is_open()) {
             return;
         }
-        if (error) {
-            // Out of descriptors, mostly: trying at once again would only spin.
-            log_event(log_level::warning, "accept_failed",
-                      {{"address", m_options.address}, {"reason", error.message()}});
-            auto timer = std::make_shared<asio::steady_timer>(m_io, accept_pause);
-            timer->async_wait([this, timer, alive](asio::error_code stopped) {
-                if (!stopped && !alive.expired() && m_acceptor.is_open()) {
-                    accept();
-                }
-            });
+        accept_waiting(error);
+        if (!error || error == asio::error::would_block || error == asio::error::try_again) {
+            accept();
             return;
         }
-        take_in(std::move(socket));
-        accept();
+        // Out of descriptors, mostly: trying at once again would only spin.
+        log_event(log_level::warning, "accept_failed",
+                  {{"address", m_options.address}, {"reason", error.message()}});
+        auto timer = std::make_shared<asio::steady_timer>(m_io, accept_pause);
+        timer->async_wait([this, timer, alive](asio::error_code stopped) {
+            if (!stopped && !alive.expired() && m_acceptor.is_open()) {
+                accept();
+            }
+        });
     });
 }
 
+/// Takes in the connections that wait, a bounded number of them. With one in each turn of the event
+/// loop, a busy process lets thousands wait until their callers give up.
+void http_server::accept_waiting(asio::error_code &error) {
+    for (int i = 0; i < most_accepted_at_once && !error; ++i) {
+        asio::ip::tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            take_in(std::move(socket));
+        }
+    }
+}
+
 void http_server::take_in(asio::ip::tcp::socket socket) {
     if (m_connections.size() < m_options.most_connections) {
         auto connection = std::make_shared<http_server_connection>(*this, std::move(socket));
@@ -428,13 +440,8 @@
     // Connections that the kernel has accepted would be reset with the listening socket, and their
     // requests count as perhaps handled.
     asio::error_code error;
-    m_acceptor.non_blocking(true, error);
     while (!error) {
-        asio::ip::tcp::socket socket(m_io);
-        m_acceptor.accept(socket, error);
-        if (!error) {
-            take_in(std::move(socket));
-        }
+        accept_waiting(error);
     }
     m_acceptor.close(error);
 }
