--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace peppertack {
@@ -150,7 +151,8 @@
         std::uint64_t last_index = 0;
     };
 
-    durable_log(storage &files, options settings) : m_files(&files), m_options(settings) {}
+    durable_log(storage &files, options settings)
+        : m_files(&files), m_options(std::move(settings)) {}
 
     bool load(open_failure &failure);
     bool load_snapshot(open_failure &failure);
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -204,7 +204,7 @@
 
 std::optional<durable_log> durable_log::open(storage &files, options settings,
                                              std::string &reason) {
-    durable_log log(files, settings);
+    durable_log log(files, std::move(settings));
     open_failure failure;
     if (!log.load(failure)) {
         reason = failure.reason;
