--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -96,6 +96,23 @@
     CHECK(nlohmann::json::parse(config_text(*routing)) == expected);
 }
 
+// Guards against a deployment whose every configuration is refused for a type of route that it uses.
+TEST_CASE("each type of route says whether its requests may be repeated") {
+    const std::map<std::string, retry_policy> rules{{"safe", retry_policy::idempotent},
+                                                    {"download", retry_policy::idempotent},
+                                                    {"unsafe", retry_policy::once},
+                                                    {"upload", retry_policy::once_large}};
+    for (const auto &[type, rule] : rules) {
+        CAPTURE(type);
+        nlohmann::json config = sample_config();
+        config["routes"]["r-one"]["type"] = type;
+        routing_problem problem;
+        const auto routing = routing_of(config, problem);
+        REQUIRE_MESSAGE(routing, problem.reason);
+        CHECK(routing->routes.at("r-one").repeat == rule);
+    }
+}
+
 TEST_CASE("what is invalid is refused with its place") {
     struct fault {
         std::function<void(nlohmann::json &)> make;
