Handle pipelined idempotent requests at the same time

Callers who send further reads before the first is answered waited for the sum of all: requests of a connection were handled one after the other. Their time also began only when their turn came, so a target could be given more than their caller had left.

A connection is now a sequence of `http_exchange`, one for each request and its answer. Up to six idempotent requests of a connection are in progress at a time; answers that are ready wait for those before them, within a bound for the node. A request that takes effect once waits until all before it are answered, since an earlier answer may end the connection, and nothing starts behind it. `pipelining_policy` decides, without I/O. The time of a request begins when its head could be read. Other servers of this code (between nodes, for targets and operators) handle one request at a time as before; `switched-off = overlap-pipelined` restores that for callers too.

--- a/include/peppertack/coordination/traffic_policy.hpp
+++ b/include/peppertack/coordination/traffic_policy.hpp
@@ -17,6 +17,7 @@
     bool times_by_route = true;       ///< see `target_selector`
     bool near_choice = true;          ///< see `target_selector`
     bool ejection = true;             ///< see `target_selector`
+    bool overlap_pipelined = true;    ///< see `pipelining_policy`
 
     friend bool operator==(const traffic_policy &, const traffic_policy &) = default;
 };
@@ -27,7 +28,7 @@
     bool traffic_policy::*enabled = nullptr;
 };
 
-inline constexpr std::array<traffic_mechanism, 9> traffic_mechanisms{{
+inline constexpr std::array<traffic_mechanism, 10> traffic_mechanisms{{
     {"dependency-admission", &traffic_policy::dependency_admission},
     {"nested-calls-first", &traffic_policy::nested_calls_first},
     {"retry-recognition", &traffic_policy::retry_recognition},
@@ -37,6 +38,7 @@
     {"times-by-route", &traffic_policy::times_by_route},
     {"near-choice", &traffic_policy::near_choice},
     {"ejection", &traffic_policy::ejection},
+    {"overlap-pipelined", &traffic_policy::overlap_pipelined},
 }};
 
 } // namespace peppertack
--- a/include/peppertack/transport/http/http_reader.hpp
+++ b/include/peppertack/transport/http/http_reader.hpp
@@ -27,6 +27,7 @@
     enum class state : std::uint8_t {
         more,    ///< the message goes on
         ended,   ///< the message is whole; bytes that came after it are left unread
+        paused,  ///< `pause` was called; the next `take` goes on
         refused, ///< the bytes are no message; `refusal_status` and `reason` say why
     };
     struct limits {
@@ -46,6 +47,8 @@
     }
     /// Takes bytes that came; keeps those that it can't use yet.
     state take(std::string_view bytes, http_message_sink &sink);
+    /// Leaves what follows the head unread until `take` is called again. Only within `on_head`.
+    void pause() { m_paused = true; }
     /// Goes on to the next message, which may be in the bytes kept.
     void next();
     /// The connection has ended. `ended` if that completes the message.
@@ -77,6 +80,7 @@
     std::string m_kept;
     bool m_head_whole = false; ///< the blank line has come and the head was looked over
     bool m_no_body = false;
+    bool m_paused = false;
     int m_refusal_status = 0;
     std::string m_reason;
 };
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "peppertack/coordination/pipelining.hpp"
 #include "peppertack/state/time.hpp"
 #include "peppertack/transport/http/byte_stream.hpp"
+#include "peppertack/transport/http/http_exchange.hpp"
 #include "peppertack/transport/http/http_reader.hpp"
 
 #include <asio/steady_timer.hpp>
@@ -14,95 +16,8 @@
 
 namespace peppertack {
 
-class http_server;
 class http_server_connection;
 
-/// Handles one request of a caller. Made when its head has come, told of the rest.
-class http_request_handler {
-public:
-    virtual ~http_request_handler() = default;
-    virtual void on_request_body(std::string_view) {}
-    virtual void on_request_end() {}
-    /// The caller closed its connection before it had the whole answer: nobody wants it any more.
-    virtual void on_caller_gone() {}
-    /// What was queued towards the caller has been written.
-    virtual void on_caller_drained() {}
-};
-
-/// A caller's connection: requests come one at a time and are answered in that order. Pipelined
-/// ones wait until the one before is answered. Not thread safe; belongs to its server's thread.
-class http_server_connection : public byte_stream::listener,
-                               private http_message_sink,
-                               public std::enable_shared_from_this<http_server_connection> {
-public:
-    http_server_connection(http_server &server, asio::ip::tcp::socket socket);
-    ~http_server_connection() override;
-
-    /// Head of the present request. Valid while it is handled.
-    const http_head &request() const { return m_request; }
-    /// Address of the caller.
-    const asio::ip::address &peer() const { return m_peer; }
-    /// Whether the caller sends the body only after it was told to, by `send_continue`.
-    bool awaits_continue() const { return m_awaits_continue; }
-    /// Tells the caller to send the body. Precondition: `awaits_continue()`.
-    void send_continue();
-    /// Begins the answer. `head.framing` says how its end is told.
-    void send_head(http_head head);
-    void send_body(std::string_view piece);
-    /// The answer is whole.
-    void finish();
-    /// A whole answer at once.
-    void respond(int status, std::vector<header_field> headers, std::string_view body);
-    /// Ends the connection without completing the answer, so that it can't be taken for whole.
-    void abort();
-    /// Holds back the request's body.
-    void pause_body(bool pause) { m_stream->pause_reading(pause); }
-    std::size_t queued() const { return m_stream->queued(); }
-    bool answer_begun() const { return m_answer_begun; }
-    bool closed() const { return m_stream->closed(); }
-
-private:
-    friend class http_server;
-
-    void start();
-    void on_bytes(std::string_view bytes) override;
-    void on_drained() override;
-    void on_closed(bool in_order) override;
-    void on_head(http_head head) override;
-    void on_body(std::string_view piece) override;
-    void on_message_end() override;
-    void take(std::string_view bytes);
-    void refuse(int status, const std::string &reason);
-    bool beyond_unknown_limits(int status) const;
-    void next_request();
-    void drop();
-    /// Ends what has waited longer than the limits allow.
-    void check_time(instant now);
-    bool idle() const { return !m_handling && !m_reader.in_message(); }
-    /// Answers the next request, which may be on its way, and handles none. Precondition: none is
-    /// being handled.
-    void answer_unread(int status, std::vector<header_field> headers);
-    /// Ends the connection once the answer is written.
-    void end_after_writes();
-
-    http_server *m_server; ///< null once the server is gone
-    std::shared_ptr<byte_stream> m_stream;
-    asio::ip::address m_peer;
-    http_reader m_reader;
-    http_head m_request;
-    std::shared_ptr<http_request_handler> m_handler;
-    bool m_handling = false;    ///< a request is being handled
-    bool m_request_done = true; ///< its body has come whole
-    bool m_answer_begun = false;
-    bool m_answer_done = false;
-    bool m_close_after = false;
-    bool m_in_take = false;
-    bool m_awaits_continue = false;
-    body_framing m_answer_framing = body_framing::none;
-    std::string m_waiting; ///< bytes of requests that wait for their turn
-    instant m_since{};     ///< idle, or waiting for the rest of a head, since then
-};
-
 /// Accepts callers on one address. Not thread safe; belongs to one thread.
 class http_server {
 public:
@@ -118,9 +33,14 @@
         /// Whether the limits above are known to be those in force. Until then what is beyond them
         /// is refused for now (503), not for good. Empty: they always are.
         std::function<bool()> limits_known;
+        /// Whether a request is idempotent, by its head, and so may be handled while others of its
+        /// kind on the same connection are in progress. Empty: one request at a time.
+        std::function<bool(const http_head &)> may_overlap;
+        pipelining_policy::options pipelining;
+        held_answer_budget::options held_answers;
     };
     using handler_factory = std::function<std::shared_ptr<http_request_handler>(
-        const std::shared_ptr<http_server_connection> &)>;
+        const std::shared_ptr<http_exchange> &)>;
 
     http_server(asio::io_context &io, options settings, handler_factory make_handler);
     ~http_server();
@@ -143,6 +63,10 @@
     std::size_t open_streams();
     /// Connections to which bytes are still to be written.
     std::size_t unsent();
+    /// Requests that were handled while an earlier one of their connection was in progress.
+    std::uint64_t overlapped() const { return m_overlapped; }
+    /// Bytes charged for answers that wait for those before them.
+    std::size_t held_answer_bytes() const { return m_held_answers.charged(); }
 
 private:
     friend class http_server_connection;
@@ -158,6 +82,8 @@
     handler_factory m_make_handler;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_sweep;
+    pipelining_policy m_pipelining;
+    held_answer_budget m_held_answers;
     std::list<std::shared_ptr<http_server_connection>> m_connections;
     struct refusal {
         int status = 0;
@@ -166,6 +92,7 @@
     std::optional<refusal> m_refusal;                 ///< of all further requests
     std::vector<std::weak_ptr<byte_stream>> m_ending; ///< after their last answer
     bool m_draining = false;
+    std::uint64_t m_overlapped = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< ends with this server
 };
 
--- a/include/peppertack/transport/http/whole_request.hpp
+++ b/include/peppertack/transport/http/whole_request.hpp
@@ -11,10 +11,9 @@
 /// answers over the connection, at once or later.
 class whole_request : public http_request_handler {
 public:
-    using function =
-        std::function<void(const std::shared_ptr<http_server_connection> &, std::string body)>;
+    using function = std::function<void(const std::shared_ptr<http_exchange> &, std::string body)>;
 
-    whole_request(std::shared_ptr<http_server_connection> caller, function handle)
+    whole_request(std::shared_ptr<http_exchange> caller, function handle)
         : m_caller(std::move(caller)), m_handle(std::move(handle)) {}
 
     void on_request_body(std::string_view piece) override { m_body.append(piece); }
@@ -25,13 +24,13 @@
 
     /// Factory for a server whose every request goes to `handle`.
     static http_server::handler_factory factory(function handle) {
-        return [handle = std::move(handle)](const std::shared_ptr<http_server_connection> &caller) {
+        return [handle = std::move(handle)](const std::shared_ptr<http_exchange> &caller) {
             return std::make_shared<whole_request>(caller, handle);
         };
     }
 
 private:
-    std::shared_ptr<http_server_connection> m_caller;
+    std::shared_ptr<http_exchange> m_caller;
     function m_handle;
     std::string m_body;
 };
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -117,6 +117,7 @@
     std::size_t in_flight() const { return m_requests.size(); }
 
 private:
+    bool may_overlap(const http_head &head) const;
     void tick();
     void judge_refusal(moment at);
     void log_summary(instant now);
--- /dev/null
+++ b/src/transport/http/http_exchange.cpp
@@ -0,0 +1,128 @@
+#include "peppertack/transport/http/http_exchange.hpp"
+
+#include "http_server_connection.hpp"
+
+namespace peppertack {
+
+namespace {
+
+constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr int bad_gateway = 502;
+
+} // namespace
+
+http_exchange::http_exchange(http_server_connection &connection, http_head head, origin from)
+    : m_connection(&connection), m_peer(connection.peer()), m_request(std::move(head)),
+      m_origin(from) {
+    if (from.ahead > 0) {
+        m_held.emplace(connection.held_answers());
+    }
+    const std::string *expect = m_request.find("Expect");
+    m_awaits_continue = expect != nullptr && same_header_name(*expect, "100-continue");
+}
+
+bool http_exchange::closed() const {
+    return m_connection == nullptr || m_connection->closed();
+}
+
+void http_exchange::write(std::string_view bytes) {
+    if (m_held) {
+        m_held->append(bytes);
+    } else if (m_connection != nullptr) {
+        m_connection->write(bytes);
+    }
+}
+
+void http_exchange::send_continue() {
+    m_awaits_continue = false;
+    write(go_on);
+}
+
+void http_exchange::send_head(http_head head) {
+    m_answer_begun = true;
+    m_framing = head.framing;
+    m_close_after = m_close_after || !m_request.keep_alive || m_connection == nullptr ||
+                    m_connection->ends_with(*this) || head.framing == body_framing::until_close;
+    head.keep_alive = !m_close_after;
+    write(response_bytes(head));
+}
+
+void http_exchange::send_body(std::string_view piece) {
+    if (piece.empty()) {
+        return;
+    }
+    if (m_framing == body_framing::chunked) {
+        write(chunk_bytes(piece));
+    } else {
+        write(piece);
+    }
+}
+
+void http_exchange::finish() {
+    if (m_answer_done || closed()) {
+        return;
+    }
+    if (m_framing == body_framing::chunked) {
+        write(last_chunk);
+    }
+    const auto self = shared_from_this(); // handler and connection may drop the last references
+    m_answer_done = true;
+    m_handler.reset();
+    m_connection->answered(*this);
+}
+
+void http_exchange::respond(int status, std::vector<header_field> headers, std::string_view body) {
+    if (closed()) {
+        return;
+    }
+    http_head head;
+    head.status = status;
+    head.headers = std::move(headers);
+    head.framing = body_framing::length;
+    head.content_length = body.size();
+    m_answer_begun = true;
+    m_close_after = m_close_after || !m_request.keep_alive || m_connection->ends_with(*this);
+    head.keep_alive = !m_close_after;
+    m_framing = body_framing::length;
+    std::string bytes = response_bytes(head);
+    if (m_request.method != "HEAD") {
+        bytes.append(body);
+    }
+    write(bytes);
+    finish();
+}
+
+void http_exchange::abort() {
+    const auto self = shared_from_this(); // as in `finish`
+    m_handler.reset();
+    if (closed()) {
+        m_answer_done = true;
+    } else if (m_held) {
+        m_held->replace({});
+        m_answer_done = false;
+        respond(bad_gateway, {}, {});
+    } else {
+        m_answer_done = true;
+        m_connection->end_now();
+    }
+}
+
+void http_exchange::pause_body(bool pause) {
+    if (m_connection != nullptr) {
+        m_connection->pause_body(*this, pause);
+    }
+}
+
+bool http_exchange::backlogged(std::size_t limit) const {
+    if (m_held) {
+        return m_held->full();
+    }
+    return m_connection != nullptr && m_connection->queued() > limit;
+}
+
+void http_exchange::detach() {
+    m_connection = nullptr;
+    m_held.reset();
+}
+
+} // namespace peppertack
--- a/src/transport/http/http_reader.cpp
+++ b/src/transport/http/http_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <utility>
 
 namespace peppertack {
 
@@ -28,7 +29,7 @@
     using code = boost::system::error_code;
 
     explicit parser(const limits &bounds) {
-        this->eager(true);
+        this->eager(false); // returns after the head, where reading may pause
         this->header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
         this->body_limit(bounds.body_bytes);
     }
@@ -202,6 +203,9 @@
         if (error) {
             return refuse(bad_request, error.message());
         }
+        if (std::exchange(m_paused, false)) {
+            return state::paused;
+        }
         if (used == 0) {
             break;
         }
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -47,17 +47,17 @@
 
 } // namespace
 
-std::shared_ptr<entry_relay>
-entry_relay::make(traffic_host &host, const std::shared_ptr<http_server_connection> &caller) {
+std::shared_ptr<entry_relay> entry_relay::make(traffic_host &host,
+                                               const std::shared_ptr<http_exchange> &caller) {
     auto relay = std::make_shared<entry_relay>(host, caller);
     relay->begin();
     return relay;
 }
 
-entry_relay::entry_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &caller)
+entry_relay::entry_relay(traffic_host &host, const std::shared_ptr<http_exchange> &caller)
     : m_host(host), m_caller(caller),
       m_body(*caller, host.options().retained_body, host.options().held_back),
-      m_received(steady_instant()) {
+      m_received(caller->received()), m_begun(steady_instant()) {
     m_host.enter(this);
 }
 
@@ -79,12 +79,17 @@
     if (!read_route() || !read_key()) {
         return;
     }
-    if (!m_host.stop().takes_from_caller(m_nested, m_deadline, m_received)) {
+    if (!m_host.stop().takes_from_caller(m_nested, m_deadline, m_begun)) {
         refuse(error_kind::draining, outcome::not_run, restart_time);
         return;
     }
+    if (m_begun >= m_deadline) {
+        // It waited behind others on its connection for as long as its caller waits.
+        refuse(error_kind::deadline_before_target, outcome::not_run, usual_retry_after);
+        return;
+    }
     m_host.note_request(m_service);
-    m_host.meter().record_offered(admission(), m_received);
+    m_host.meter().record_offered(admission(), m_begun);
 }
 
 bool entry_relay::read_route() {
@@ -102,7 +107,7 @@
     }
     m_route = *found;
     m_service = pick_service();
-    m_nested = m_host.dependencies().calls(m_route.name, m_received);
+    m_nested = m_host.dependencies().calls(m_route.name, m_begun);
     m_objective = m_received + m_route.latency_objective;
     m_deadline = m_received + m_route.timeout;
     if (const std::string *text = head.find(m_host.options().headers.deadline_ms)) {
@@ -114,9 +119,9 @@
         m_caller_deadline = m_received + std::chrono::milliseconds(*patience);
         m_deadline = std::min(m_deadline, m_caller_deadline);
         const bool recognise = m_host.options().policy.retry_recognition;
-        const auto asked =
-            recognise ? m_host.returning().take(m_route.name, m_caller_deadline, m_received)
-                      : std::nullopt;
+        const auto asked = recognise
+                               ? m_host.returning().take(m_route.name, m_caller_deadline, m_begun)
+                               : std::nullopt;
         m_asked = asked.value_or(m_received);
     }
     return true;
@@ -141,7 +146,7 @@
 /// A caller takes a 4xx for good. A table that may have been replaced since, as on a node that is
 /// cut off from the voters, can't say so: nodes denied routes that had been in force for 9.7 s.
 void entry_relay::deny_by_table(error_kind kind) {
-    const bool trusted = m_host.agent().lease().routes_trusted(m_received);
+    const bool trusted = m_host.agent().lease().routes_trusted(m_begun);
     refuse(trusted ? kind : error_kind::not_ready, outcome::not_run, usual_retry_after);
 }
 
@@ -296,7 +301,7 @@
 }
 
 admission_class entry_relay::admission() const {
-    return {m_route.name, m_asked + m_route.latency_objective <= m_received};
+    return {m_route.name, m_asked + m_route.latency_objective <= m_begun};
 }
 
 bool entry_relay::large_body() const {
@@ -396,7 +401,7 @@
         return;
     }
     m_caller->send_body(piece);
-    if (m_caller->queued() > m_host.options().held_back) {
+    if (m_caller->backlogged(m_host.options().held_back)) {
         m_call->pause_answer(true);
     }
 }
@@ -653,6 +658,8 @@
               {"in_flight", m_hop.load.in_flight},
               {"took_ms", ms_of(now - m_received)},
               {"first_asked_ms", ms_of(now - m_asked)},
+              {"ahead", m_caller->ahead()},
+              {"waited_unread_ms", ms_of(m_begun - m_received)},
               {"map_version", m_host.agent().lease().map().version()},
               {"routes_version", m_host.agent().lease().routes().version}},
              now);
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -15,8 +15,8 @@
                           public std::enable_shared_from_this<entry_relay> {
 public:
     static std::shared_ptr<entry_relay> make(traffic_host &host,
-                                             const std::shared_ptr<http_server_connection> &caller);
-    entry_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &caller);
+                                             const std::shared_ptr<http_exchange> &caller);
+    entry_relay(traffic_host &host, const std::shared_ptr<http_exchange> &caller);
     ~entry_relay() override;
 
     void on_request_body(std::string_view piece) override;
@@ -60,7 +60,7 @@
     instant park_limit() const;
 
     traffic_host &m_host;
-    std::shared_ptr<http_server_connection> m_caller;
+    std::shared_ptr<http_exchange> m_caller;
     request_body m_body;
     std::string m_id;
     route m_route; ///< a copy: the routing table may change meanwhile
@@ -68,9 +68,10 @@
     bool m_nested = false; ///< called by a request that the local target runs
     std::optional<std::uint32_t> m_key;
     std::uint64_t m_fingerprint = 0; ///< of what is asked; zero until it is first sent on
-    instant m_received{};
-    instant m_asked{};           ///< when the caller first asked, as far as it was refused here
-    instant m_caller_deadline{}; ///< up to which the caller waits, whatever the route allows
+    instant m_received{};            ///< when it could be read, which may be before its turn came
+    instant m_begun{};               ///< when its turn came
+    instant m_asked{};               ///< when the caller first asked, as far as it was refused here
+    instant m_caller_deadline{};     ///< up to which the caller waits, whatever the route allows
     instant m_objective{};
     instant m_deadline{};
     bool m_done = false;
--- a/src/transport/traffic/request_body.cpp
+++ b/src/transport/traffic/request_body.cpp
@@ -2,8 +2,7 @@
 
 namespace peppertack {
 
-request_body::request_body(http_server_connection &from, std::size_t retained,
-                           std::size_t held_back)
+request_body::request_body(http_exchange &from, std::size_t retained, std::size_t held_back)
     : m_from(&from), m_retained(retained), m_held_back(held_back),
       m_framing(from.request().framing), m_length(from.request().content_length) {}
 
--- a/src/transport/traffic/request_body.hpp
+++ b/src/transport/traffic/request_body.hpp
@@ -15,7 +15,7 @@
 /// slower.
 class request_body {
 public:
-    request_body(http_server_connection &from, std::size_t retained, std::size_t held_back);
+    request_body(http_exchange &from, std::size_t retained, std::size_t held_back);
 
     /// More has come. True if there is so much that sending should begin before all is here.
     bool take(std::string_view piece);
@@ -46,7 +46,7 @@
     void end_call();
     bool flows() const { return m_call && !m_hold; }
 
-    http_server_connection *m_from;
+    http_exchange *m_from;
     std::size_t m_retained;
     std::size_t m_held_back;
     body_framing m_framing;
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -25,15 +25,14 @@
 
 } // namespace
 
-std::shared_ptr<target_relay>
-target_relay::make(traffic_host &host, const std::shared_ptr<http_server_connection> &sender) {
+std::shared_ptr<target_relay> target_relay::make(traffic_host &host,
+                                                 const std::shared_ptr<http_exchange> &sender) {
     auto relay = std::make_shared<target_relay>(host, sender);
     relay->begin();
     return relay;
 }
 
-target_relay::target_relay(traffic_host &host,
-                           const std::shared_ptr<http_server_connection> &sender)
+target_relay::target_relay(traffic_host &host, const std::shared_ptr<http_exchange> &sender)
     : m_host(host), m_sender(sender),
       m_body(*sender, host.options().retained_body, host.options().held_back), m_id(host.next_id()),
       m_received(steady_instant()) {
@@ -329,7 +328,7 @@
         return;
     }
     m_sender->send_body(piece);
-    if (m_sender->queued() > m_host.options().held_back) {
+    if (m_sender->backlogged(m_host.options().held_back)) {
         m_call->pause_answer(true);
     }
 }
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -13,9 +13,9 @@
                            public timed_request,
                            public std::enable_shared_from_this<target_relay> {
 public:
-    static std::shared_ptr<target_relay>
-    make(traffic_host &host, const std::shared_ptr<http_server_connection> &sender);
-    target_relay(traffic_host &host, const std::shared_ptr<http_server_connection> &sender);
+    static std::shared_ptr<target_relay> make(traffic_host &host,
+                                              const std::shared_ptr<http_exchange> &sender);
+    target_relay(traffic_host &host, const std::shared_ptr<http_exchange> &sender);
     ~target_relay() override;
 
     void on_request_body(std::string_view piece) override;
@@ -63,7 +63,7 @@
     void leave_queue(std::optional<duration> took);
 
     traffic_host &m_host;
-    std::shared_ptr<http_server_connection> m_sender;
+    std::shared_ptr<http_exchange> m_sender;
     request_body m_body;
     std::uint64_t m_id;
     std::string m_request_id;
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -94,14 +94,15 @@
       m_callers(
           io,
           {.address = m_options.caller_address,
-           .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); }},
-          [this](const auto &connection) { return entry_relay::make(*this, connection); }),
+           .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); },
+           .may_overlap = [this](const http_head &head) { return may_overlap(head); }},
+          [this](const auto &exchange) { return entry_relay::make(*this, exchange); }),
       m_nodes(io,
               {.address = m_options.node_address,
                .limits = forwarded_limits,
                .idle_timeout = forwarded_idle,
                .continue_at_once = false},
-              [this](const auto &connection) { return target_relay::make(*this, connection); }),
+              [this](const auto &exchange) { return target_relay::make(*this, exchange); }),
       m_read_delay(io,
                    [this](duration delay, instant now) { m_metrics.note_read_delay(delay, now); }),
       m_timer(io), m_stop(m_options.stop) {
@@ -130,6 +131,16 @@
     return peer.substr(0, peer.rfind(':')) + m_forward_port;
 }
 
+/// By the table in force: what it does not know, or takes once only, is handled in its turn.
+bool traffic_host::may_overlap(const http_head &head) const {
+    const std::string *host = head.find("Host");
+    if (!m_options.policy.overlap_pipelined || host == nullptr) {
+        return false;
+    }
+    const route *found = m_agent.routes().find(*host, head.path());
+    return found != nullptr && found->repeat == retry_policy::idempotent;
+}
+
 traffic_host::service_retries &traffic_host::retries_of(const std::string &service) {
     retry_budget::options all = m_options.retries;
     all.max_tokens = saved_retries_now();
@@ -297,6 +308,8 @@
          {"admitted_expired", admitted.expired},
          {"limited_by", m_dependencies.limiting_route(now)},
          {"calls_expendable", m_dependencies.calls_expendable()},
+         {"overlapped", m_callers.overlapped()},
+         {"held_answer_bytes", m_callers.held_answer_bytes()},
          {"bytes_read", bytes.read - before.read},
          {"bytes_written", bytes.written - before.written}});
 }
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -82,7 +82,7 @@
 /// Tells also when its connection is closed before it was answered.
 class watched_request final : public whole_request {
 public:
-    watched_request(const std::shared_ptr<http_server_connection> &caller, function handle,
+    watched_request(const std::shared_ptr<http_exchange> &caller, function handle,
                     std::function<void(const http_head &)> gone)
         : whole_request(caller, std::move(handle)), m_connection(caller), m_gone(std::move(gone)) {}
     void on_caller_gone() override {
@@ -92,7 +92,7 @@
     }
 
 private:
-    std::weak_ptr<http_server_connection> m_connection;
+    std::weak_ptr<http_exchange> m_connection;
     std::function<void(const http_head &)> m_gone;
 };
 
@@ -280,7 +280,7 @@
     }
 }
 
-void stand_in_platform_target::take_request(const std::shared_ptr<http_server_connection> &caller,
+void stand_in_platform_target::take_request(const std::shared_ptr<http_exchange> &caller,
                                             const std::string &body) {
     const http_head &head = caller->request();
     if (head.target.rfind("/peppertack/", 0) == 0) {
@@ -343,7 +343,7 @@
     });
 }
 
-void stand_in_platform_target::take_hold_call(const std::shared_ptr<http_server_connection> &caller,
+void stand_in_platform_target::take_hold_call(const std::shared_ptr<http_exchange> &caller,
                                               const std::string &body) {
     const nlohmann::json in = nlohmann::json::parse(body);
     const instant arrived = steady_instant();
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -90,11 +90,9 @@
     void note_arrival_while_cold();
     void beat();
     void take_answer(const std::string &body, instant sent);
-    void take_request(const std::shared_ptr<http_server_connection> &caller,
-                      const std::string &body);
+    void take_request(const std::shared_ptr<http_exchange> &caller, const std::string &body);
     bool holds_key(std::uint32_t key, instant now) const;
-    void take_hold_call(const std::shared_ptr<http_server_connection> &caller,
-                        const std::string &body);
+    void take_hold_call(const std::shared_ptr<http_exchange> &caller, const std::string &body);
     /// Status of a grant that is carried out now and counts from `arrived`.
     int apply_grant(const nlohmann::json &call, instant arrived);
     void apply_release(const nlohmann::json &call);
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -505,7 +505,7 @@
     asio::io_context io;
     const std::string address = own_address();
     struct reluctant final : http_request_handler {
-        std::shared_ptr<http_server_connection> caller;
+        std::shared_ptr<http_exchange> caller;
         std::string body;
         bool whole = false;
         void on_request_body(std::string_view piece) override { body.append(piece); }
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -262,7 +262,7 @@
         }
     }
 
-    void take(const std::shared_ptr<http_server_connection> &caller) {
+    void take(const std::shared_ptr<http_exchange> &caller) {
         if (target_answers) {
             run(*caller);
         } else {
@@ -271,7 +271,7 @@
         }
     }
 
-    void run(http_server_connection &caller) {
+    void run(http_exchange &caller) {
         if (caller.request().path() == "/healthz") {
             caller.respond(200, {{"Target-Name", m_target_name}}, {});
             return;
@@ -293,7 +293,7 @@
     }
 
     asio::io_context m_io;
-    std::vector<std::shared_ptr<http_server_connection>> m_unanswered;
+    std::vector<std::shared_ptr<http_exchange>> m_unanswered;
     std::shared_ptr<seen_answer> m_open_answer;
     std::string m_target_address;
     std::string m_target_name;
