Keep the order of requests that wait on a connection

Cause: `resume` takes the oldest waiting bytes and reads them. If reading stalls again at once, `read` held them back as if they had just come, behind later bytes: of six reads sent 30 ms apart on a connection that serves one at a time, the third was overtaken, and its caller took another request's answer for its own. Change: bytes that were taken and can't be read go back to the front. The test's connection gains hooks for handlers. Measured: the new case fails before (/3 started where /2 was due) and passes after. Conclusion: answers could belong to other requests; must not go without this.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -94,6 +94,14 @@
     }
 }
 
+/// Bytes that were taken to be read, and can't be yet, come before all that wait.
+void http_server_connection::put_back(std::string_view bytes) {
+    if (!bytes.empty()) {
+        m_waiting.push_front({std::string(bytes), m_read_at});
+        m_waiting_bytes += bytes.size();
+    }
+}
+
 void http_server_connection::read(std::string_view bytes) {
     m_reading = true;
     while (m_server != nullptr && !m_input_refused && !m_stalled) {
@@ -105,9 +113,7 @@
             }
             if (!may_read()) {
                 m_stalled = true;
-                if (!bytes.empty()) {
-                    hold_back(bytes, m_read_at);
-                }
+                put_back(bytes);
                 break;
             }
             if (!m_reader.in_message()) {
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -65,6 +65,7 @@
     void begin(http_head head, http_exchange::origin from);
     void read(std::string_view bytes);
     void hold_back(std::string_view bytes, instant now);
+    void put_back(std::string_view bytes);
     void resume();
     void schedule_resume();
     void refuse(int status, const std::string &reason);
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -45,10 +45,37 @@
     }
 
     void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+    /// Sends `bytes`, which must outlive this object, as the server takes them.
+    void send_all_in_background(const std::string &bytes) {
+        asio::async_write(m_socket, asio::buffer(bytes), [](asio::error_code, std::size_t) {});
+    }
     void close() { m_socket.close(); }
     http_server &server() { return m_server; }
     const std::string &received() const { return m_received; }
     bool ended() const { return m_ended; }
+    /// Does this when a handler is told that what was queued has been written.
+    void on_drained(std::function<void(const std::string &path)> reaction) {
+        m_on_drained = std::move(reaction);
+    }
+    /// Does this when a handler is told that its caller has gone.
+    void on_gone(std::function<void(const std::string &path)> reaction) {
+        m_on_gone = std::move(reaction);
+    }
+    /// Does this with each request as soon as its head has come.
+    void on_started(std::function<void(http_exchange &)> reaction) {
+        m_on_started = std::move(reaction);
+    }
+    /// Does this with each request as soon as it is whole.
+    void on_whole(std::function<void(http_exchange &)> reaction) {
+        m_on_whole = std::move(reaction);
+    }
+    /// Stops or resumes reading what the server sends.
+    void pause_reading(bool pause) {
+        m_reading_paused = pause;
+        if (!pause) {
+            read();
+        }
+    }
     const std::vector<std::string> &started() const { return m_started; }
     const std::vector<std::string> &gone() const { return m_gone; }
     const std::string &body_of(const std::string &path) { return m_bodies[path]; }
@@ -81,7 +108,22 @@
         void on_request_body(std::string_view piece) override {
             m_owner.m_bodies[m_exchange->request().target].append(piece);
         }
-        void on_caller_gone() override { m_owner.m_gone.push_back(m_exchange->request().target); }
+        void on_request_end() override {
+            if (m_owner.m_on_whole) {
+                m_owner.m_on_whole(*m_exchange);
+            }
+        }
+        void on_caller_gone() override {
+            m_owner.m_gone.push_back(m_exchange->request().target);
+            if (m_owner.m_on_gone) {
+                m_owner.m_on_gone(m_exchange->request().target);
+            }
+        }
+        void on_caller_drained() override {
+            if (m_owner.m_on_drained) {
+                m_owner.m_on_drained(m_exchange->request().target);
+            }
+        }
         pipelined_connection &m_owner;
         std::shared_ptr<http_exchange> m_exchange;
     };
@@ -96,6 +138,9 @@
     std::shared_ptr<http_request_handler> handle(const std::shared_ptr<http_exchange> &exchange) {
         m_started.push_back(exchange->request().target);
         m_open[exchange->request().target] = exchange;
+        if (m_on_started) {
+            m_on_started(*exchange);
+        }
         return std::make_shared<handler>(*this, exchange);
     }
 
@@ -107,7 +152,9 @@
                                          m_ended = true;
                                          return;
                                      }
-                                     read();
+                                     if (!m_reading_paused) {
+                                         read();
+                                     }
                                  });
     }
 
@@ -122,6 +169,11 @@
     std::array<char, 4096> m_buffer{};
     std::string m_received;
     bool m_ended = false;
+    bool m_reading_paused = false;
+    std::function<void(const std::string &)> m_on_drained;
+    std::function<void(const std::string &)> m_on_gone;
+    std::function<void(http_exchange &)> m_on_started;
+    std::function<void(http_exchange &)> m_on_whole;
 };
 
 using paths = std::vector<std::string>;
@@ -325,3 +377,24 @@
         CHECK(full.until_started(2));
     }
 }
+
+// Guards against answers that belong to other requests: bytes that came at different times were put
+// back behind later ones when the connection stalled again.
+TEST_CASE("requests that come apart while they wait keep their order") {
+    pipelined_connection client({.pipelining = {.max_concurrent = 1}});
+    client.send(get("/0"));
+    REQUIRE(client.until_started(1));
+    paths expected{"/0"};
+    for (int i = 1; i < 6; ++i) {
+        expected.push_back("/" + std::to_string(i));
+        client.send(get(expected.back()));
+        client.step(); // longer than bytes are taken to have come together
+    }
+    for (std::size_t i = 0; i < expected.size(); ++i) {
+        REQUIRE(client.until_started(i + 1));
+        REQUIRE(client.started()[i] == expected[i]);
+        client.answer("/" + std::to_string(i), "<" + std::to_string(i) + ">");
+    }
+    REQUIRE(client.until([&] { return count_of(client.received(), "HTTP/1.1 200") == 6; }));
+    CHECK(client.started() == expected);
+}
