Hold back a caller until there is room for its requests again

Cause: each `resume` let the stream read on although more than 64 KB still waited, so each answered request of 1 KB let in 64 KB more. The code before did the same by way of the reader's buffer. Change: whether the stream reads follows from one place, `update_reading`: not while a handler holds back the body nor while more waits than the bound. A request that is answered can no longer pause reading, which nothing would have resumed. Conclusion: what waits on a connection is bounded whatever its caller sends.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -89,9 +89,7 @@
         m_waiting.push_back({std::string(bytes), now});
     }
     m_waiting_bytes += bytes.size();
-    if (m_waiting_bytes > max_waiting_bytes) {
-        m_stream->pause_reading(true);
-    }
+    update_reading();
 }
 
 /// Bytes that were taken to be read, and can't be yet, come before all that wait.
@@ -102,6 +100,11 @@
     }
 }
 
+/// Reads on from the caller unless it is held back, by a handler or by what waits to be read.
+void http_server_connection::update_reading() {
+    m_stream->pause_reading(m_body_paused || m_waiting_bytes > max_waiting_bytes);
+}
+
 void http_server_connection::read(std::string_view bytes) {
     m_reading = true;
     while (m_server != nullptr && !m_input_refused && !m_stalled) {
@@ -192,7 +195,7 @@
     const auto exchange = m_exchanges.back();
     exchange->m_request_done = true;
     if (std::exchange(m_body_paused, false)) {
-        m_stream->pause_reading(false);
+        update_reading();
     }
     if (const auto handler = exchange->m_handler; handler && !exchange->m_answer_done) {
         handler->on_request_end();
@@ -200,9 +203,10 @@
 }
 
 void http_server_connection::pause_body(const http_exchange &exchange, bool pause) {
-    if (receiving() == &exchange) {
+    // Reading that is paused for a request that is answered already would never be resumed.
+    if (receiving() == &exchange && !exchange.m_answer_done) {
         m_body_paused = pause;
-        m_stream->pause_reading(pause);
+        update_reading();
     }
 }
 
@@ -227,7 +231,6 @@
         return;
     }
     m_stalled = false;
-    m_stream->pause_reading(false);
     if (m_held_request) {
         const auto held = std::exchange(m_held_request, std::nullopt);
         begin(held->head, held->from);
@@ -245,6 +248,9 @@
         m_read_at = next.at;
         read(next.bytes);
     }
+    if (m_server != nullptr) {
+        update_reading(); // not sooner: each answer would let in more than it made room for
+    }
 }
 
 /// Bytes that are no request, or one beyond the limits: after them nobody knows where the next
@@ -307,7 +313,7 @@
 void http_server_connection::answered(const http_exchange &exchange) {
     if (!exchange.m_request_done && m_body_paused) {
         m_body_paused = false; // what is left of the request is passed over
-        m_stream->pause_reading(false);
+        update_reading();
     }
     settle();
 }
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -66,6 +66,7 @@
     void read(std::string_view bytes);
     void hold_back(std::string_view bytes, instant now);
     void put_back(std::string_view bytes);
+    void update_reading();
     void resume();
     void schedule_resume();
     void refuse(int status, const std::string &reason);
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -398,3 +398,22 @@
     REQUIRE(client.until([&] { return count_of(client.received(), "HTTP/1.1 200") == 6; }));
     CHECK(client.started() == expected);
 }
+
+// Guards against a node that reads 64 KB more of a caller's requests with each one that it answers.
+TEST_CASE("a caller whose requests are answered one by one is still held back") {
+    const std::string more(1000, 'x');
+    std::string many;
+    for (int i = 0; i < 10000; ++i) {
+        many += get("/" + std::to_string(i), "More: " + more + "\r\n");
+    }
+    pipelined_connection client({.pipelining = {.max_concurrent = 1}});
+    client.send_all_in_background(many);
+    client.step();
+    const std::uint64_t before = byte_stream::thread_traffic().read;
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(client.until_started(static_cast<std::size_t>(i) + 1));
+        client.answer("/" + std::to_string(i), "x");
+        client.step();
+    }
+    CHECK(byte_stream::thread_traffic().read - before <= 4 * (64U << 10U));
+}
