Let handlers end their connection from within a callback

Cause: `settle` tells a handler that its answer has come to the front, and `refuse` that its caller has gone. If the handler ends the connection there, both went on with the server pointer, which is null by then. Change: both, and the loop that reads, return once the connection is over. Conclusion: no handler of today does this, but the interface allows it.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -129,6 +129,9 @@
             }
         }
         const http_reader::state found = m_reader.take(std::exchange(bytes, {}), *this);
+        if (m_server == nullptr) {
+            break; // a handler has ended the connection
+        }
         if (found == http_reader::state::refused) {
             refuse(m_reader.refusal_status(), m_reader.reason());
         } else if (found == http_reader::state::ended) {
@@ -275,6 +278,9 @@
     if (const auto handler = std::exchange(exchange->m_handler, nullptr)) {
         handler->on_caller_gone();
     }
+    if (m_server == nullptr) {
+        return; // the handler has ended the connection
+    }
     if (exchange->m_answer_done) {
         settle(); // answered before the request was whole
         return;
@@ -336,6 +342,9 @@
             bring_forward(*m_exchanges.front());
         }
     }
+    if (m_server == nullptr) {
+        return; // a handler that was brought forward has ended the connection
+    }
     if (m_exchanges.empty() && m_server->m_refusal && !m_reading) {
         answer_unread(m_server->m_refusal->status, m_server->m_refusal->headers);
         return;
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -417,3 +417,25 @@
     }
     CHECK(byte_stream::thread_traffic().read - before <= 4 * (64U << 10U));
 }
+
+// Guards against the use of a connection that a handler has ended from within a callback.
+TEST_CASE("a handler may end its connection when it is told that its answer is in front") {
+    pipelined_connection client;
+    client.on_drained([&](const std::string &path) { client[path].abort(); });
+    client.send(get("/a") + get("/b"));
+    REQUIRE(client.until_started(2));
+    client["/b"].send_head({.status = 200, .framing = body_framing::length, .content_length = 100});
+    client.answer("/a", "a");
+    CHECK(client.until([&] { return client.ended(); }));
+    CHECK(client.server().connections() == 0);
+    CHECK(client.server().held_answer_bytes() == 0);
+}
+
+// Guards against the use of a connection that a handler has ended from within a callback.
+TEST_CASE("a handler may end its connection when its request turns out to be none") {
+    pipelined_connection client;
+    client.on_gone([&](const std::string &path) { client[path].abort(); });
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n");
+    CHECK(client.until([&] { return client.ended(); }));
+    CHECK(client.server().connections() == 0);
+}
