Refuse requests behind an answer that ends while bytes are read

Cause: if the last bytes of a request and the next request come together, the first is answered within `read`, and its head had said before `refuse_further` that the connection stays open, then the loop read and started the next request. Change: the loop stops there, and the request is refused as all further ones. Conclusion: as the code before, nothing is started after `refuse_further`.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -114,6 +114,9 @@
                 // gone; passed on, each would cost a target its work.
                 break;
             }
+            if (m_exchanges.empty() && m_server->m_refusal) {
+                break; // `settle` refuses it
+            }
             if (!may_read()) {
                 m_stalled = true;
                 put_back(bytes);
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -439,3 +439,21 @@
     CHECK(client.until([&] { return client.ended(); }));
     CHECK(client.server().connections() == 0);
 }
+
+// Guards against a request that is handled although its server has said that it takes none.
+TEST_CASE("a request behind an answer that had begun is refused with all further ones") {
+    pipelined_connection client;
+    client.on_started([](http_exchange &exchange) {
+        exchange.send_head({.status = 200, .framing = body_framing::length, .content_length = 0});
+    });
+    client.on_whole([](http_exchange &exchange) { exchange.finish(); });
+    const std::string first = post("/a", "body");
+    client.send(first.substr(0, first.size() - 1));
+    REQUIRE(client.until_started(1));
+    client.server().refuse_further(503, {});
+    client.send(first.substr(first.size() - 1) + post("/b", "body"));
+    REQUIRE(client.until([&] { return client.ended(); }));
+    CHECK(client.started() == paths{"/a"});
+    CHECK(count_of(client.received(), "HTTP/1.1 200") == 1);
+    CHECK(count_of(client.received(), "HTTP/1.1 503") == 1);
+}
