Count a connection whose next request waits as not idle

Cause: between an answer and the start of the request that waits behind it, which comes from the event loop, a connection had neither a request in progress nor one in its reader. `stop_accepting` then closed it, and the caller could not tell whether the request it had sent was handled. Change: `idle` is false while bytes are held back. Measured: in the new case the connection was closed and the second request never started before; it passes after.

--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -28,8 +28,8 @@
     std::size_t queued() const { return m_stream->queued(); }
     /// Whether a request is in progress.
     bool busy() const { return !m_exchanges.empty(); }
-    /// Whether no request is in progress or partly here.
-    bool idle() const { return m_exchanges.empty() && !m_reader.in_message(); }
+    /// Whether no request is in progress, waits for its turn or is partly here.
+    bool idle() const { return m_exchanges.empty() && !m_stalled && !m_reader.in_message(); }
     /// Answers the next request, which may be on its way, and handles none. Precondition: not
     /// `busy()`.
     void answer_unread(int status, std::vector<header_field> headers);
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -457,3 +457,16 @@
     CHECK(count_of(client.received(), "HTTP/1.1 200") == 1);
     CHECK(count_of(client.received(), "HTTP/1.1 503") == 1);
 }
+
+// Guards against the loss of a request that was read, without a word whether it was handled.
+TEST_CASE("a connection with a request that waits for its turn is not idle") {
+    pipelined_connection client({.pipelining = {.max_concurrent = 1}});
+    client.send(get("/a"));
+    REQUIRE(client.until_started(1));
+    client.send(post("/write", "w"));
+    client.step();
+    client.answer("/a", "a"); // the next request is started from the event loop
+    client.server().stop_accepting();
+    CHECK(client.until_started(2));
+    CHECK(client.server().connections() == 1);
+}
