Leave a whole answer as it is

Cause: `abort` of an exchange whose answer was whole, but waited for those before it, replaced it by a 502, and `respond` after the end put a second answer in the place of the next request's. Change: both do nothing once the answer is whole, as `finish` does. Measured: the new case fails before (502 in place of the answer) and passes after. Conclusion: answers can't be interleaved by a handler that ends twice.

--- a/src/transport/http/http_exchange.cpp
+++ b/src/transport/http/http_exchange.cpp
@@ -72,7 +72,7 @@
 }
 
 void http_exchange::respond(int status, std::vector<header_field> headers, std::string_view body) {
-    if (closed()) {
+    if (m_answer_done || closed()) {
         return;
     }
     http_head head;
@@ -93,13 +93,15 @@
 }
 
 void http_exchange::abort() {
+    if (m_answer_done) {
+        return;
+    }
     const auto self = shared_from_this(); // as in `finish`
     m_handler.reset();
     if (closed()) {
         m_answer_done = true;
     } else if (m_held) {
         m_held->replace({});
-        m_answer_done = false;
         respond(bad_gateway, {}, {});
     } else {
         m_answer_done = true;
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -470,3 +470,16 @@
     CHECK(client.until_started(2));
     CHECK(client.server().connections() == 1);
 }
+
+// Guards against a second answer in the place of the next request's.
+TEST_CASE("an answer that is whole can't be given up or given again") {
+    pipelined_connection client;
+    client.send(get("/a") + get("/b"));
+    REQUIRE(client.until_started(2));
+    client.answer("/b", "b");
+    client["/b"].abort();
+    client["/b"].respond(500, {}, {});
+    client.answer("/a", "a");
+    REQUIRE(client.until([&] { return count_of(client.received(), "HTTP/1.1 200") == 2; }));
+    CHECK(count_of(client.received(), "HTTP/1.1") == 2);
+}
