Parse all of a body that has come at once

Cause: eager parsing is off so that reading may pause after the head. It stayed off for the body, so each chunk's header and body was one call of the parser, after which the rest of the buffer was moved to its front. Change: eager again once the head was read. A test of the pause after the head, for each kind of body.

--- a/src/transport/http/http_reader.cpp
+++ b/src/transport/http/http_reader.cpp
@@ -203,6 +203,9 @@
         if (error) {
             return refuse(bad_request, error.message());
         }
+        // Once the head is read, all that has come is parsed at once: a body in small chunks would
+        // else be moved to the front of the buffer with each chunk.
+        parser.eager(true);
         if (std::exchange(m_paused, false)) {
             return state::paused;
         }
--- a/tests/transport/http_reader_test.cpp
+++ b/tests/transport/http_reader_test.cpp
@@ -157,3 +157,31 @@
         CHECK_FALSE(parse_positive_number(wrong));
     }
 }
+
+// Guards against the body of a request that waits for its turn being handed on with its head.
+TEST_CASE("reading may pause after the head") {
+    struct pausing final : http_message_sink {
+        void on_head(http_head) override { reader->pause(); }
+        void on_body(std::string_view piece) override { body.append(piece); }
+        void on_message_end() override { ++ended; }
+        http_reader *reader = nullptr;
+        std::string body;
+        int ended = 0;
+    };
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (const std::string &rest :
+         {std::string("\r\n"), std::string("Content-Length: 2\r\n\r\nab"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n")}) {
+        CAPTURE(rest);
+        http_reader reader(requests, {});
+        pausing sink;
+        sink.reader = &reader;
+        CHECK(reader.take(start + rest + "GET", sink) == state::paused);
+        CHECK(sink.body.empty());
+        CHECK(sink.ended == 0);
+        CHECK(reader.take({}, sink) == state::ended);
+        CHECK(sink.body == (rest.size() > 2 ? "ab" : ""));
+        CHECK(sink.ended == 1);
+        CHECK(reader.has_unread());
+    }
+}
