Read no further request of a caller that does not read its answers

Cause: an answer that is ready leaves its request's place at once, and the next request is read although the answer is still unsent. Answers of up to 64 KB are passed on whole and are never held back, so what a caller has not read grew with each request of some 50 bytes that it sent. The code before did the same. Change: `pipelining_policy` reads nothing while more than 256 KB are unsent, the bound of one answer that is passed on piece by piece; reading goes on when the stream is drained. The time for a head does not run meanwhile. Measured: the new case, with 24 MB unsent, saw the next request started before; it waits now and is answered once the caller reads. Conclusion: a connection holds at most 256 KB and the answers in progress.

--- a/include/peppertack/coordination/pipelining.hpp
+++ b/include/peppertack/coordination/pipelining.hpp
@@ -71,12 +71,16 @@
         /// Requests of one connection at a time. Browsers open about as many connections to a
         /// host, so a caller that pipelines gets no larger share than one that does not.
         std::size_t max_concurrent = 6;
+        /// Bytes of answers that the caller has not taken, beyond which it gets no further request
+        /// handled: answers up to the size that is passed on only when whole would pile up here.
+        std::size_t max_unsent = 256U << 10U;
     };
     /// What is in progress on a connection.
     struct connection_state {
         std::size_t in_progress = 0;
         bool all_idempotent = true;
         bool ends_after = false; ///< no request after these is read from the connection
+        std::size_t unsent = 0;  ///< bytes of answers that wait for the caller to read them
     };
     enum class verdict : std::uint8_t {
         start, ///< handle it now
--- a/src/coordination/pipelining.cpp
+++ b/src/coordination/pipelining.cpp
@@ -34,6 +34,9 @@
 
 bool pipelining_policy::may_read(const connection_state &now,
                                  const held_answer_budget &budget) const {
+    if (now.unsent > m_options.max_unsent) {
+        return false;
+    }
     if (now.in_progress == 0) {
         return true;
     }
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -64,7 +64,8 @@
             .all_idempotent =
                 std::all_of(m_exchanges.begin(), m_exchanges.end(),
                             [](const auto &item) { return item->m_origin.idempotent; }),
-            .ends_after = ending};
+            .ends_after = ending,
+            .unsent = m_stream->queued()};
 }
 
 bool http_server_connection::may_read() const {
@@ -237,6 +238,7 @@
         return;
     }
     m_stalled = false;
+    m_since = steady_instant();
     if (m_held_request) {
         const auto held = std::exchange(m_held_request, std::nullopt);
         begin(held->head, held->from);
@@ -376,12 +378,14 @@
 }
 
 void http_server_connection::on_drained() {
-    if (m_exchanges.empty()) {
-        return;
+    if (!m_exchanges.empty()) {
+        const auto exchange = m_exchanges.front();
+        if (const auto handler = exchange->m_handler) {
+            handler->on_caller_drained();
+        }
     }
-    const auto exchange = m_exchanges.front();
-    if (const auto handler = exchange->m_handler) {
-        handler->on_caller_drained();
+    if (m_server != nullptr) {
+        schedule_resume(); // reading may have stalled on what was unsent
     }
 }
 
@@ -454,9 +458,12 @@
     if (busy()) {
         return;
     }
-    if (m_reader.in_message() && m_since + m_server->m_options.header_timeout < now) {
+    // While reading is stalled, bytes of a request may be here and not be read: its caller is not
+    // slow to send them, but slow to read the answers before.
+    const bool partly_here = m_reader.in_message() && !m_stalled;
+    if (partly_here && m_since + m_server->m_options.header_timeout < now) {
         refuse(request_timeout, "the head of the request did not come in time");
-    } else if (!m_reader.in_message() && m_since + m_server->m_options.idle_timeout < now) {
+    } else if (!partly_here && m_since + m_server->m_options.idle_timeout < now) {
         end_now();
     }
 }
--- a/tests/coordination/pipelining_test.cpp
+++ b/tests/coordination/pipelining_test.cpp
@@ -40,6 +40,15 @@
     CHECK_FALSE(policy.may_read({.in_progress = 1, .ends_after = true}, budget));
 }
 
+// Guards against memory that grows with the answers that a caller does not read.
+TEST_CASE("nothing is read from a caller that does not take its answers") {
+    const pipelining_policy bounded({.max_unsent = 100});
+    held_answer_budget budget({});
+    CHECK(bounded.may_read({.unsent = 100}, budget));
+    CHECK_FALSE(bounded.may_read({.unsent = 101}, budget));
+    CHECK_FALSE(bounded.may_read({.in_progress = 1, .unsent = 101}, budget));
+}
+
 // Guards against a node that fills its memory with answers that callers can't be sent yet.
 TEST_CASE("held answers are charged to their budget until they are sent") {
     held_answer_budget budget({.limit = 300, .reserve = 100});
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -483,3 +483,19 @@
     REQUIRE(client.until([&] { return count_of(client.received(), "HTTP/1.1 200") == 2; }));
     CHECK(count_of(client.received(), "HTTP/1.1") == 2);
 }
+
+// Guards against memory that grows with the answers that a caller does not read.
+TEST_CASE("no further request is read from a caller that does not read its answers") {
+    pipelined_connection client;
+    client.send(get("/a"));
+    REQUIRE(client.until_started(1));
+    client.pause_reading(true);
+    client.answer("/a", std::string(24U << 20U, 'x')); // more than the system buffers
+    client.send(get("/b"));
+    client.step();
+    CHECK(client.started() == paths{"/a"});
+    client.pause_reading(false);
+    REQUIRE(client.until_started(2));
+    client.answer("/b", "the end");
+    CHECK(client.until([&] { return client.received().ends_with("the end"); }));
+}
