Tell a handler whose making ended its connection

Cause: a handler that is made while its connection ends (its factory gave up the answer in front) was dropped without `on_caller_gone`; what it had started for the request would go on. Also, the way of a request through the connection was written down nowhere. Change: it is told as all others; a comment on the connection says how a request goes through it, and when reading stalls.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -160,7 +160,7 @@
     const auto verdict = m_server->m_pipelining.judge(state(), idempotent);
     if (verdict == pipelining_policy::verdict::wait) {
         m_held_request = {std::move(head), from};
-        m_held_request->from.ahead = 0;
+        m_held_request->from.ahead = 0; // it begins once none is left before it
         m_stalled = true;
         m_reader.pause();
         return;
@@ -179,9 +179,14 @@
         exchange->send_continue();
     }
     exchange->m_handler = m_server->m_make_handler(exchange);
-    if (exchange->m_answer_done || exchange->closed()) {
-        // Answered at once; handler and exchange would keep each other alive.
-        exchange->m_handler.reset();
+    if (!exchange->m_answer_done && !exchange->closed()) {
+        return;
+    }
+    // Answered at once, or the connection has ended: handler and exchange would keep each other
+    // alive.
+    const auto handler = std::exchange(exchange->m_handler, nullptr);
+    if (handler && !exchange->m_answer_done) {
+        handler->on_caller_gone();
     }
 }
 
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -57,6 +57,11 @@
     void on_body(std::string_view piece) override;
     void on_message_end() override;
 
+    // A request goes through `read` (bytes to the reader), `on_head` (start it or let it wait),
+    // `begin` and `settle` (its answer is whole and in front). Where a request may not be read yet,
+    // reading stalls: bytes wait in `m_waiting`, a head that was read in `m_held_request`, until
+    // `settle` or `on_drained` has `resume` called from the event loop.
+
     /// The exchange whose request is not whole yet; null if there is none.
     http_exchange *receiving() const;
     pipelining_policy::connection_state state() const;
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -499,3 +499,17 @@
     client.answer("/b", "the end");
     CHECK(client.until([&] { return client.received().ends_with("the end"); }));
 }
+
+// Guards against work that goes on for nobody, for a request that begins as its connection ends.
+TEST_CASE("a handler whose making ends the connection is told so") {
+    pipelined_connection client;
+    client.on_started([&](http_exchange &exchange) {
+        if (exchange.request().target == "/b") {
+            client["/a"].abort();
+        }
+    });
+    client.send(get("/a") + get("/b"));
+    REQUIRE(client.until([&] { return client.ended(); }));
+    CHECK(client.gone() == paths{"/b"}); // /a gave up by itself
+    CHECK(client.server().connections() == 0);
+}
