--- a/include/peppertack/coordination/pipelining.hpp
+++ b/include/peppertack/coordination/pipelining.hpp
@@ -4,11 +4,14 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace peppertack {
 
 /// Bound on the memory of answers that are ready, or partly here, while an earlier request of their
-/// connection is still unanswered. Not thread safe.
+/// connection is still unanswered. It decides whether one more request starts; an answer that has
+/// outgrown its reserve is paused, but may exceed the bound by what was read before. Not thread
+/// safe.
 class held_answer_budget {
 public:
     struct options {
@@ -47,7 +50,8 @@
     void append(std::string_view bytes);
     /// Drops what is held in favour of `bytes`.
     void replace(std::string bytes);
-    const std::string &bytes() const { return m_bytes; }
+    /// What was held, which is no longer held afterwards.
+    std::string take() { return std::exchange(m_bytes, {}); }
     /// Whether so much is held that its source should pause.
     bool full() const;
 
--- a/include/peppertack/transport/http/http_exchange.hpp
+++ b/include/peppertack/transport/http/http_exchange.hpp
@@ -35,7 +35,7 @@
 public:
     struct origin {
         instant received{};      ///< when the whole head could be read
-        std::size_t ahead = 0;   ///< unanswered requests before it on its connection
+        std::size_t ahead = 0;   ///< requests before it whose answers are not sent yet
         bool idempotent = false; ///< may be handled while others of its kind are in progress
     };
 
@@ -46,7 +46,7 @@
     const asio::ip::address &peer() const { return m_peer; }
     /// When the request could be read. Its turn may have come later.
     instant received() const { return m_origin.received; }
-    /// Requests before it on its connection that were unanswered when its turn came.
+    /// Requests before it on its connection whose answers were not sent when its turn came.
     std::size_t ahead() const { return m_origin.ahead; }
     /// Whether the caller sends the body only after it was told to, by `send_continue`.
     bool awaits_continue() const { return m_awaits_continue; }
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -363,7 +363,7 @@
 }
 
 void http_server_connection::bring_forward(http_exchange &exchange) {
-    const std::string bytes = exchange.m_held->bytes();
+    const std::string bytes = exchange.m_held->take();
     exchange.m_held.reset();
     if (!bytes.empty()) {
         m_stream->write(bytes);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -96,7 +96,8 @@
     CHECK(nlohmann::json::parse(config_text(*routing)) == expected);
 }
 
-// Guards against a deployment whose every configuration is refused for a type of route that it uses.
+// Guards against a deployment whose every configuration is refused for a type of route that it
+// uses.
 TEST_CASE("each type of route says whether its requests may be repeated") {
     const std::map<std::string, retry_policy> rules{{"safe", retry_policy::idempotent},
                                                     {"download", retry_policy::idempotent},
--- a/tests/transport/node_under_test.hpp
+++ b/tests/transport/node_under_test.hpp
@@ -19,6 +19,7 @@
 
 inline constexpr const char *plain = "plain"; ///< a service without keys, and the host of its route
 inline constexpr const char *keyed = "keyed"; ///< a service with keys, and the host of its route
+inline constexpr const char *reads = "reads"; ///< host of a route to `plain` that may be repeated
 inline constexpr const char *voter = "127.0.0.1:1";
 inline constexpr const char *own_peer = "127.0.0.1:2";
 inline constexpr const char *neighbour_peer = "127.0.0.2:2";
@@ -46,9 +47,20 @@
             .split = {{service, 1}}};
 }
 
+/// Idempotent requests to the service without keys.
+inline route route_of_reads() {
+    route result = route_to(plain);
+    result.name = reads;
+    result.host = reads;
+    result.repeat = retry_policy::idempotent;
+    return result;
+}
+
 inline routing_table both_services() {
     return {.version = 1,
-            .routes = {{"to-plain", route_to(plain)}, {"to-keyed", route_to(keyed)}},
+            .routes = {{"to-plain", route_to(plain)},
+                       {"to-keyed", route_to(keyed)},
+                       {reads, route_of_reads()}},
             .services = {{plain, {.name = plain}}, {keyed, {.name = keyed, .keyed = true}}}};
 }
 
