Transport: a connection that broke before the request was written has sent nothing

Cause: a call on a reused connection whose end the event loop had not seen yet counted as sent although the system took none of its bytes. The node beside a target answered target-lost, and the caller got 502, after which it can't retry.

Change: a stream counts the bytes that the system has taken. A call is sent once one of them is its own, and a call that fails before that ends as not_sent. Nothing can be written afterwards, since a call fails only once its connection is closed. Bytes that an earlier call left queued count as sent, which errs on the safe side. The content of such a request isn't suspected of ending its target. It is rejected as target-unreachable (503), or sent to another target by the entry node.

Conclusion: 502 is told only where at least one byte was taken by the system.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -50,6 +50,9 @@
     /// Writes at once what the system takes and queues the rest.
     void write(std::string_view bytes);
     std::size_t queued() const { return m_out.size() - m_sent; }
+    /// Bytes that the system has taken in the life of the stream. They may reach the other side
+    /// even after `close`; no other bytes do.
+    std::uint64_t taken() const { return m_taken; }
     /// Ends the connection; no event comes afterwards. What is queued is lost.
     void close();
     /// Closes once what is queued has been written, and the other side has had time to read it.
@@ -74,6 +77,7 @@
     std::optional<asio::steady_timer> m_pause_watch;
     std::string m_out;
     std::size_t m_sent = 0; ///< bytes of `m_out` that the system has taken
+    std::uint64_t m_taken = 0;
     bool m_waiting_read = false;
     bool m_waiting_write = false;
     bool m_paused = false;
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -14,14 +14,21 @@
 
 namespace peppertack {
 
-/// Why a call ended without a whole answer.
+/// Why a call ended without a whole answer. No byte of the request is sent after a failure.
 enum class call_failure : std::uint8_t {
     not_connected, ///< no connection could be made: nothing was sent
+    not_sent,      ///< the connection broke before the system took any byte of the request
     refused,       ///< as before, and the other side says that nobody listens there
     no_answer,     ///< something was sent, and no answer has begun
     bad_answer,    ///< the answer ended early or is none
 };
 
+/// Whether a call that failed so certainly sent nothing. Thread safe.
+constexpr bool sent_nothing(call_failure why) {
+    return why == call_failure::not_connected || why == call_failure::refused ||
+           why == call_failure::not_sent;
+}
+
 /// Takes the answer to one call.
 class http_response_handler {
 public:
@@ -60,7 +67,8 @@
     void cancel();
     void pause_answer(bool pause);
     std::size_t queued() const;
-    /// Whether any byte may have reached the other side.
+    /// Whether any byte of the request may have reached the other side. While it is false, `cancel`
+    /// ensures that none does.
     bool sent() const;
     /// Whether the call goes over a connection that served others before.
     bool reused() const;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -81,6 +81,8 @@
     /// The connection of a request that the local target, in a life of that incarnation, was
     /// running broke. If it was the last one, the target is asked whether it has ended.
     void note_target_broke_off(std::uint64_t fingerprint, std::uint64_t life);
+    /// As before, where nothing of the request had been sent, which therefore is not suspected.
+    void note_target_connection_lost();
     /// Called before a request is sent to the local target.
     void note_target_connections();
     /// Which requests to the local target are nested calls.
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -180,6 +180,7 @@
                                     m_out.size() - m_sent, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (size > 0) {
             m_sent += static_cast<std::size_t>(size);
+            m_taken += static_cast<std::uint64_t>(size);
             traffic_of_thread().written += static_cast<std::uint64_t>(size);
         } else if (size < 0 && errno == EINTR) {
             continue;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -48,6 +48,7 @@
         m_handler = std::move(handler);
         m_in_call = true;
         m_make = std::move(make);
+        m_taken_before = taken();
         if (m_stream) {
             // Not within the call that starts it: the handler may not be ready for events yet.
             asio::post(m_pool->m_io, [self = shared_from_this()] { self->make_request(); });
@@ -62,6 +63,7 @@
         m_answer_done = false;
         m_in_call = true;
         m_expect_no_body = head.method == "HEAD";
+        m_taken_before = taken();
         if (m_expect_no_body) {
             m_reader.expect_no_body();
         }
@@ -90,7 +92,6 @@
             return;
         }
         if (m_stream) {
-            m_sent = true;
             m_stream->write(bytes);
         } else {
             m_before_connect.append(bytes);
@@ -128,11 +129,22 @@
     bool usable(instant now) const { return !m_closed && m_idle_until > now; }
     std::size_t queued() const { return m_stream ? m_stream->queued() : m_before_connect.size(); }
     const std::string &address() const { return m_address; }
-    bool sent() const { return m_sent; }
+    /// What an earlier call had queued counts as sent by this one, which errs on the safe side.
+    bool sent() const { return taken() > m_taken_before; }
     bool reused() const { return m_calls > 0; }
     bool closed() const { return m_closed; }
 
 private:
+    std::uint64_t taken() const { return m_stream ? m_stream->taken() : 0; }
+
+    /// Why a call ends whose connection has been closed.
+    call_failure failure_when_closed() const {
+        if (!sent()) {
+            return call_failure::not_sent;
+        }
+        return m_answer_begun ? call_failure::bad_answer : call_failure::no_answer;
+    }
+
     void count_established(bool established) {
         if (m_established == established || m_pool_alive.expired()) {
             return;
@@ -212,8 +224,7 @@
         }
         if (state == http_reader::state::refused && !m_closed) {
             close();
-            fail(m_answer_begun ? call_failure::bad_answer : call_failure::no_answer,
-                 m_reader.reason());
+            fail(failure_when_closed(), m_reader.reason());
         } else if (m_answer_done && m_request_done && m_in_call) {
             settle();
         } else if (m_answer_done && m_in_call && !m_request_done) {
@@ -242,8 +253,7 @@
             m_in_call = false;
             return;
         }
-        fail(m_answer_begun ? call_failure::bad_answer : call_failure::no_answer,
-             in_order ? "connection closed" : "connection reset");
+        fail(failure_when_closed(), in_order ? "connection closed" : "connection reset");
     }
 
     /// A success without an id counts only where ids have not been echoed so far. A refusal may
@@ -351,8 +361,8 @@
     bool m_echoes_ids = false;
     bool m_keep_alive = true;
     bool m_paused = false;
-    bool m_sent = false;
-    bool m_end_announced = false; ///< while no call was made
+    std::uint64_t m_taken_before = 0; ///< by the system, when the call began
+    bool m_end_announced = false;     ///< while no call was made
     bool m_closed = false;
     bool m_established = false;
     std::uint64_t m_calls = 0;
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -512,8 +512,8 @@
     if (m_passing_on) {
         m_caller->abort();
         done();
-    } else if (!connected) {
-        if (m_key && m_host.pool().established_to(m_address) == 0) {
+    } else if (sent_nothing(why)) {
+        if (!connected && m_key && m_host.pool().established_to(m_address) == 0) {
             m_host.unavailable().record_absent(m_target, {error_kind::owner_unreachable, {}},
                                                m_deadline, now);
         }
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -385,7 +385,9 @@
     m_body.detach();
     m_call.reset();
     leave_queue(std::nullopt);
-    if (why != call_failure::not_connected && why != call_failure::refused) {
+    if (why == call_failure::not_sent) {
+        m_host.note_target_connection_lost();
+    } else if (!sent_nothing(why)) {
         m_host.note_target_broke_off(m_hop.fingerprint, m_life);
     }
     m_host.log().note("target_failed",
@@ -397,7 +399,7 @@
     if (m_sender->answer_begun()) {
         m_phase = phase::done;
         m_sender->abort();
-    } else if (why == call_failure::not_connected || why == call_failure::refused) {
+    } else if (sent_nothing(why)) {
         const bool same =
             m_host.agent().has_target() && m_host.agent().target().name == m_target_name;
         if (why == call_failure::refused && same) {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -253,6 +253,10 @@
 
 void traffic_host::note_target_broke_off(std::uint64_t fingerprint, std::uint64_t life) {
     m_agent.run_unanswered(fingerprint, life, steady_instant());
+    note_target_connection_lost();
+}
+
+void traffic_host::note_target_connection_lost() {
     note_target_connections();
     if (m_asking || !m_agent.has_target() || m_pool.established_to(m_agent.target().address) != 0) {
         return;
