Entry node: a request of which no byte, or only an announcement, was sent has not run

Cause: at its deadline the entry node answered 504 whenever it had a call, even if that was still connecting. A request whose large body had been announced and not yet asked for was answered 504 at its deadline, and 502 if the node beside its target was lost, although that node passes nothing on before it has some of the body.

Change: such requests are answered 503 with Retry-After. The answer cancels the call first: a connection that is being made is closed before it is written to, and the body, which is held here, is dropped with the call. A body counts as held only until the other node asks for it; from then on nothing is promised, whether it was written or not. An earlier attempt without a certain end still turns the answer into 502.

Measured: with the former sources the tests see 504 (connecting, announced) and 502 (node lost, two ways); with the change 503. The test that a written request is promised nothing passes with both.

Conclusion: what an entry node answers 502 or 504 was written to another node with at least one byte that it may act on.

--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -334,6 +334,12 @@
     }
 }
 
+/// Whether the present attempt may have brought any byte of the request to a target. If not, `done`
+/// ensures that it never does.
+bool entry_relay::may_be_at_target() const {
+    return m_call && m_call->sent() && !m_body.held();
+}
+
 void entry_relay::on_time(instant now) {
     if (m_done) {
         return;
@@ -345,7 +351,11 @@
             done();
         } else if (m_call) {
             m_host.selector().record_outcome(m_target, call_outcome::failed, now);
-            refuse(error_kind::deadline_after_target, outcome::unknown, {});
+            if (may_be_at_target()) {
+                refuse(error_kind::deadline_after_target, outcome::unknown, {});
+            } else {
+                refuse(error_kind::deadline_before_target, outcome::not_run, usual_retry_after);
+            }
         } else {
             refuse(error_kind::deadline_before_target, outcome::not_run, usual_retry_after);
         }
@@ -359,7 +369,7 @@
         return;
     }
     const auto self = shared_from_this();
-    if (m_call && m_call->sent()) {
+    if (may_be_at_target()) {
         refuse(error_kind::target_lost, outcome::unknown, {});
     } else {
         refuse(error_kind::draining, outcome::not_run, m_host.returns_in(now));
@@ -424,11 +434,16 @@
     }
     const auto self = shared_from_this();
     const instant now = steady_instant();
+    const bool held = m_body.held();
     m_body.detach();
     m_call.reset();
     if (!m_hop_known) {
         m_host.selector().record_outcome(m_target, call_outcome::failed, now);
-        after_unknown(error_kind::target_lost, now);
+        if (held) {
+            after_not_run(error_kind::owner_unreachable, usual_retry_after, now);
+        } else {
+            after_unknown(error_kind::target_lost, now);
+        }
     } else if (m_hop.refused != error_kind::none) {
         // A full target does its part; one that is gone does not.
         // Nor does one whose node knows no target, or another one than was meant: it looks idle,
@@ -497,6 +512,7 @@
     }
     const auto self = shared_from_this();
     const instant now = steady_instant();
+    const bool held = m_body.held();
     m_body.detach();
     m_call.reset();
     const bool connected = why != call_failure::not_connected && why != call_failure::refused;
@@ -512,7 +528,7 @@
     if (m_passing_on) {
         m_caller->abort();
         done();
-    } else if (sent_nothing(why)) {
+    } else if (sent_nothing(why) || held) {
         if (!connected && m_key && m_host.pool().established_to(m_address) == 0) {
             m_host.unavailable().record_absent(m_target, {error_kind::owner_unreachable, {}},
                                                m_deadline, now);
--- a/src/transport/traffic/entry_relay.hpp
+++ b/src/transport/traffic/entry_relay.hpp
@@ -45,6 +45,7 @@
     admission_class admission() const;
     bool large_body() const;
     void send_to(const target_route &target, instant now);
+    bool may_be_at_target() const;
     void after_not_run(error_kind kind, duration retry_after, instant now);
     void after_unknown(error_kind kind, instant now);
     bool retry_executed_nowhere(instant now);
--- a/src/transport/traffic/request_body.hpp
+++ b/src/transport/traffic/request_body.hpp
@@ -33,6 +33,10 @@
     /// `hold` only once the other side has asked for it, see `go_ahead`.
     void attach(std::shared_ptr<http_call> call, bool hold = false);
     void go_ahead();
+    /// Whether the call has all of a body that is not empty still ahead of it, since the other side
+    /// has not asked for it. That side can't have passed the request on: a node does so only once
+    /// it has some of the body.
+    bool held() const { return m_call && m_hold && !m_kept.empty(); }
     void detach() {
         m_call.reset();
         m_hold = false;
