Node beside a target: a request that waits is rejected before its sender's deadline

Cause: the deadline of the node beside the target is that of the entry node plus the way of the request. The word that a waiting request was not started came after the entry node had answered 504.

Change: from waiting_limit on (100 ms, at most an eighth of the time, before the deadline) a request of which the target has been sent nothing is rejected with deadline-before-target, in every phase before running and while the connection to the target is being made. It leaves its queue first and the call is cancelled, so nothing can start it; start() refuses after the limit too. The entry node answers 503 at once instead of trying another target, where it could end without a certain result.

The margin follows from the timer step and the narrowest link; it was not measured on a deployment.

Conclusion: a 504 remains where the rejection is delayed by more than the margin, and nothing is promised then.

--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -544,6 +544,9 @@
     m_parked_for = kind;
     if (kind == error_kind::quarantined) {
         refuse(kind, outcome::not_run, quarantine_retry_after);
+    } else if (kind == error_kind::deadline_before_target) {
+        // Hardly any time is left: on the next attempt it could end without a certain result.
+        refuse(kind, outcome::not_run, retry_after);
     } else if (!m_body.replayable() || kind == error_kind::dependency_overloaded) {
         refuse(kind, outcome::not_run, retry_after);
     } else if (!m_key && m_tried.size() < most_refusals && now < m_objective) {
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -1,6 +1,7 @@
 #include "target_relay.hpp"
 
 #include "../wall_clock.hpp"
+#include "peppertack/coordination/waiting_limit.hpp"
 #include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/state/key_hash.hpp"
 
@@ -59,6 +60,7 @@
     }
     m_hop = *told;
     m_deadline = m_received + m_hop.time_left;
+    m_waiting_limit = waiting_limit(m_received, m_deadline);
     m_objective = m_received + m_hop.objective_left;
     const std::string *caller = head.find(m_host.options().headers.caller_service);
     m_host.nested_calls().record(m_hop.route, caller == nullptr ? std::string() : *caller,
@@ -260,6 +262,10 @@
         refuse(*kind, now, usual_retry_after);
         return;
     }
+    if (now >= m_waiting_limit) {
+        stop_waiting(now);
+        return;
+    }
     m_host.metrics().note_queue(now - m_received);
     m_host.note_target_connections();
     m_started = now;
@@ -455,6 +461,27 @@
     m_host.start_waiting(steady_instant());
 }
 
+/// Whether it is certain that no byte of the request has gone to the target, except where the
+/// target has answered that it doesn't hold the key and did not run it. `stop_waiting` then ensures
+/// that none ever does.
+bool target_relay::nothing_sent() const {
+    if (m_phase == phase::running) {
+        return m_call && !m_call->sent() && !m_sender->answer_begun();
+    }
+    return m_phase != phase::done;
+}
+
+/// Precondition: `nothing_sent()`.
+void target_relay::stop_waiting(instant now) {
+    if (m_call) {
+        m_call->cancel(); // a connection that is still being made is closed before it is written to
+        m_call.reset();
+    }
+    m_body.detach();
+    leave_queue(std::nullopt);
+    refuse(error_kind::deadline_before_target, now, usual_retry_after);
+}
+
 void target_relay::on_time(instant now) {
     if (m_phase == phase::done) {
         return;
@@ -464,6 +491,11 @@
         // Its sender is stuck, paused or cut off; the request itself is judged by its deadline.
         end_turn(std::nullopt);
     }
+    if (now >= m_waiting_limit && nothing_sent()) {
+        stop_waiting(now);
+        m_host.start_waiting(now);
+        return;
+    }
     if (m_phase == phase::waiting_for_turn) {
         const auto kind = refusal(now);
         if (kind && *kind != error_kind::no_owner) {
@@ -490,7 +522,6 @@
         return;
     }
     if (m_phase == phase::running && now >= m_deadline + deadline_slack) {
-        const bool sent = m_call && m_call->sent();
         if (m_call) {
             m_call->cancel();
             m_call.reset();
@@ -500,10 +531,8 @@
         if (m_sender->answer_begun()) {
             m_phase = phase::done;
             m_sender->abort();
-        } else if (sent) {
-            fail(error_kind::deadline_after_target, now);
         } else {
-            refuse(error_kind::deadline_before_target, now, usual_retry_after);
+            fail(error_kind::deadline_after_target, now);
         }
         m_host.start_waiting(now);
     }
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -54,6 +54,8 @@
     void count_key();
     const char *phase_name() const;
     void start(instant now);
+    bool nothing_sent() const;
+    void stop_waiting(instant now);
     void refuse(error_kind kind, instant now, duration retry_after);
     void fail(error_kind kind, instant now);
     void answer(error_kind kind, const hop_reply &hop);
@@ -74,6 +76,7 @@
     phase m_phase = phase::receiving;
     instant m_received{};
     instant m_deadline{};
+    instant m_waiting_limit{}; ///< from then on it isn't sent to the target any more
     instant m_objective{};
     instant m_started{};
     instant m_turn_at{};       ///< since when its body has been coming; zero without a turn
--- a/tests/transport/request_not_run_test.cpp
+++ b/tests/transport/request_not_run_test.cpp
@@ -80,6 +80,16 @@
                   .slots = 4}});
 }
 
+void know_own_target(node_under_test &node, const std::string &service) {
+    node.beat("old", service);
+    node.answer(node.registering("old"), old_number,
+                {{.number = old_number,
+                  .name = "old",
+                  .service = service,
+                  .address = own_peer,
+                  .slots = 4}});
+}
+
 std::vector<header_field> waiting_for(node_under_test &node, std::chrono::milliseconds time) {
     return {{node.host().options().headers.deadline_ms, std::to_string(time.count())}};
 }
@@ -114,6 +124,14 @@
     CHECK(head.find("Retry-After") != nullptr);
 }
 
+std::vector<header_field> hop_to_own_target(duration time) {
+    return {{std::string(hop_header), encode(hop_request{.target = old_number,
+                                                         .service = plain,
+                                                         .route = "to-plain",
+                                                         .objective_left = 60s,
+                                                         .time_left = time})}};
+}
+
 } // namespace
 
 // Guards against a 504, after which a caller can't send its request again, for a request of which
@@ -175,3 +193,55 @@
         return node.neighbour_asked > before;
     }));
 }
+
+// Guards against a 504 for a request that waited at the node beside the target, whose word that it
+// did not start it came after the deadline.
+TEST_CASE("a request that waits beside its target until the deadline is answered as not run") {
+    node_under_test node;
+    know_own_target(node, plain);
+    // The queue rejects what can't be answered in time, by how long requests take: not at all.
+    for (int i = 0; i < 150; ++i) {
+        node.forward(hop_to_own_target(60s));
+    }
+    std::vector<std::shared_ptr<http_call>> running;
+    for (int i = 0; i < 4; ++i) {
+        running.push_back(node.forward_without_end(hop_to_own_target(60s)));
+    }
+    const int started = node.runs;
+    // A stall of this process may let a single one miss its time.
+    CHECK(node.run_until([&] {
+        const http_head head = node.ask(plain, waiting_for(node, 900ms));
+        return head.status == unavailable && head.find("Retry-After") != nullptr;
+    }));
+    // Nothing may start once a slot is free.
+    for (const auto &call : running) {
+        call->cancel();
+    }
+    REQUIRE(node.run_until([&] { return node.agent().queue().in_flight() == 0; }));
+    const auto after = std::chrono::steady_clock::now() + 100ms;
+    node.run_until([&] { return std::chrono::steady_clock::now() > after; });
+    CHECK(node.runs == started);
+}
+
+// Guards against a request that is held back up to its deadline by a target that takes no
+// connection, where the word that it was not sent comes after the deadline.
+TEST_CASE("a request that waits for a connection to its target is rejected before its deadline") {
+    node_under_test node;
+    const std::string address = loopback("127.0.0.1", free_port());
+    const full_listener stuck(address);
+    node.agent().heartbeat(
+        {.name = "old", .address = address, .service = plain, .slots = 4, .sequence = 1},
+        test_moment(), [](const hold_grant &) {});
+    node.answer(node.registering("old"), old_number, {});
+    constexpr auto time = 100ms;
+    CHECK(node.run_until([&] {
+        const auto begun = std::chrono::steady_clock::now();
+        const http_head head = node.forward(hop_to_own_target(time));
+        const bool in_time = std::chrono::steady_clock::now() - begun < time;
+        const std::string *hop = head.find(hop_header);
+        const auto told = hop == nullptr ? std::nullopt : decode_hop_reply(*hop);
+        REQUIRE(told);
+        return in_time && told->refused == error_kind::deadline_before_target;
+    }));
+    CHECK(node.run_until([&] { return node.host().pool().connections_to(address) == 0; }));
+}
