--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -28,12 +28,22 @@
 constexpr const char *crashing_path = "/a/crash";     ///< ends each target that runs it
 constexpr std::string_view working_path = "/a/busy/"; ///< milliseconds follow
 
-/// How long a target works on a request for that path, if the path says so.
-std::optional<duration> work_on(const std::string &path) {
-    if (path.rfind(working_path, 0) != 0) {
+/// The number behind a prefix of a path, if the path begins with it.
+std::optional<std::int64_t> number_behind(std::string_view prefix, const std::string &path) {
+    if (path.rfind(prefix, 0) != 0) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds(std::stoll(path.substr(working_path.size())));
+    return std::stoll(path.substr(prefix.size()));
+}
+
+/// How long a target works on a request for that path, if the path says so.
+std::optional<duration> work_on(const std::string &path) {
+    const auto number = number_behind(working_path, path);
+    return number ? std::optional<duration>(std::chrono::milliseconds(*number)) : std::nullopt;
+}
+
+std::string answer_to(const std::string &path, const std::string &id) {
+    return long_answer(id, static_cast<std::size_t>(number_behind(long_path, path).value_or(0)));
 }
 
 /// Collects an answer and hands it on.
@@ -116,10 +126,22 @@
 
 } // namespace
 
+std::string long_answer(const std::string &id, std::size_t length) {
+    const std::string unit = "ran " + id;
+    std::string text = unit;
+    text.reserve(std::max(length, unit.size()) + unit.size());
+    while (text.size() < length) {
+        text += unit;
+    }
+    text.resize(std::max(length, unit.size()));
+    return text;
+}
+
 // ---- targets ----
 
 stand_in_platform_target::stand_in_platform_target(platform_cluster &cluster, std::size_t place)
-    : m_cluster(cluster), m_place(place), m_service(cluster.m_options.services[place]) {}
+    : m_cluster(cluster), m_place(place), m_service(cluster.m_options.services[place]),
+      m_capacity(cluster.m_options.capacity) {}
 
 void stand_in_platform_target::start() {
     m_name = "i-" + std::to_string(m_place) + "-" + std::to_string(++m_cluster.m_lives);
@@ -145,6 +167,8 @@
     m_holds.clear();
     m_freed = nlohmann::json::array();
     m_life = std::make_shared<bool>(true);
+    m_running = 0;
+    m_queue.clear();
     m_cold_arrivals.clear();
     m_cold_until = steady_instant() + m_cluster.m_options.cold_start;
     const std::string address =
@@ -217,7 +241,7 @@
     return {{"address",
              m_cluster.node_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"))},
             {"born", m_born},
-            {"info", {{"service", m_service}, {"slots", 8}}},
+            {"info", {{"service", m_service}, {"slots", m_cluster.m_options.slots}}},
             {"status",
              {{"state", m_draining ? "draining" : "ready"},
               {"sequence", m_sequence},
@@ -315,6 +339,38 @@
     if (cold()) {
         note_arrival_while_cold();
     }
+    admit([this, caller, body, headers] { run(caller, body, headers); });
+}
+
+void stand_in_platform_target::set_capacity(target_capacity capacity) {
+    m_capacity = capacity;
+    start_queued();
+}
+
+void stand_in_platform_target::admit(std::function<void()> run) {
+    if (m_running < m_capacity.slots) {
+        run();
+    } else if (m_queue.size() < m_capacity.queue) {
+        m_queue.push_back(std::move(run));
+    } else {
+        ++m_left_unanswered; // the server reads no further request from that connection
+    }
+}
+
+void stand_in_platform_target::start_queued() {
+    while (!m_queue.empty() && m_running < m_capacity.slots) {
+        const auto run = std::move(m_queue.front());
+        m_queue.pop_front();
+        run();
+    }
+}
+
+/// Goes on also when nobody waits for the answer any more, as a target that does not look at its
+/// connections while it works.
+void stand_in_platform_target::run(const std::shared_ptr<http_exchange> &caller,
+                                   const std::string &body, std::vector<header_field> headers) {
+    const http_head &head = caller->request();
+    const std::string *id = head.find("X-Request-Id");
     m_cluster.note_run(*id, body);
     m_cluster.m_stops.note_run(*id, m_place);
     if (head.target == crashing_path) {
@@ -334,12 +390,18 @@
     const duration usual = settings.work_at ? settings.work_at(m_place) : settings.work;
     auto timer =
         std::make_shared<asio::steady_timer>(m_cluster.m_io, work_on(head.target).value_or(usual));
-    timer->async_wait([timer, caller, headers, id = *id, place = m_place,
-                       &stops = m_cluster.m_stops](asio::error_code error) {
-        if (!error && !caller->closed()) {
-            stops.note_run_end(id, place, false);
-            caller->respond(200, headers, "ran " + id);
+    ++m_running;
+    timer->async_wait([this, timer, caller, headers, id = *id,
+                       life = std::weak_ptr(m_life)](asio::error_code error) {
+        if (error || life.expired()) {
+            return;
         }
+        --m_running;
+        if (!caller->closed()) {
+            m_cluster.m_stops.note_run_end(id, m_place, false);
+            caller->respond(200, headers, answer_to(caller->request().target, id));
+        }
+        start_queued();
     });
 }
 
@@ -574,6 +636,26 @@
     return process <= 0;
 }
 
+std::string platform_cluster::node_status(std::size_t place, const std::string &field) const {
+    std::ifstream in("/proc/" + std::to_string(m_nodes[place]) + "/status");
+    const std::string name = field + ":\t";
+    for (std::string line; std::getline(in, line);) {
+        if (line.rfind(name, 0) == 0) {
+            return line.substr(name.size());
+        }
+    }
+    return {};
+}
+
+std::uint64_t platform_cluster::node_memory(std::size_t place) const {
+    const std::string kilobytes = node_status(place, "VmRSS");
+    return kilobytes.empty() ? 0 : std::stoull(kilobytes) * 1024;
+}
+
+bool platform_cluster::node_paused(std::size_t place) const {
+    return node_status(place, "State").rfind('T', 0) == 0;
+}
+
 void platform_cluster::stop_node(std::size_t place) {
     m_stops.note_stop(place);
     signal_node(place, SIGTERM);
@@ -715,25 +797,38 @@
                         key, "body");
 }
 
-std::shared_ptr<caller_attempt> platform_cluster::send_to_path(const std::string &path,
-                                                               std::size_t node, bool keyed,
-                                                               bool once, std::uint32_t key,
-                                                               const std::string &body) {
+std::shared_ptr<caller_attempt> platform_cluster::expect(std::size_t node, bool once,
+                                                         const std::string &body) {
     auto attempt = std::make_shared<caller_attempt>();
     attempt->id = "r" + std::to_string(++m_next_id);
     attempt->node = node;
     attempt->once = once;
-    m_bodies[attempt->id] = once ? body : "";
+    m_bodies[attempt->id] = body;
     m_attempts.push_back(attempt);
+    return attempt;
+}
+
+http_head platform_cluster::request_head(const caller_attempt &attempt, const std::string &path,
+                                         bool keyed, std::uint32_t key) const {
+    const bool once = attempt.once;
     http_head head;
     head.method = once ? "POST" : "GET";
     head.target = path;
     head.headers = {{"Host", std::string(keyed ? "keyed-" : "plain-") + (once ? "once" : "safe")},
-                    {"X-Request-Id", attempt->id},
+                    {"X-Request-Id", attempt.id},
                     {"X-Deadline-Ms", std::to_string(m_options.deadline.count())}};
     if (keyed) {
         head.headers.push_back({"X-Shard-Key", std::to_string(key)});
     }
+    return head;
+}
+
+std::shared_ptr<caller_attempt> platform_cluster::send_to_path(const std::string &path,
+                                                               std::size_t node, bool keyed,
+                                                               bool once, std::uint32_t key,
+                                                               const std::string &body) {
+    const auto attempt = expect(node, once, once ? body : "");
+    const http_head head = request_head(*attempt, path, keyed, key);
     const std::string address = caller_address(node);
     m_stops.note_sent(attempt->id, node,
                       steady_instant() + std::min<duration>(m_options.deadline, m_options.timeout));
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -16,6 +17,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -41,6 +43,18 @@
     friend bool operator==(const hold_call_faults &, const hold_call_faults &) = default;
 };
 
+/// How many requests a stand-in target runs at a time and queues. It never answers one that it
+/// can't queue, nor any later one on that connection.
+struct target_capacity {
+    std::size_t slots = std::numeric_limits<std::size_t>::max();
+    std::size_t queue = std::numeric_limits<std::size_t>::max();
+};
+
+/// Content of an answer to the path `long_path`: tells its request throughout, `length` bytes or as
+/// many as it takes to tell it once.
+std::string long_answer(const std::string &id, std::size_t length);
+inline constexpr std::string_view long_path = "/a/long/"; ///< bytes of the answer follow
+
 /// A target that speaks the platform's protocol: sends heartbeats, keeps the holds it is given,
 /// runs requests and remembers which.
 class stand_in_platform_target {
@@ -83,6 +97,10 @@
     /// Calls to grant keys that came so far.
     std::uint64_t grants() const { return m_grants; }
     std::uint64_t releases() const { return m_releases; }
+    /// In force for requests that come from now on, in this life and later ones.
+    void set_capacity(target_capacity capacity);
+    /// Requests that were left without an answer since they could not be queued.
+    std::uint64_t left_unanswered() const { return m_left_unanswered; }
 
 private:
     void come_up();
@@ -91,6 +109,11 @@
     void beat();
     void take_answer(const std::string &body, instant sent);
     void take_request(const std::shared_ptr<http_exchange> &caller, const std::string &body);
+    /// Runs a request, queues it, or never answers it.
+    void admit(std::function<void()> run);
+    void run(const std::shared_ptr<http_exchange> &caller, const std::string &body,
+             std::vector<header_field> headers);
+    void start_queued();
     bool holds_key(std::uint32_t key, instant now) const;
     void take_hold_call(const std::shared_ptr<http_exchange> &caller, const std::string &body);
     /// Status of a grant that is carried out now and counts from `arrived`.
@@ -119,6 +142,10 @@
     bool m_unreachable = false; ///< its address takes no connections
     std::uint64_t m_grants = 0;
     std::uint64_t m_releases = 0;
+    target_capacity m_capacity;
+    std::size_t m_running = 0;
+    std::deque<std::function<void()>> m_queue; ///< runs that wait for a slot
+    std::uint64_t m_left_unanswered = 0;
     std::shared_ptr<bool> m_life;
 };
 
@@ -147,6 +174,8 @@
                                           "plain"}; ///< a node each
         double heartbeat_s = 0.2;
         duration work = std::chrono::milliseconds(5);
+        std::uint32_t slots = 8;          ///< that targets tell
+        target_capacity capacity;         ///< that targets have at first
         double link_mbps = 8;             ///< as told to the processes
         double cold_per_s = 0;            ///< requests that a cold target tolerates; 0: any number
         duration cold_start{};            ///< targets are cold for so long after their start
@@ -172,6 +201,8 @@
     bool run_until(const std::function<bool()> &condition,
                    duration patience = std::chrono::seconds(20));
     void run_for(duration time);
+    /// Loop on which all of this runs.
+    asio::io_context &io() { return m_io; }
 
     void start_voter(std::size_t place, bool first = false);
     void start_node(std::size_t place);
@@ -187,6 +218,10 @@
     void wipe_voter(std::size_t place);
     bool node_ended(std::size_t place) { return ended(m_nodes[place]); }
     bool voter_ended(std::size_t place) { return ended(m_voters[place]); }
+    /// Resident memory (VmRSS) of a node's process in bytes; 0 if it has ended.
+    std::uint64_t node_memory(std::size_t place) const;
+    /// Whether a node's process was stopped by a signal and not told to go on.
+    bool node_paused(std::size_t place) const;
     /// Tells a node for the first time to stop.
     void stop_node(std::size_t place);
     stop_oracle &stops() { return m_stops; }
@@ -207,6 +242,12 @@
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
                                          const std::string &body = "body");
+    /// Notes a request that is sent by other means, so that its runs are watched and
+    /// `check_requests` judges the answer that is filled in. `body`: as it is sent.
+    std::shared_ptr<caller_attempt> expect(std::size_t node, bool once, const std::string &body);
+    /// Head of the request of an attempt, without the framing of its body.
+    http_head request_head(const caller_attempt &attempt, const std::string &path, bool keyed,
+                           std::uint32_t key) const;
     /// Sends a request that ends each target that runs it. The content is the same each time.
     std::shared_ptr<caller_attempt> send_crashing(std::size_t node, bool keyed, bool once,
                                                   std::uint32_t key);
@@ -265,6 +306,8 @@
     /// keys longer than they were told.
     void run_beside(const std::function<void()> &work);
     void signal(pid_t process, int number) const;
+    /// A field of /proc/PID/status of a node; empty if it has ended or the field is missing.
+    std::string node_status(std::size_t place, const std::string &field) const;
     static void end(pid_t &process);
     static bool ended(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
