Fault soak: the mode `pipelining`

Cause: overlapping requests of one connection had unit tests only; no run with real processes looked at order, writes behind a closing answer, or the memory of nodes while faults strike. Change: `soak BUILD SEED COUNT [STEPS] pipelining` adds 24 callers that send 1 to 8 requests at once, at times with one that takes effect once; ten of them read up to 3 MB an answer slowly from one node; some close early. Targets run 9 requests and queue 36, at times far fewer. Checked are order and content of answers, writes behind an answer that closes its connection, connections that are neither answered nor ended within 6 s, and 160 MB a node, besides what check_requests judges.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,3 +1,4 @@
+#include "pipelining_callers.hpp"
 #include "platform_cluster.hpp"
 #include "stops_run.hpp"
 
@@ -18,10 +19,11 @@
 class soak_run {
 public:
     /// What is disturbed, and how targets get their keys.
-    enum class mode : std::uint8_t { all, signals_only, hold_calls, target_words };
+    enum class mode : std::uint8_t { all, signals_only, hold_calls, target_words, pipelining };
 
     soak_run(const std::string &programs, std::uint64_t seed, mode what)
-        : m_random(seed), m_mode(what), m_cluster(cluster_options(programs, seed, what)) {}
+        : m_random(seed), m_mode(what), m_capacity(cluster_options(programs, seed, what).capacity),
+          m_cluster(cluster_options(programs, seed, what)) {}
 
     bool play(int steps) {
         if (!m_cluster.configure(1, 0) || !m_cluster.serves()) {
@@ -29,6 +31,9 @@
             m_cluster.keep_folder();
             return false;
         }
+        if (m_mode == mode::pipelining) {
+            m_pipelining.emplace(m_cluster, m_random());
+        }
         for (int i = 0; i < steps; ++i) {
             strike();
             send_for(std::chrono::milliseconds(100 + draw(400)));
@@ -39,6 +44,7 @@
         }
         const bool again = m_cluster.serves();
         std::cout << (again ? "" : "does not serve again: " + m_cluster.last_answers() + "\n");
+        m_sound = (!m_pipelining || m_pipelining->finish()) && m_sound;
         m_cluster.run_for(2s);
         m_cluster.check_requests();
         m_sound = check_configuration() && m_sound;
@@ -61,6 +67,13 @@
             result.heartbeat_s = 0.5; // holds are as long as a few heartbeats
             result.grants = "rpc";
         }
+        if (what == mode::pipelining) {
+            result.slots = 9; // as targets of the users' platform have
+            result.capacity = {.slots = 9, .queue = 36};
+            result.work_at = [random = std::mt19937_64(seed)](std::size_t) mutable -> duration {
+                return std::chrono::milliseconds(5 + random() % 150);
+            };
+        }
         return result;
     }
 
@@ -114,6 +127,9 @@
         if (m_mode == mode::target_words) {
             disturb_by_words();
         }
+        if (m_mode == mode::pipelining && draw(2) == 0) {
+            narrow_target();
+        }
         const bool few = m_mode == mode::signals_only;
         const disturbance &kind = kinds.at(draw(few ? signals : kinds.size()));
         std::cout << kind.name << ", node " << m_node << " voter " << m_voter << "\n";
@@ -204,6 +220,11 @@
         std::cout << "hold calls disturbed, node " << m_node << "\n";
         m_cluster.target(m_node).set_hold_call_faults(faults);
     }
+    /// A target has less room than it says, and never answers what it can't queue.
+    void narrow_target() {
+        std::cout << "target narrowed, node " << m_node << "\n";
+        m_cluster.target(m_node).set_capacity({.slots = 1 + draw(2), .queue = draw(4)});
+    }
     void disturb_links(fault_proxy::fault kind) {
         // Between a node and its target there is no network, on which calls of holds rely.
         const bool both = m_mode != mode::hold_calls;
@@ -217,6 +238,7 @@
             m_cluster.node_links(i).set_fault(fault_proxy::fault::none);
             m_cluster.target_links(i).set_fault(fault_proxy::fault::none);
             m_cluster.target(i).set_hold_call_faults({});
+            m_cluster.target(i).set_capacity(m_capacity);
         }
         if (m_down_node) {
             m_cluster.end_node(*m_down_node); // one that is still stopping has had its time
@@ -330,6 +352,7 @@
 
     std::mt19937_64 m_random;
     mode m_mode;
+    target_capacity m_capacity; ///< of targets that are not disturbed
     platform_cluster m_cluster;
     std::uint64_t m_version = 1;
     bool m_sound = true;
@@ -340,29 +363,32 @@
     std::optional<std::size_t> m_down_voter;
     std::optional<std::size_t> m_stopped_voter;
     std::optional<std::size_t> m_down_target;
+    std::optional<pipelining_callers> m_pipelining; ///< in that mode; goes before the cluster
 };
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | stops [NODES]]: plays seeds
-/// and names those that failed. With `signals` the links are left alone, and seeds mean what they
-/// meant before these were disturbed; with `calls` targets get their keys by calls, which go wrong;
-/// with `words` they end under a request, name limits and say that they leave; with `stops` nodes
-/// are restarted in series.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | stops [NODES]]:
+/// plays seeds and names those that failed. With `signals` the links are left alone, and seeds mean
+/// what they meant before these were disturbed; with `calls` targets get their keys by calls, which
+/// go wrong; with `words` they end under a request, name limits and say that they leave; with
+/// `pipelining` callers also send several requests at once and read slowly, and targets leave some
+/// unanswered; with `stops` nodes are restarted in series.
 int main(int count, char **words) {
     if (count < 4) {
         std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
-                     "stops [NODES]]\n";
+                     "pipelining | stops [NODES]]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
     const std::uint64_t runs = std::stoull(words[3]);
     const int steps = count > 4 ? std::stoi(words[4]) : 8;
     const std::string chosen = count > 5 ? words[5] : "";
-    const soak_run::mode what = chosen == "signals" ? soak_run::mode::signals_only
-                                : chosen == "calls" ? soak_run::mode::hold_calls
-                                : chosen == "words" ? soak_run::mode::target_words
-                                                    : soak_run::mode::all;
+    const soak_run::mode what = chosen == "signals"      ? soak_run::mode::signals_only
+                                : chosen == "calls"      ? soak_run::mode::hold_calls
+                                : chosen == "words"      ? soak_run::mode::target_words
+                                : chosen == "pipelining" ? soak_run::mode::pipelining
+                                                         : soak_run::mode::all;
     const std::size_t nodes = count > 6 ? std::stoul(words[6]) : 5;
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
