Fault soak: turns of requests that take effect once, and more that is read slowly

Change: check_requests looks at neighbours on a connection of which one takes effect once: the later may run only after the target answered the former. One request in 40 asks to close the connection, with others behind it. 16 of 30 callers read slowly, answers up to 6 MB.

--- a/tests/soak/pipelining_callers.cpp
+++ b/tests/soak/pipelining_callers.cpp
@@ -21,11 +21,12 @@
 constexpr std::uint64_t look_ticks = 10;
 constexpr std::uint64_t most_node_memory = 160'000'000; ///< bytes
 constexpr duration finish_time = 30s;
-constexpr std::size_t callers = 24;
-constexpr std::size_t slow_callers = 10;
+constexpr std::size_t callers = 30;
+constexpr std::size_t slow_callers = 16;
 constexpr std::uint64_t most_requests = 8;
-/// Ten callers await up to 240 MB from one node, which is more than it may keep.
-constexpr std::uint64_t longest_slow_answer = 3'000'000;
+/// With six requests at a time on each connection slow callers await 300 MB from one node. With a
+/// third of that a node that holds back nothing had 40 MB, as the system's buffers took the rest.
+constexpr std::uint64_t longest_slow_answer = 6'000'000;
 constexpr std::uint64_t longest_answer = 100'000;
 constexpr int slow_window = 16 << 10;          ///< receive buffer of a slow caller, in bytes
 constexpr std::size_t slow_piece = 16U << 10U; ///< bytes that it reads at a time
@@ -102,8 +103,10 @@
         }
         m_closes_early = m_owner.draw(20) == 0 ? 1 + m_owner.draw(40) : 0;
     }
+    std::shared_ptr<caller_attempt> previous;
     for (const sent_request &request : m_open) {
         m_connection->send(request.bytes);
+        request.attempt->previous = std::exchange(previous, request.attempt);
     }
     m_pause = m_owner.draw(30); // at least until the next one
 }
@@ -116,6 +119,7 @@
     http_head head = m_owner.m_cluster.request_head(
         *attempt, std::string(long_path) + std::to_string(length), m_owner.draw(2) == 0,
         static_cast<std::uint32_t>(m_owner.draw(65536)));
+    head.keep_alive = m_owner.draw(40) != 0; // else its answer closes the connection
     if (once) {
         head.framing = body_framing::length;
         head.content_length = body.size();
--- a/tests/soak/pipelining_callers.hpp
+++ b/tests/soak/pipelining_callers.hpp
@@ -14,8 +14,9 @@
 namespace peppertack::testing {
 
 /// Callers that send 1 to 8 requests on a connection before the first is answered, at times one
-/// that takes effect once among them, and use each connection until its node closes it. Some read
-/// slowly, all of these from one node; some close a connection early.
+/// that takes effect once among them, and use each connection until its node closes it, which a
+/// request may ask for. Some read slowly, all of these from one node; some close a connection
+/// early.
 ///
 /// Checks that answers come in order, each for its request; that no request that takes effect once
 /// has run when it is behind an answer that closes its connection; that each connection is answered
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -399,6 +399,7 @@
         --m_running;
         if (!caller->closed()) {
             m_cluster.m_stops.note_run_end(id, m_place, false);
+            m_cluster.note_answered(id);
             caller->respond(200, headers, answer_to(caller->request().target, id));
         }
         start_queued();
@@ -876,7 +877,8 @@
 }
 
 void platform_cluster::note_run(const std::string &id, const std::string &body) {
-    ++m_runs[id];
+    run_record &runs = m_runs[id];
+    runs.began = runs.count++ == 0 ? steady_instant() : runs.began;
     const auto sent = m_bodies.find(id);
     if (sent == m_bodies.end() || sent->second != body) {
         violate("request " + id + " ran with a body that was not sent");
@@ -912,10 +914,29 @@
     }
 }
 
+void platform_cluster::note_answered(const std::string &id) {
+    run_record &runs = m_runs[id];
+    runs.answered = runs.answered == instant{} ? steady_instant() : runs.answered;
+}
+
+/// Only idempotent requests of a connection may overlap. Those that failed are left out: a target
+/// may run them after their answer.
+void platform_cluster::check_turns(const caller_attempt &attempt) {
+    const auto &previous = attempt.previous;
+    if (!previous || !(previous->once || attempt.once) || previous->status != 200 ||
+        attempt.status != 200) {
+        return;
+    }
+    if (m_runs[attempt.id].began < m_runs[previous->id].answered) {
+        violate(attempt.id + " ran before " + previous->id + " in front of it was answered; " +
+                (attempt.once ? attempt.id : previous->id) + " takes effect once");
+    }
+}
+
 void platform_cluster::check_requests() {
     for (const auto &attempt : m_attempts) {
         const auto found = m_runs.find(attempt->id);
-        const int runs = found == m_runs.end() ? 0 : found->second;
+        const int runs = found == m_runs.end() ? 0 : found->second.count;
         if (attempt->once && runs > 1) {
             violate(attempt->id + " may run once and ran " + std::to_string(runs) + " times");
         }
@@ -929,6 +950,7 @@
         if (attempt->status == 404 || attempt->status == 400) {
             violate(attempt->id + " is proper and was answered " + std::to_string(attempt->status));
         }
+        check_turns(*attempt);
     }
     m_attempts.clear();
 }
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -157,6 +157,8 @@
     int status = 0; ///< 0: no answer yet; -1: the connection ended without one
     std::string body;
     std::string retry_after; ///< as the answer says
+    /// The request before it on its connection, if it was sent before that one was answered.
+    std::shared_ptr<caller_attempt> previous;
     bool promised() const {
         return status == 503 || status == 429 || status == 421 || status == 408;
     }
@@ -312,6 +314,8 @@
     static bool ended(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
     void note_run(const std::string &id, const std::string &body);
+    void note_answered(const std::string &id);
+    void check_turns(const caller_attempt &attempt);
     void violate(const std::string &what) { m_violations.push_back(what); }
 
     options m_options;
@@ -325,7 +329,12 @@
     std::vector<pid_t> m_nodes;
     std::vector<std::unique_ptr<stand_in_platform_target>> m_targets;
     std::vector<std::shared_ptr<caller_attempt>> m_attempts;
-    std::map<std::string, int> m_runs;
+    struct run_record {
+        int count = 0;
+        instant began{};    ///< first
+        instant answered{}; ///< first
+    };
+    std::map<std::string, run_record> m_runs;
     std::vector<std::string> m_cut_runs;
     std::map<std::string, std::string> m_bodies; ///< by request, as sent
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
