Show overlapping requests and held answers among the metrics

Change: the metrics page of a node shows peppertack_pipelined_overlapped_total and peppertack_held_answer_bytes, in bytes.

Measured: the case of pipelined requests through a node reads both from the page (1 and 65536 with two reads in progress); passes. Conclusion: an operator sees whether callers pipeline and what that holds.

--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -73,6 +73,8 @@
     /// Lines about calls of targets that were refused: another writer may send any number of them.
     request_log &refused_calls() { return m_refused_calls; }
     traffic_metrics &metrics() { return m_metrics; }
+    /// Metrics of the traffic in the Prometheus exposition format.
+    std::string metrics_text() const;
     std::mt19937_64 &random() { return m_random; }
     /// The local target has refused a connection. It has ended only if the connections that it had
     /// accepted are closed too: one with too many, or one that leaves, refuses new ones while it
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -202,6 +202,12 @@
     }
 }
 
+std::string traffic_host::metrics_text() const {
+    return m_metrics.text() + "peppertack_pipelined_overlapped_total " +
+           std::to_string(m_callers.overlapped()) + "\npeppertack_held_answer_bytes " +
+           std::to_string(m_callers.held_answer_bytes()) + "\n";
+}
+
 /// What follows from it is decided by the next event: this may be in the middle of a step.
 void traffic_host::note_hold_call(const hold_call &call, const hold_call_end &how) {
     m_metrics.note_hold_call(call.what, how.result);
--- a/tests/transport/pipelined_requests_test.cpp
+++ b/tests/transport/pipelined_requests_test.cpp
@@ -61,6 +61,9 @@
         REQUIRE(node.run_until([&] { return node.neighbour_asked == 2; }));
         caller.wait(50ms);
         CHECK(node.neighbour_asked == 2);
+        const std::string metrics = node.host().metrics_text();
+        CHECK(metrics.find("peppertack_pipelined_overlapped_total 1\n") != std::string::npos);
+        CHECK(metrics.find("peppertack_held_answer_bytes 65536\n") != std::string::npos);
     }
     SUBCASE("writes") {
         caller.send(plain);
