Placement: weigh measured load by range, and move nothing for chance

Cause: the prior of 200 requests a second was weighed against the rate of the whole service, though it smooths the rates of ranges. With 508 targets the service has 2,264 a second, and so its measured load counted for 0.92, while a range has one request in two seconds. Where a target's capacity is not known, each difference of a tenth moved ranges.

Change: the prior is 5 requests a second of a range (200 over the 40 ranges of five targets, so nothing changes there), and each range is weighed by its own count. A target of unknown capacity gives up ranges only for a load that is five standard deviations of the count above its share.

--- a/bench/strategies.cpp
+++ b/bench/strategies.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double prior_rate = 200;
+constexpr double prior_rate = 5; ///< see `placement_options`
 
 std::uint64_t mixed(std::uint64_t value) {
     value ^= value >> 33U;
--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -2,6 +2,7 @@
 
 #include "peppertack/state/command.hpp"
 #include "peppertack/state/records.hpp"
+#include "peppertack/state/time.hpp"
 
 #include <cstdint>
 #include <string>
@@ -56,7 +57,13 @@
     /// A target below this fraction of its weight share gets ranges even from targets that are not
     /// busy; otherwise a new target would stay idle.
     double underload_threshold = 0.4;
-    double prior_rate = 200; ///< requests per second at which measured load counts for half
+    /// Requests per second to a range at which its measured load counts for half.
+    double prior_rate = 5;
+    duration load_window = std::chrono::milliseconds(1500); ///< time that measured loads cover
+    /// While a target's capacity is unknown, it gives up ranges only if its load is this many
+    /// standard deviations of the count above its weight share. Chance alone exceeds five about
+    /// once an hour at 1,000 targets.
+    double chance_deviations = 5;
     std::size_t ranges_per_target = 8; ///< below this average the widest ranges are split
 };
 
@@ -95,11 +102,12 @@
     placement_options m_options;
 };
 
-/// Load of each range as a share of the service's total; the shares add up to 1.
+/// Load of each range as a share of the service's total; the shares add up to 1. `prior_rate` is
+/// that of `placement_options`.
 std::vector<double> range_shares(const placement_view &view, double prior_rate);
 
 /// Highest ratio of load share to weight share among targets that accept ranges; 1 is perfect
 /// balance.
-double imbalance(const placement_view &view, double prior_rate);
+double imbalance(const placement_view &view, const placement_options &options);
 
 } // namespace peppertack
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -345,7 +345,7 @@
 }
 
 double control_core::imbalance_of(const std::string &service) const {
-    return imbalance(view_of(service), m_options.placement.prior_rate);
+    return imbalance(view_of(service), m_options.placement);
 }
 
 std::uint64_t control_core::owner_changes(const std::string &service) const {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -18,12 +18,52 @@
                                   : std::numeric_limits<std::uint64_t>::max();
 }
 
+/// Estimated load of a range, relative to the load of its service.
+struct load_estimate {
+    double share = 0;
+    double variance = 0; ///< of the share, by the chance in the number of requests counted
+};
+
+std::vector<load_estimate> estimate_loads(const placement_view &view, double prior_rate,
+                                          double window_s) {
+    const std::vector<range_record> &ranges = *view.ranges;
+    double total = 0;
+    std::vector<double> rates(ranges.size(), 0);
+    for (std::size_t i = 0; i < ranges.size(); ++i) {
+        const auto found = view.loads.find(ranges[i].first);
+        rates[i] = found == view.loads.end() ? 0 : found->second;
+        total += rates[i];
+    }
+    // A few requests say little about a range, so the estimate blends in the rate that its width
+    // leads to. The blend is by range: with many ranges the service's rate is high while that of
+    // each range is not.
+    const double space = std::ldexp(1.0, 64);
+    double sum = 0;
+    std::vector<load_estimate> estimates(ranges.size());
+    for (std::size_t i = 0; i < ranges.size(); ++i) {
+        const double width = static_cast<double>(last_hash(ranges, i) - ranges[i].first) / space;
+        const double expected = total > 0 ? width * total : width;
+        const double evidence = total > 0 ? std::max(rates[i], expected) : 0;
+        const double measured = evidence / (evidence + prior_rate);
+        estimates[i].share = measured * rates[i] + (1 - measured) * expected;
+        estimates[i].variance = measured * measured * evidence / window_s;
+        sum += estimates[i].share;
+    }
+    for (load_estimate &estimate : estimates) {
+        estimate.share /= sum;
+        estimate.variance /= sum * sum;
+    }
+    return estimates;
+}
+
 /// Mutable load model of a view: targets and ranges by dense index, loads updated as moves are
 /// chosen.
 class load_model {
 public:
-    load_model(const placement_view &view, double prior_rate)
-        : m_view(&view), m_shares(range_shares(view, prior_rate)) {
+    load_model(const placement_view &view, const placement_options &options)
+        : m_view(&view), m_options(&options),
+          m_estimates(estimate_loads(view, options.prior_rate,
+                                     std::chrono::duration<double>(options.load_window).count())) {
         double total = 0;
         for (const placement_target &target : view.targets) {
             total += target.accepts ? target.weight : 0;
@@ -36,13 +76,15 @@
         }
         m_loads.assign(view.targets.size(), 0);
         m_owned.resize(view.targets.size());
+        m_variances.assign(view.targets.size(), 0);
         m_rates.assign(view.targets.size(), 0);
         for (std::size_t i = 0; i < view.ranges->size(); ++i) {
             const range_record &range = (*view.ranges)[i];
             // A range that is being moved counts towards its destination.
             const std::size_t holder = index_of(range.next != no_target ? range.next : range.owner);
             if (holder != none) {
-                m_loads[holder] += m_shares[i];
+                m_loads[holder] += m_estimates[i].share;
+                m_variances[holder] += m_estimates[i].variance;
                 const auto measured = view.loads.find(range.first);
                 m_rates[holder] += measured == view.loads.end() ? 0 : measured->second;
                 m_owned[holder].push_back(i);
@@ -56,7 +98,7 @@
         const auto found = m_index.find(number);
         return found == m_index.end() ? none : found->second;
     }
-    double share(std::size_t range) const { return m_shares[range]; }
+    double share(std::size_t range) const { return m_estimates[range].share; }
     double load(std::size_t target) const { return m_loads[target]; }
     double desired_share(std::size_t target) const { return m_desired_shares[target]; }
     double ratio(std::size_t target) const { return m_loads[target] / m_desired_shares[target]; }
@@ -64,11 +106,19 @@
     bool accepts(std::size_t target) const {
         return m_view->targets[target].accepts && m_view->targets[target].weight > 0;
     }
-    /// Whether a target's measured rate exceeds `fraction` of its capacity; true if that is
-    /// unknown.
-    bool busy(std::size_t target, double fraction) const {
+    /// Whether a target's measured rate exceeds the busy threshold of its capacity. If that is
+    /// unknown: whether its load is above its weight share by more than chance.
+    bool busy(std::size_t target) const {
         const double capacity = m_view->targets[target].capacity;
-        return capacity == 0 || m_rates[target] > capacity * fraction;
+        if (capacity > 0) {
+            return m_rates[target] > capacity * m_options->busy_threshold;
+        }
+        // The deviation that a target with exactly its weight share would show.
+        const double desired = m_desired_shares[target];
+        const double load = std::max(m_loads[target], min_share);
+        const double chance =
+            m_options->chance_deviations * std::sqrt(m_variances[target] * desired / load);
+        return load > desired + chance;
     }
     void move_load(double share, std::size_t from, std::size_t to) {
         if (from != none) {
@@ -79,11 +129,13 @@
 
 private:
     const placement_view *m_view;
-    std::vector<double> m_shares;
+    const placement_options *m_options;
+    std::vector<load_estimate> m_estimates; ///< by position of the range
     std::unordered_map<target_number, std::size_t> m_index;
     std::vector<double> m_desired_shares;
     std::vector<double> m_loads;
-    std::vector<double> m_rates; ///< requests per second
+    std::vector<double> m_variances; ///< of the loads
+    std::vector<double> m_rates;     ///< requests per second
     std::vector<std::vector<std::size_t>> m_owned;
 };
 
@@ -186,27 +238,15 @@
 } // namespace
 
 std::vector<double> range_shares(const placement_view &view, double prior_rate) {
-    const std::vector<range_record> &ranges = *view.ranges;
-    double total = 0;
-    std::vector<double> rates(ranges.size(), 0);
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-        const auto found = view.loads.find(ranges[i].first);
-        rates[i] = found == view.loads.end() ? 0 : found->second;
-        total += rates[i];
-    }
-    // A low request rate says little about a range, so the estimate blends in the range's width.
-    const double measured = total > 0 ? total / (total + prior_rate) : 0;
-    const double space = std::ldexp(1.0, 64);
-    std::vector<double> shares(ranges.size());
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-        const double width = static_cast<double>(last_hash(ranges, i) - ranges[i].first) / space;
-        shares[i] = (1 - measured) * width + (total > 0 ? measured * rates[i] / total : 0);
+    std::vector<double> shares;
+    for (const load_estimate &estimate : estimate_loads(view, prior_rate, 1)) {
+        shares.push_back(estimate.share);
     }
     return shares;
 }
 
-double imbalance(const placement_view &view, double prior_rate) {
-    const load_model model(view, prior_rate);
+double imbalance(const placement_view &view, const placement_options &options) {
+    const load_model model(view, options);
     double worst = 0;
     for (std::size_t i = 0; i < view.targets.size(); ++i) {
         if (model.accepts(i)) {
@@ -280,8 +320,7 @@
             range == load_model::none
                 ? load_model::none
                 : destination_for(view, model, model.share(range), options.tolerance);
-        const bool unnecessary = to != load_model::none &&
-                                 !model.busy(from, options.busy_threshold) &&
+        const bool unnecessary = to != load_model::none && !model.busy(from) &&
                                  model.ratio(to) > options.underload_threshold;
         if (to == load_model::none || unnecessary ||
             model.share(range) / model.desired_share(from) < threshold) {
@@ -325,8 +364,8 @@
 }
 
 /// Isolates hot keys in ranges of their own and splits ranges that are too heavy to move.
-void split_heavy(const placement_view &view, const placement_options &options,
-                 const load_model &model, placement_decision &decision) {
+void split_heavy(const placement_view &view, const load_model &model,
+                 placement_decision &decision) {
     const std::vector<range_record> &ranges = *view.ranges;
     for (const std::uint64_t hash : view.hot_keys) {
         const std::size_t at = position_of(ranges, hash);
@@ -347,7 +386,7 @@
             continue;
         }
         if (model.share(i) > model.desired_share(owner) / 4 && model.ratio(owner) > 1 &&
-            model.busy(owner, options.busy_threshold)) {
+            model.busy(owner)) {
             const std::vector<std::uint64_t> split_points = split_points_of(view, i);
             decision.splits.insert(decision.splits.end(), split_points.begin(), split_points.end());
         }
@@ -411,7 +450,7 @@
 
 placement_decision greedy_placement::decide(const placement_view &view) {
     placement_decision decision;
-    load_model model(view, m_options.prior_rate);
+    load_model model(view, m_options);
     assign_to_least_loaded(view, model, ranges_without_owner(view), decision.grants);
     if (!decision.grants.empty()) {
         return decision; // every key gets an owner before balancing
@@ -438,7 +477,7 @@
     }
     // Also while moves are in progress: a group of adjacent keys that becomes busy is split at
     // once.
-    split_heavy(view, m_options, model, decision);
+    split_heavy(view, model, decision);
     if (in_progress == 0) {
         const std::size_t wanted = m_options.ranges_per_target * view.targets.size();
         if (decision.splits.empty() && view.ranges->size() < wanted) {
