Work queue: measure the capacity of a target with few requests over several reports

Cause: a node measured its target's capacity only if ten requests ended within one report of half a second. At 4.5 requests a second and target none ever did, so that a fleet of 508 targets was placed by equal capacities though their speeds differ by three, and no target counted as having room.

Change: the sample goes on until ten requests have ended. With more than 20 a second nothing changes.

Test: 15 reports of two requests each bring 3 measurements (none before).

--- a/include/peppertack/coordination/work_queue.hpp
+++ b/include/peppertack/coordination/work_queue.hpp
@@ -82,8 +82,11 @@
 
     std::uint32_t in_flight() const { return m_in_flight; }
     std::size_t waiting() const { return m_waiting.size(); }
-    /// Total number of requests that ran to completion.
-    std::uint64_t finished() const { return m_finished; }
+    /// Takes a measurement of the capacity, in requests per second; 0 if fewer than ten requests
+    /// ran to completion since the last one. A target with few requests is measured less often.
+    std::uint32_t take_measured_capacity();
+    /// Starts the next measurement from now on, as the service times before are not usual ones.
+    void discard_measurement() { m_measured = m_finished; }
     /// Average service time of requests of `kind`; the overall mean if none has completed.
     duration service_time(const std::string &kind) const;
     /// Average service time of requests of `kind`; none if none has completed.
@@ -116,7 +119,8 @@
     rate_limit m_rate; ///< the lower of both
     service_share_tracker m_service_shares;
     std::uint32_t m_in_flight = 0;
-    std::uint64_t m_finished = 0;
+    std::uint64_t m_finished = 0; ///< requests that ran to completion
+    std::uint64_t m_measured = 0; ///< of these, at the last measurement of the capacity
     std::vector<item> m_waiting;   ///< in order of arrival
     std::size_t m_min_waiting = 0; ///< since the current interval began
     instant m_interval_end{};
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -242,7 +242,6 @@
     bool m_evacuations_known = false;
     key_load_counter m_key_loads;
     instant m_loads_at{};
-    std::uint64_t m_finished_reported = 0; ///< requests that had ended at the last report
     struct unjudged_heartbeat {
         target_heartbeat beat;
         moment at; ///< when it came
--- a/src/coordination/work_queue.cpp
+++ b/src/coordination/work_queue.cpp
@@ -22,6 +22,8 @@
 constexpr double min_wait_share = 0.15;
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
 constexpr double min_mean_seconds = 0.0001;
+/// Requests from which a target's capacity can be told.
+constexpr std::uint64_t min_capacity_sample = 10;
 
 service_share_tracker::request_kind kind_of(const work_queue::item &request, bool nested_first) {
     return {.direct = !(nested_first && request.nested),
@@ -91,6 +93,14 @@
     return m_cold_limit ? std::min(warm, m_cold_limit->per_second) : warm;
 }
 
+std::uint32_t work_queue::take_measured_capacity() {
+    if (m_finished - m_measured < min_capacity_sample) {
+        return 0;
+    }
+    m_measured = m_finished;
+    return static_cast<std::uint32_t>(capacity());
+}
+
 std::uint32_t work_queue::usable_slots() const {
     const double busy = capacity() * std::chrono::duration<double>(m_mean).count();
     return m_rate.per_second()
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -39,8 +39,6 @@
 constexpr duration cold_question_interval = std::chrono::milliseconds(300);
 /// A process that did not run for this long may have missed what its target said.
 constexpr duration node_stall = std::chrono::seconds(1);
-/// Requests within an interval from which its target's capacity can be told.
-constexpr std::uint64_t least_sample = 10;
 
 } // namespace
 
@@ -733,16 +731,16 @@
 /// What the target can do by the times it takes, or by the limit it names; nothing while it is
 /// cold, or did too little to tell.
 std::uint32_t node_agent::measured_capacity() {
-    const std::uint64_t finished =
-        m_queue.finished() - std::exchange(m_finished_reported, m_queue.finished());
     if (m_target && m_queue.rate()) {
+        m_queue.discard_measurement();
         return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(m_queue.warm_capacity()));
     }
     const bool cold = m_queue.cold_limit() || (m_target && m_target->cold_left > duration{});
-    if (!m_target || cold || finished < least_sample) {
+    if (!m_target || cold) {
+        m_queue.discard_measurement();
         return 0;
     }
-    return static_cast<std::uint32_t>(m_queue.capacity());
+    return m_queue.take_measured_capacity();
 }
 
 /// Loads go out once an interval; releases with each renewal until the map shows that they are
--- a/tests/coordination/work_queue_test.cpp
+++ b/tests/coordination/work_queue_test.cpp
@@ -378,3 +378,20 @@
     CHECK(in_time >= 0.9 * 170 * 60);
     CHECK(in_time + late >= 0.95 * 170 * 60);
 }
+
+TEST_CASE("the capacity of a target with few requests is measured over several reports") {
+    // Guards against placement by equal capacities in a fleet of sparsely used targets: no report
+    // interval saw ten requests, so that no capacity was ever measured.
+    work_queue queue({.limit = 16});
+    std::size_t measured = 0;
+    for (int report = 0; report < 15; ++report) {
+        for (int i = 0; i < 2; ++i) {
+            REQUIRE(queue.offer(item(1), start) == work_queue::verdict::start);
+            queue.finish("r", 500ms);
+        }
+        measured += queue.take_measured_capacity() > 0 ? 1 : 0;
+    }
+    CHECK(measured == 3);
+    queue.discard_measurement();
+    CHECK(queue.take_measured_capacity() == 0);
+}
