Key loads: round the rates of reports to nearest

Cause: rates are whole requests a second, rounded down. One request in a report of 0.52 s was told as 1 a second instead of 1.9, so that ranges with few requests looked half as busy as they are beside busy ones.

Test: one request in 0.52 s is told as 2 (1 before).

--- a/src/coordination/key_load_counter.cpp
+++ b/src/coordination/key_load_counter.cpp
@@ -4,6 +4,7 @@
 #include "peppertack/state/key_hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace peppertack {
@@ -16,8 +17,9 @@
 constexpr double parts_of_capacity = 10;
 constexpr std::size_t max_split_points = 31; ///< of one range in one report
 
+/// Rounded to nearest: with a few requests in a report, rounding down would halve the rate.
 std::uint32_t per_second(std::uint64_t requests, double seconds) {
-    return static_cast<std::uint32_t>(static_cast<double>(requests) / seconds);
+    return static_cast<std::uint32_t>(std::lround(static_cast<double>(requests) / seconds));
 }
 
 } // namespace
--- a/tests/coordination/key_load_counter_test.cpp
+++ b/tests/coordination/key_load_counter_test.cpp
@@ -39,6 +39,15 @@
     CHECK(next.hot_keys.empty());
 }
 
+TEST_CASE("a single request in a report counts with its whole rate") {
+    // Guards against rounding down, by which ranges with few requests looked half as busy.
+    key_load_counter counter;
+    count(counter, 5, 1);
+    renew_request request;
+    counter.report(request, two_ranges, 1000, 0.52);
+    CHECK(request.loads[0].requests == 2);
+}
+
 TEST_CASE("a range is split into parts of a tenth of its target's capacity") {
     key_load_counter counter;
     for (std::uint32_t key = 0; key < 100; ++key) {
