Placement: split the key space before its first grant

What callers saw: with all slots but a seventh free, 400 to 450 requests of the first four seconds were refused as 'overloaded' by a few targets, and the leader moved a hundred ranges a second until 24 s.

A service begins with 64 ranges. The first 64 targets were granted one each; these were split by halves, once a second, and handed on, so that popular adjacent keys stayed together, and the handing on went on into the traffic. With eight targets or fewer there is nothing to split.

Change: a service whose keys are granted with heartbeats is split as far as its targets need before its first grant; adjacent ranges then go to different targets. Where each span costs calls, nothing changes.

--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -35,6 +35,10 @@
     /// Ranges are split only at multiples of this: the distance between adjacent keys of an ordered
     /// key space; 1 for hashed keys.
     std::uint64_t key_spacing = 1;
+    /// Whether the key space is split as far as its targets need before its first grant, so that
+    /// adjacent ranges go to different targets. Otherwise the first targets are granted wide
+    /// ranges, most parts of which move once they are split.
+    bool split_before_grant = false;
     double churn_price = 1;
     double unavailable_price = 1;
 };
--- a/src/coordination/control_core.cpp
+++ b/src/coordination/control_core.cpp
@@ -744,6 +744,10 @@
 placement_view control_core::view_of(const std::string &service) const {
     placement_view view;
     view.key_spacing = m_state.has_ordered_keys(service) ? ordered_key_stride : 1;
+    const auto routed = m_state.routes().services.find(service);
+    // Each span of keys that is granted by a call costs calls for as long as it is held.
+    view.split_before_grant = routed != m_state.routes().services.end() &&
+                              routed->second.delivery == hold_delivery::by_heartbeat;
     view.ranges = &m_state.ranges().at(service);
     const std::set<target_number> &numbers = m_state.live_targets(service);
     std::map<std::string, std::size_t> in_domain;
--- a/tests/coordination/parts_test.cpp
+++ b/tests/coordination/parts_test.cpp
@@ -8,6 +8,7 @@
 #include "peppertack/coordination/standby_replicator.hpp"
 
 #include <doctest/doctest.h>
+#include <map>
 #include <rapidcheck.h>
 
 using namespace peppertack;
@@ -299,3 +300,40 @@
         CHECK(choice.to == 5);
     }
 }
+
+TEST_CASE("the first targets of a service are granted ranges that are not adjacent") {
+    // Guards against popular adjacent keys at one target: parts of the wide first ranges stayed
+    // together, and the others moved while the first requests came.
+    std::vector<range_record> whole = equal_ranges(64, 1);
+    for (range_record &range : whole) {
+        range = {.first = range.first};
+    }
+    placement_view view = view_of(whole, 100);
+    view.split_before_grant = true;
+    greedy_placement placement;
+    const placement_decision split = placement.decide(view);
+    CHECK(split.grants.empty());
+    REQUIRE(split.splits.size() == 64 * 12);
+    std::vector<range_record> ranges = whole;
+    for (const std::uint64_t at : split.splits) {
+        ranges.push_back({.first = at});
+    }
+    std::sort(ranges.begin(), ranges.end(),
+              [](const auto &a, const auto &b) { return a.first < b.first; });
+    view.ranges = &ranges;
+    const placement_decision granted = placement.decide(view);
+    REQUIRE(granted.grants.size() == 64 * 13);
+    std::map<std::uint64_t, target_number> owners;
+    std::map<target_number, std::size_t> counts;
+    for (const range_choice &choice : granted.grants) {
+        owners[choice.first] = choice.to;
+        ++counts[choice.to];
+    }
+    for (std::size_t i = 1; i < ranges.size(); ++i) {
+        CHECK(owners.at(ranges[i].first) != owners.at(ranges[i - 1].first));
+    }
+    for (const auto &[target, count] : counts) {
+        CHECK(count >= 8);
+        CHECK(count <= 9);
+    }
+}
