Placement: make the first splits in steps; say in logs that a request waited for the routing table

Cause: splitting the key space before its first grant made 4,032 log entries in one decision. Change: at most 512 splits in a decision, by halves as later ones; grants follow when there are enough, or nothing is left to split. 'awaiting_routes' stays the phase of a request that is rejected after that wait.

--- a/include/peppertack/coordination/placement.hpp
+++ b/include/peppertack/coordination/placement.hpp
@@ -61,7 +61,7 @@
     /// A target below this fraction of its weight share gets ranges even from targets that are not
     /// busy; otherwise a new target would stay idle.
     double underload_threshold = 0.4;
-    /// Requests per second to a range at which its measured load counts for half.
+    /// Requests per second to a range at which its measured load counts for half; above zero.
     double prior_rate = 5;
     duration load_window = std::chrono::milliseconds(1500); ///< time that measured loads cover
     /// While a target's capacity is unknown, it gives up ranges only if its load is this many
@@ -69,6 +69,9 @@
     /// once an hour at 1,000 targets.
     double chance_deviations = 5;
     std::size_t ranges_per_target = 8; ///< below this average the widest ranges are split
+    /// Splits in one decision before the first grant. Each is a log entry, and renewals wait while
+    /// the leader makes them.
+    std::size_t max_first_splits = 512;
 };
 
 struct placement_decision {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -417,24 +417,6 @@
     }
 }
 
-/// Divides every range into the same number of parts, so that there are at least `wanted`.
-void split_evenly(const placement_view &view, std::size_t wanted, placement_decision &decision) {
-    const std::vector<range_record> &ranges = *view.ranges;
-    const std::size_t parts = (wanted + ranges.size() - 1) / ranges.size();
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-        const std::uint64_t width = (last_hash(ranges, i) - ranges[i].first) / parts;
-        std::uint64_t previous = ranges[i].first;
-        for (std::size_t part = 1; part < parts; ++part) {
-            const std::uint64_t at = ranges[i].first + width * part;
-            const std::uint64_t split_point = at - at % view.key_spacing;
-            if (split_point > previous) {
-                decision.splits.push_back(split_point);
-                previous = split_point;
-            }
-        }
-    }
-}
-
 void merge_cold(const placement_view &view, const load_model &model, std::size_t max_merges,
                 placement_decision &decision) {
     const std::vector<range_record> &ranges = *view.ranges;
@@ -473,8 +455,11 @@
         std::all_of(view.ranges->begin(), view.ranges->end(),
                     [](const range_record &range) { return range.token == 0; });
     if (view.split_before_grant && never_owned && view.ranges->size() < wanted) {
-        split_evenly(view, wanted, decision);
-        return decision;
+        split_widest(view, std::min(wanted - view.ranges->size(), m_options.max_first_splits),
+                     decision);
+        if (!decision.splits.empty()) {
+            return decision;
+        }
     }
     load_model model(view, m_options);
     assign_to_least_loaded(view, model, ranges_without_owner(view), decision.grants);
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -92,11 +92,11 @@
     if (!ready && now < m_routes_limit) {
         return;
     }
-    m_awaits_routes = false;
     if (!ready) {
         refuse(error_kind::not_ready, outcome::not_run, usual_retry_after);
         return;
     }
+    m_awaits_routes = false;
     admit();
     if (!m_done && m_body.sendable()) {
         dispatch(now);
