--- a/include/peppertack/protocol/codec.hpp
+++ b/include/peppertack/protocol/codec.hpp
@@ -49,8 +49,8 @@
 std::string ping_frame();
 std::string pong_frame();
 
-/// A map in the form in which many nodes are sent the same one: deflated, a quarter of its size in
-/// a message. Thread safe.
+/// A map in the form in which many nodes are sent the same one: deflated, half the size of a packed
+/// message. Thread safe.
 std::string encode_map(const map_update &value);
 
 /// Header and message as they go onto a connection. Thread safe.
