--- a/include/peppertack/coordination/map_update_cache.hpp
+++ b/include/peppertack/coordination/map_update_cache.hpp
@@ -33,8 +33,8 @@
     /// Returns the changes since `version`, limited to about `max_items`, or the full map if the
     /// history does not reach back that far. The reference is valid until the next call.
     const map_update &since(std::uint64_t version);
-    /// Whether a node at `version` is sent a whole map, if maps can be sent encoded: it has none, or
-    /// more than half of its records have changed, so that the changes would be larger.
+    /// Whether a node at `version` is sent a whole map, if maps can be sent encoded: it has none,
+    /// or more than half of its records have changed, so that the changes would be larger.
     bool sends_whole(std::uint64_t version) const;
     /// Returns a whole map, which may be older than the state by up to `max_items` changes: while
     /// hundreds of nodes come back at once, their registrations change the version all the time.
