--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -78,9 +78,9 @@
         return;
     }
     const std::string *text = m_caller->request().find(m_host.options().headers.deadline_ms);
-    const auto patience = text == nullptr ? std::nullopt : parse_decimal(*text);
+    const auto stated_wait = text == nullptr ? std::nullopt : parse_decimal(*text);
     const duration caller_waits =
-        patience ? std::chrono::milliseconds(*patience) : m_host.options().node.owner_wait;
+        stated_wait ? std::chrono::milliseconds(*stated_wait) : m_host.options().node.owner_wait;
     m_routes_limit = routes_wait_limit(m_host.started(), m_host.options().routes_startup,
                                        m_received, caller_waits);
     m_awaits_routes = true;
