--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,10 +8,10 @@
   target/libpeppertack_coordination.a target/libpeppertack_state.a"
 # shellcheck disable=SC2086
 g++ $FLAGS -c review/support-2/deployment.cpp -o target/review-2/deployment.o
-for CASE in review/[4-8]/case.cpp; do
-    NUMBER=$(basename "$(dirname "$CASE")")
+for CASE in review/support-2/case_*.cpp; do
+    NUMBER=$(basename "$CASE" .cpp)
     # shellcheck disable=SC2086,SC2046
-    g++ $FLAGS "$CASE" target/review-2/deployment.o $LIBRARIES -o "target/review-2/case-$NUMBER" \
+    g++ $FLAGS "$CASE" target/review-2/deployment.o $LIBRARIES -o "target/review-2/${NUMBER/_/-}" \
         $(pkg-config --libs cpp-httplib capnp libcrypto libglog) -lxxhash -lcsv -lz -lpthread
 done
 echo "the stand-ins are built"
--- a/review/4/case.cpp
+++ b/review/support-2/case_4.cpp
@@ -1,4 +1,4 @@
-#include "../support-2/deployment.hpp"
+#include "deployment.hpp"
 
 #include <csignal>
 
