--- a/review/support-2/deployment.cpp
+++ b/review/support-2/deployment.cpp
@@ -14,6 +14,7 @@
 #include <iomanip>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -464,6 +465,7 @@
     const std::string boot = "PEPPERTACK_BOOT=" + path;
     const pid_t process = ::fork();
     if (process == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this process, however that ends
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
