--- a/review/support-2/case_4.cpp
+++ b/review/support-2/case_4.cpp
@@ -21,7 +21,8 @@
 // Before its next heartbeat the server is planned to leave, and says so by DELETE.
 int main(int count, char **words) {
     options settings = options_from(count, words);
-    settings.services = {"keyed", "keyed", "keyed", "keyed", "plain", "plain"};
+    settings.services.assign(8, "keyed");
+    settings.services.insert(settings.services.end(), {"plain", "plain"});
     deployment played(settings);
     if (!played.bring_up()) {
         return verdict(played, false);
