Connections of a server that end are counted and logged by cause

What callers saw: connections that ended without an answer (LOST on real processes), and no line of ours that says which of our steps, or whose reset, ended them. Change: byte_stream keeps the error that ended it; http_server counts ends by cause, apart for those with requests in progress or unread, and logs the latter within a budget (connection_ended); stop_step tells the open connections of callers. It tells the hypotheses of the incident apart: server_stopped with unread bytes (the end of the process), unacknowledged (the kernel's limit), peer_reset and peer_ended (the caller).

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -45,6 +45,10 @@
     /// Whether the other side had ended the connection when the bytes of the current event were
     /// read. `on_closed` follows.
     bool peer_ended() const { return m_peer_ended; }
+    /// Whether the system holds bytes, or the end of the stream, that were not read yet.
+    bool has_unread();
+    /// The system's error number that ended the stream; 0 if it has not ended, or ended in order.
+    int error() const { return m_error; }
     /// Stops and resumes reading; the other side is held back by its full window.
     void pause_reading(bool pause);
     /// Writes at once what the system takes and queues the rest.
@@ -78,6 +82,7 @@
     std::string m_out;
     std::size_t m_sent = 0; ///< bytes of `m_out` that the system has taken
     std::uint64_t m_taken = 0;
+    int m_error = 0;
     bool m_waiting_read = false;
     bool m_waiting_write = false;
     bool m_paused = false;
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -3,8 +3,10 @@
 #include "peppertack/coordination/pipelining.hpp"
 #include "peppertack/state/time.hpp"
 #include "peppertack/transport/http/byte_stream.hpp"
+#include "peppertack/transport/http/connection_end.hpp"
 #include "peppertack/transport/http/http_exchange.hpp"
 #include "peppertack/transport/http/http_reader.hpp"
+#include "peppertack/transport/request_log.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -67,6 +69,8 @@
     std::uint64_t overlapped() const { return m_overlapped; }
     /// Bytes charged for answers that wait for those before them.
     std::size_t held_answer_bytes() const { return m_held_answers.charged(); }
+    /// Connections that have ended, by cause.
+    const connection_end_counts &ends() const { return m_ends; }
 
 private:
     friend class http_server_connection;
@@ -93,6 +97,8 @@
     std::vector<std::weak_ptr<byte_stream>> m_ending; ///< after their last answer
     bool m_draining = false;
     std::uint64_t m_overlapped = 0;
+    connection_end_counts m_ends;
+    request_log m_end_log{{.lines_a_second = 10, .burst = 100}};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< ends with this server
 };
 
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -153,10 +153,17 @@
     } else if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
         wait_readable();
     } else {
+        // A failed write has taken the error from the socket already.
+        m_error = size < 0 && m_error == 0 ? errno : m_error;
         lost(size == 0);
     }
 }
 
+bool byte_stream::has_unread() {
+    pollfd here{.fd = m_socket.native_handle(), .events = POLLIN, .revents = 0};
+    return !m_closed && ::poll(&here, 1, 0) > 0 && (here.revents & POLLIN) != 0;
+}
+
 bool byte_stream::end_is_next() {
     char next = 0;
     const ssize_t size =
@@ -190,6 +197,7 @@
         } else {
             // Reported from the event loop: the owner may be in the middle of a step. What came in
             // before the loss is still read first, since it may be the answer.
+            m_error = errno;
             m_out.clear();
             m_sent = 0;
             asio::post(m_socket.get_executor(), [self = shared_from_this()] {
--- a/src/transport/http/http_exchange.cpp
+++ b/src/transport/http/http_exchange.cpp
@@ -105,7 +105,7 @@
         respond(bad_gateway, {}, {});
     } else {
         m_answer_done = true;
-        m_connection->end_now();
+        m_connection->end_now(connection_end::answer_cut);
     }
 }
 
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -124,7 +124,7 @@
                                                                    m_connections.end());
     for (const auto &connection : all) {
         if (connection->idle()) {
-            connection->end_now();
+            connection->end_now(connection_end::server_stopped);
         }
     }
 }
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -398,19 +398,45 @@
 
 void http_server_connection::on_closed(bool) {
     const auto self = shared_from_this();
+    note_end(end_by_system(m_stream->error()));
     cancel_exchanges();
     drop();
 }
 
-void http_server_connection::end_now() {
+void http_server_connection::end_now(connection_end cause) {
     const auto self = shared_from_this();
+    note_end(cause);
     m_stream->close();
     cancel_exchanges();
     drop();
 }
 
+/// Precondition: the exchanges are still there.
+void http_server_connection::note_end(connection_end cause) {
+    if (m_server == nullptr) {
+        return;
+    }
+    const auto unanswered =
+        std::count_if(m_exchanges.begin(), m_exchanges.end(),
+                      [](const auto &exchange) { return !exchange->m_answer_done; });
+    const bool unread = m_stalled || m_stream->has_unread();
+    m_server->m_ends.note(cause, unanswered > 0 || unread);
+    if (unanswered > 0 || (unread && cause != connection_end::answered)) {
+        m_server->m_end_log.note("connection_ended",
+                                 {{"cause", name_of(cause)},
+                                  {"address", m_server->m_options.address},
+                                  {"peer", m_peer.to_string()},
+                                  {"unanswered", unanswered},
+                                  {"unread", unread},
+                                  {"unsent", m_stream->queued()},
+                                  {"error", m_stream->error()}},
+                                 steady_instant());
+    }
+}
+
 void http_server_connection::end_after_writes() {
     const auto self = shared_from_this();
+    note_end(connection_end::answered);
     m_stream->close_after_writes();
     if (m_server != nullptr) {
         m_server->m_ending.push_back(m_stream);
@@ -469,7 +495,7 @@
     if (partly_here && m_since + m_server->m_options.header_timeout < now) {
         refuse(request_timeout, "the head of the request did not come in time");
     } else if (!partly_here && m_since + m_server->m_options.idle_timeout < now) {
-        end_now();
+        end_now(connection_end::idle);
     }
 }
 
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -36,7 +36,7 @@
     /// Ends what has waited longer than the limits allow.
     void check_time(instant now);
     /// Ends the connection at once. Requests in progress are told that their caller has gone.
-    void end_now();
+    void end_now(connection_end cause);
     /// The server is going: nothing is handled or told any more.
     void release();
 
@@ -79,6 +79,7 @@
     void settle();
     void bring_forward(http_exchange &exchange);
     void end_after_writes();
+    void note_end(connection_end cause);
     void cancel_exchanges();
     void drop();
 
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -205,7 +205,8 @@
 std::string traffic_host::metrics_text() const {
     return m_metrics.text() + "peppertack_pipelined_overlapped_total " +
            std::to_string(m_callers.overlapped()) + "\npeppertack_held_answer_bytes " +
-           std::to_string(m_callers.held_answer_bytes()) + "\n";
+           std::to_string(m_callers.held_answer_bytes()) + "\n" + m_callers.ends().text("callers") +
+           m_nodes.ends().text("nodes");
 }
 
 /// What follows from it is decided by the next event: this may be in the middle of a step.
@@ -416,6 +417,7 @@
                {"running", m_agent.queue().in_flight()},
                {"waiting", m_agent.queue().waiting()},
                {"connections", m_nodes.open_streams()},
+               {"caller_connections", m_callers.open_streams()},
                {"unsent", m_callers.unsent() + m_nodes.unsent()},
                {"after_ms", passed.count()}});
 }
--- /dev/null
+++ b/tests/transport/connection_end_test.cpp
@@ -0,0 +1,107 @@
+#include "local_cluster.hpp"
+#include "peppertack/transport/http/http_server.hpp"
+#include "peppertack/transport/http/whole_request.hpp"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace peppertack;
+using namespace peppertack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A server that answers all requests alike, on a loop that runs only when a test says so.
+class paused_server {
+public:
+    explicit paused_server(http_server::options options = {})
+        : m_address("127.0.0.1:" + std::to_string(free_port())),
+          m_server(m_io, with_address(std::move(options)),
+                   whole_request::factory([](const auto &caller, const std::string &) {
+                       caller->respond(200, {}, "told");
+                   })) {
+        std::string reason;
+        REQUIRE_MESSAGE(m_server.start(reason), reason);
+    }
+
+    http_server &server() { return m_server; }
+
+    asio::ip::tcp::socket connect() {
+        asio::ip::tcp::socket caller(m_io);
+        caller.connect(endpoint_from(m_address));
+        return caller;
+    }
+
+    /// A connection that the server has taken in.
+    asio::ip::tcp::socket connect_kept() {
+        asio::ip::tcp::socket caller = connect();
+        const std::size_t before = m_server.connections();
+        REQUIRE(run_until([&] { return m_server.connections() > before; }));
+        run();
+        return caller;
+    }
+
+    /// Handles whatever is ready, and goes on for a while.
+    void run() {
+        m_io.restart();
+        m_io.run_for(30ms);
+    }
+
+    bool run_until(const std::function<bool()> &condition) {
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            m_io.restart();
+            m_io.run_one_for(20ms);
+        }
+        return condition();
+    }
+
+private:
+    http_server::options with_address(http_server::options options) {
+        options.address = m_address;
+        return options;
+    }
+
+    asio::io_context m_io;
+    std::string m_address;
+    http_server m_server;
+};
+
+void send(asio::ip::tcp::socket &caller, std::string_view bytes) {
+    asio::write(caller, asio::buffer(bytes));
+}
+
+} // namespace
+
+TEST_CASE("the ends of connections are counted by cause") {
+    paused_server paused;
+    const connection_end_counts &ends = paused.server().ends();
+    SUBCASE("ended in order by a caller that has nothing open") {
+        paused.connect_kept().close();
+        REQUIRE(paused.run_until([&] { return paused.server().connections() == 0; }));
+        CHECK(ends.count(connection_end::peer_ended, false) == 1);
+    }
+    SUBCASE("reset by a caller") {
+        asio::ip::tcp::socket caller = paused.connect_kept();
+        caller.set_option(asio::socket_base::linger(true, 0));
+        caller.close();
+        REQUIRE(paused.run_until([&] { return paused.server().connections() == 0; }));
+        CHECK(ends.count(connection_end::peer_reset, false) == 1);
+    }
+    SUBCASE("after an answer that says so") {
+        asio::ip::tcp::socket caller = paused.connect_kept();
+        send(caller, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        REQUIRE(paused.run_until([&] { return paused.server().connections() == 0; }));
+        CHECK(ends.count(connection_end::answered, false) == 1);
+        CHECK(ends.text("callers") == "peppertack_connections_ended_total{side=\"callers\",cause="
+                                      "\"answered\",unanswered=\"no\"} 1\n");
+    }
+    SUBCASE("by a server that stops") {
+        const asio::ip::tcp::socket caller = paused.connect_kept();
+        paused.server().stop_accepting();
+        CHECK(ends.count(connection_end::server_stopped, false) == 1);
+    }
+}
