Answer requests that the system holds when a server stops

What callers saw: a connection closed or reset without an answer although their request had been sent, while a node or a voter was stopped as planned. Cause: http_server::stop_accepting closed the listener, which resets connections that wait to be accepted, and each connection without a request in progress, without looking whether bytes waited there. The decision falls in a timer event, and timers run ahead of reads: a process that is short of its processor closes requests that were sent long before. Class: a connection is judged by what was read of it, not by what has come. Change: what the system holds is accepted and read first, and handled by the server's handlers, which refuse it as not run; then idle connections are closed. refuse_further, which did so for its listener, shares the code.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -47,6 +47,8 @@
     bool peer_ended() const { return m_peer_ended; }
     /// Whether the system holds bytes, or the end of the stream, that were not read yet.
     bool has_unread();
+    /// Reads now what the system holds, up to the size of the buffer. Precondition: not paused.
+    void read_now();
     /// The system's error number that ended the stream; 0 if it has not ended, or ended in order.
     int error() const { return m_error; }
     /// Stops and resumes reading; the other side is held back by its full window.
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -51,7 +51,8 @@
     bool start(std::string &reason);
     /// Answers from now on end their connections.
     void begin_drain() { m_draining = true; }
-    /// Takes no more connections and ends those that are idle.
+    /// Takes no more connections and ends those that are idle. Requests that the system holds, on
+    /// open connections and on ones that wait to be accepted, are read first and handled.
     void stop_accepting();
     /// Takes no more connections. The next request on each of them, even if it was sent already,
     /// has this answer and is not handled. Answers that are under way are finished.
@@ -78,6 +79,7 @@
     void accept();
     void accept_waiting(asio::error_code &error);
     void take_in(asio::ip::tcp::socket socket);
+    void close_listener();
     void sweep();
     void forget_ended();
 
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -159,6 +159,13 @@
     }
 }
 
+void byte_stream::read_now() {
+    const auto self = shared_from_this(); // the listener may drop the last reference
+    if (!m_closed) {
+        read_some();
+    }
+}
+
 bool byte_stream::has_unread() {
     pollfd here{.fd = m_socket.native_handle(), .events = POLLIN, .revents = 0};
     return !m_closed && ::poll(&here, 1, 0) > 0 && (here.revents & POLLIN) != 0;
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -118,17 +118,24 @@
 }
 
 void http_server::stop_accepting() {
-    asio::error_code ignored;
-    m_acceptor.close(ignored);
+    close_listener();
     const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
                                                                    m_connections.end());
     for (const auto &connection : all) {
-        if (connection->idle()) {
-            connection->end_now(connection_end::server_stopped);
-        }
+        connection->end_if_idle(connection_end::server_stopped);
     }
 }
 
+/// Takes in the connections that the system has accepted: they would be reset with the listening
+/// socket, and their requests count as perhaps handled.
+void http_server::close_listener() {
+    asio::error_code error;
+    while (!error) {
+        accept_waiting(error);
+    }
+    m_acceptor.close(error);
+}
+
 void http_server::refuse_further(int status, std::vector<header_field> headers) {
     m_draining = true;
     const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
@@ -139,13 +146,7 @@
         }
     }
     m_refusal = refusal{.status = status, .headers = std::move(headers)};
-    // Connections that the kernel has accepted would be reset with the listening socket, and their
-    // requests count as perhaps handled.
-    asio::error_code error;
-    while (!error) {
-        accept_waiting(error);
-    }
-    m_acceptor.close(error);
+    close_listener();
 }
 
 void http_server::forget_ended() {
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -411,6 +411,16 @@
     drop();
 }
 
+void http_server_connection::end_if_idle(connection_end cause) {
+    const auto self = shared_from_this();
+    while (m_server != nullptr && idle() && m_stream->has_unread()) {
+        m_stream->read_now();
+    }
+    if (m_server != nullptr && idle()) {
+        end_now(cause);
+    }
+}
+
 /// Precondition: the exchanges are still there.
 void http_server_connection::note_end(connection_end cause) {
     if (m_server == nullptr) {
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -37,6 +37,8 @@
     void check_time(instant now);
     /// Ends the connection at once. Requests in progress are told that their caller has gone.
     void end_now(connection_end cause);
+    /// Reads what the system holds and ends the connection if it is `idle()` then.
+    void end_if_idle(connection_end cause);
     /// The server is going: nothing is handled or told any more.
     void release();
 
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <doctest/doctest.h>
 #include <functional>
+#include <thread>
 
 using namespace peppertack;
 using namespace peppertack::testing;
@@ -20,14 +21,15 @@
     explicit paused_server(http_server::options options = {})
         : m_address("127.0.0.1:" + std::to_string(free_port())),
           m_server(m_io, with_address(std::move(options)),
-                   whole_request::factory([](const auto &caller, const std::string &) {
-                       caller->respond(200, {}, "told");
+                   whole_request::factory([this](const auto &caller, const std::string &) {
+                       caller->respond(m_status, {}, "told");
                    })) {
         std::string reason;
         REQUIRE_MESSAGE(m_server.start(reason), reason);
     }
 
     http_server &server() { return m_server; }
+    void answer_with(int status) { m_status = status; }
 
     asio::ip::tcp::socket connect() {
         asio::ip::tcp::socket caller(m_io);
@@ -59,6 +61,15 @@
         return condition();
     }
 
+    /// First line of what a caller has received by now, or how its connection ended.
+    static std::string received(asio::ip::tcp::socket &caller) {
+        std::string bytes(4096, '\0');
+        asio::error_code error;
+        caller.non_blocking(true, error);
+        bytes.resize(caller.read_some(asio::buffer(bytes), error));
+        return error ? error.message() : bytes.substr(0, bytes.find("\r\n"));
+    }
+
 private:
     http_server::options with_address(http_server::options options) {
         options.address = m_address;
@@ -67,6 +78,7 @@
 
     asio::io_context m_io;
     std::string m_address;
+    int m_status = 200;
     http_server m_server;
 };
 
@@ -76,6 +88,23 @@
 
 } // namespace
 
+// Guards against connections that are closed with a request unread in them when a process ends.
+TEST_CASE("requests that the system holds when a server stops are answered") {
+    paused_server paused;
+    asio::ip::tcp::socket kept = paused.connect_kept();
+    asio::ip::tcp::socket idle = paused.connect_kept();
+    send(kept, get);
+    asio::ip::tcp::socket waiting = paused.connect();
+    send(waiting, get);
+    paused.answer_with(503);
+    paused.server().begin_drain();
+    paused.server().stop_accepting();
+    paused.run();
+    CHECK(paused_server::received(kept) == "HTTP/1.1 503 Service Unavailable");
+    CHECK(paused_server::received(waiting) == "HTTP/1.1 503 Service Unavailable");
+    CHECK(paused_server::received(idle) == "End of file");
+}
+
 TEST_CASE("the ends of connections are counted by cause") {
     paused_server paused;
     const connection_end_counts &ends = paused.server().ends();
