Judge the time limits of a connection after what waits in it

What callers saw: a connection closed as idle, or 408, although the request was sent in time; by reading also on real processes that stand still. Cause: check_time compares clocks without looking whether bytes wait. The loop reads 127 connections at most before it looks at its timers. Class: as before, a connection is judged by what was read of it. Change: a connection in which bytes wait is left to the next look.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -496,7 +496,8 @@
 }
 
 void http_server_connection::check_time(instant now) {
-    if (busy()) {
+    // Bytes that have come in time may wait to be read, on a process that stood still.
+    if (busy() || m_stream->has_unread()) {
         return;
     }
     // While reading is stalled, bytes of a request may be here and not be read: its caller is not
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -2,6 +2,7 @@
 #include "peppertack/transport/http/http_server.hpp"
 #include "peppertack/transport/http/whole_request.hpp"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <doctest/doctest.h>
 #include <functional>
@@ -42,7 +43,6 @@
         asio::ip::tcp::socket caller = connect();
         const std::size_t before = m_server.connections();
         REQUIRE(run_until([&] { return m_server.connections() > before; }));
-        run();
         return caller;
     }
 
@@ -105,6 +105,37 @@
     CHECK(paused_server::received(idle) == "End of file");
 }
 
+// Guards against closing a connection as idle, or its request as late, with the bytes unread in it.
+TEST_CASE("what has come in time is not ended as late by a server that stood still") {
+    paused_server paused;
+    constexpr std::size_t count = 400; // more than the loop reads before it looks at its timers
+    std::vector<asio::ip::tcp::socket> callers;
+    while (callers.size() < count) {
+        callers.push_back(paused.connect_kept());
+    }
+    const std::string_view request = get;
+    std::size_t sent = 0;
+    SUBCASE("connections that are idle") {}
+    SUBCASE("heads of which a part was read") {
+        sent = request.size() / 2;
+    }
+    for (asio::ip::tcp::socket &caller : callers) {
+        send(caller, request.substr(0, sent));
+    }
+    paused.run();
+    paused.server().set_limits({}, 500ms, 500ms);
+    std::this_thread::sleep_for(1s); // the server's next look at the time is due
+    for (asio::ip::tcp::socket &caller : callers) {
+        send(caller, request.substr(sent));
+    }
+    paused.run();
+    const auto served =
+        std::count_if(callers.begin(), callers.end(), [](asio::ip::tcp::socket &caller) {
+            return paused_server::received(caller) == "HTTP/1.1 200 OK";
+        });
+    CHECK(served == count);
+}
+
 TEST_CASE("the ends of connections are counted by cause") {
     paused_server paused;
     const connection_end_counts &ends = paused.server().ends();
