Let a caller, or another node, read late without a reset

Cause: set_connection_options bounds the time that bytes may go unacknowledged to 0.8 s on every connection. Linux ends a connection by that bound also while the other side acknowledges and its window is closed. Class: both ends of a connection are treated alike; a server that is silent is to be given up, a caller that pauses is owed its answer. Change: the bound is an argument: 0.8 s towards servers, 30 s (more than any deadline that callers tell) towards callers, nodes that forward, operators. What is held meanwhile is bounded as before, by held_back per connection.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peppertack/state/time.hpp"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -51,6 +53,9 @@
     void read_now();
     /// The system's error number that ended the stream; 0 if it has not ended, or ended in order.
     int error() const { return m_error; }
+    /// Bound on how long bytes that were sent may go unacknowledged, or the other side may take
+    /// none. The system ends the connection then.
+    void set_unacknowledged_limit(duration limit);
     /// Stops and resumes reading; the other side is held back by its full window.
     void pause_reading(bool pause);
     /// Writes at once what the system takes and queues the rest.
@@ -95,10 +100,18 @@
     bool m_closing = false; ///< what comes in is dropped; closed when the other side ends
 };
 
-/// Sets what every connection of this system needs: no delay of small writes, and a bound on how
-/// long sent bytes may go unacknowledged. Without the bound a connection that something on the way
-/// has lost track of hangs for minutes, and only the requests on it would show it.
-void set_connection_options(asio::ip::tcp::socket &socket);
+/// Sets what every connection of this system needs: no delay of small writes, probes while it is
+/// idle, and a bound on how long sent bytes may go unacknowledged. Without the bound a connection
+/// that something on the way has lost track of hangs for minutes, and only the requests on it would
+/// show it. The bound also ends connections whose other side is there and reads nothing.
+void set_connection_options(asio::ip::tcp::socket &socket, duration unacknowledged_limit);
+
+/// Bound for connections to servers: several round trips and one retransmission within an instance
+/// group; far below the deadlines.
+inline constexpr duration silent_server_limit = std::chrono::milliseconds(800);
+/// Bound for connections whose other side may read late, and is owed what it has asked for: more
+/// than any deadline that callers tell.
+inline constexpr duration late_reader_limit = std::chrono::seconds(30);
 
 /// Endpoint of "IP:port"; a default endpoint with port 0 if the text is no such address.
 asio::ip::tcp::endpoint endpoint_from(std::string_view address);
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t read_size = 64U << 10U;
 /// Room for usual heads and small bodies.
 constexpr std::size_t kept_capacity = 4U << 10U;
-/// Several round trips and one retransmission within an instance group; far below the deadlines.
-constexpr unsigned int unacknowledged_limit_ms = 800;
 /// Idle connections are probed so that one that was lost is not first noticed by a request.
 constexpr int probe_after_s = 2;
 constexpr int probe_interval_s = 1;
@@ -34,6 +32,12 @@
     return sum;
 }
 
+void limit_unacknowledged(int fd, duration limit) {
+    const auto ms = static_cast<unsigned int>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 /// A buffer that once held a large body would keep its memory for as long as the connection lives.
 void release_if_large(std::string &buffer) {
     if (buffer.capacity() > kept_capacity) {
@@ -45,7 +49,7 @@
 
 } // namespace
 
-void set_connection_options(asio::ip::tcp::socket &socket) {
+void set_connection_options(asio::ip::tcp::socket &socket, duration unacknowledged_limit) {
     const int fd = socket.native_handle();
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -53,8 +57,7 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s, sizeof probe_after_s);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof probe_interval_s);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes_until_lost, sizeof probes_until_lost);
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
-               sizeof unacknowledged_limit_ms);
+    limit_unacknowledged(fd, unacknowledged_limit);
 }
 
 asio::ip::tcp::endpoint endpoint_from(std::string_view address) {
@@ -178,6 +181,10 @@
     return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+void byte_stream::set_unacknowledged_limit(duration limit) {
+    limit_unacknowledged(m_socket.native_handle(), limit);
+}
+
 void byte_stream::write(std::string_view bytes) {
     if (m_closed || m_closing) {
         return;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -168,7 +168,7 @@
                  error.message());
             return;
         }
-        set_connection_options(socket);
+        set_connection_options(socket, silent_server_limit);
         m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
         // Another thread of control may keep the stream beyond this object's life: the stream calls
         // back only while it is open, and this object closes it first.
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -30,7 +30,7 @@
       m_since(steady_instant()) {
     asio::error_code ignored;
     m_peer = socket.remote_endpoint(ignored).address();
-    set_connection_options(socket);
+    set_connection_options(socket, late_reader_limit);
     m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
     m_stream->watch_end();
 }
