Count what a caller takes of its answer as use of the connection

What callers saw: an answer cut off in its middle, idle_timeout after its last byte was queued, while they still read it. Cause: check_time counts a connection as idle from the moment at which its last answer was whole on our side; what is queued or taken by the caller since then is not looked at. Change: bytes taken by the system since the last look count as use.

--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -500,6 +500,9 @@
     if (busy() || m_stream->has_unread()) {
         return;
     }
+    if (std::exchange(m_taken, m_stream->taken()) != m_stream->taken()) {
+        m_since = now; // the caller still takes its last answer
+    }
     // While reading is stalled, bytes of a request may be here and not be read: its caller is not
     // slow to send them, but slow to read the answers before.
     const bool partly_here = m_reader.in_message() && !m_stalled;
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -110,6 +110,7 @@
     bool m_body_paused = false;   ///< by the handler of the request that is coming
     bool m_input_refused = false; ///< after bytes that are no request
     instant m_since{};            ///< idle, or waiting for the rest of a head, since then
+    std::uint64_t m_taken = 0;    ///< bytes written until the last look at the time
     instant m_read_at{};          ///< when the bytes that are being read came
 };
 
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -172,6 +172,17 @@
     CHECK(paused.server().ends().count(connection_end::unacknowledged, false) == 0);
 }
 
+// Guards against ending a connection as idle while its caller still takes an answer.
+TEST_CASE("a caller that reads slowly is not idle") {
+    paused_server paused({.idle_timeout = 300ms});
+    paused.answer_at_length(large_answer);
+    asio::ip::tcp::socket caller = paused.connect_kept();
+    send(caller, get);
+    CHECK(paused.read_all(caller, 1U << 20U, 100ms) > large_answer);
+    CHECK(paused.run_until([&] { return paused.server().connections() == 0; }));
+    CHECK(paused.server().ends().count(connection_end::idle, false) == 1);
+}
+
 TEST_CASE("the ends of connections are counted by cause") {
     paused_server paused;
     const connection_end_counts &ends = paused.server().ends();
