Let a server read a large body late without giving up the request

What callers saw: 502 for an upload whose target, or the node beside it, was busy for a second with its socket buffer full; after a SIGTERM of the node that took it that is a request given up at which a server is at work (LOST). Change: a call that has sent more of a body than a waiting connection has room for (32 KiB) has the bound for late readers; the next call on its connection has the short one again. Such a call still ends at the request's deadline.

--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
+/// Bytes of a body for which a connection that waits for a request has room.
+constexpr std::size_t always_taken = 32U << 10U;
 constexpr int continue_status = 100;
 constexpr int first_final_status = 200;
 constexpr int first_redirect_status = 300;
@@ -56,6 +58,7 @@
     }
 
     void begin_request(const http_head &head) {
+        m_body_bytes = 0;
         const std::string *id = head.find(m_pool->m_options.id_header);
         m_expected_id = id == nullptr ? std::string() : *id;
         m_request_done = false;
@@ -98,6 +101,14 @@
         }
     }
 
+    void write_body(std::string_view piece) {
+        m_body_bytes += piece.size();
+        if (m_stream) {
+            await_late_reader();
+        }
+        write(piece);
+    }
+
     void request_done() {
         m_request_done = true;
         if (m_answer_done) {
@@ -135,6 +146,14 @@
     bool closed() const { return m_closed; }
 
 private:
+    /// A body that the other side has no room for yet does not tell that it is silent.
+    void await_late_reader() {
+        if (!m_late_reader && m_body_bytes > always_taken) {
+            m_late_reader = true;
+            m_stream->set_unacknowledged_limit(late_reader_limit);
+        }
+    }
+
     std::uint64_t taken() const { return m_stream ? m_stream->taken() : 0; }
 
     /// Why a call ends whose connection has been closed.
@@ -174,6 +193,7 @@
         // back only while it is open, and this object closes it first.
         count_established(true);
         m_stream->start();
+        await_late_reader();
         m_stream->pause_reading(m_paused);
         if (m_make) {
             make_request();
@@ -330,6 +350,9 @@
         }
         m_reader.next();
         m_paused = false;
+        if (std::exchange(m_late_reader, false)) {
+            m_stream->set_unacknowledged_limit(silent_server_limit);
+        }
         m_stream->pause_reading(false);
         m_idle_until = steady_instant() + m_idle_time;
         m_pool->give_back(shared_from_this());
@@ -361,6 +384,8 @@
     bool m_echoes_ids = false;
     bool m_keep_alive = true;
     bool m_paused = false;
+    bool m_late_reader = false;       ///< the bound for silent servers is lifted
+    std::size_t m_body_bytes = 0;     ///< of the request so far
     std::uint64_t m_taken_before = 0; ///< by the system, when the call began
     bool m_end_announced = false;     ///< while no call was made
     bool m_closed = false;
@@ -371,7 +396,7 @@
 };
 
 void http_call::send_body(std::string_view piece) {
-    m_link->write(piece);
+    m_link->write_body(piece);
 }
 
 void http_call::request_done() {
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -235,6 +235,45 @@
     CHECK_FALSE(answer->over());
 }
 
+// Guards against a request that is lost since its server had no room for the body at once.
+TEST_CASE("a server that reads a large body late is not taken for silent") {
+    asio::io_context io;
+    const std::string address = own_address();
+    std::shared_ptr<http_exchange> held;
+    std::size_t size = 0;
+    struct late final : http_request_handler {
+        std::size_t &size;
+        std::shared_ptr<http_exchange> caller;
+        late(std::size_t &size, std::shared_ptr<http_exchange> caller)
+            : size(size), caller(std::move(caller)) {}
+        void on_request_body(std::string_view piece) override { size += piece.size(); }
+        void on_request_end() override { caller->respond(200, {}, "ok"); }
+    };
+    http_server server(io, {.address = address}, [&](const auto &caller) {
+        held = caller;
+        return std::make_shared<late>(size, caller);
+    });
+    std::string reason;
+    REQUIRE_MESSAGE(server.start(reason), reason);
+    http_client_pool pool(io, {});
+    auto answer = std::make_shared<collected_answer>();
+    http_head head = get("1");
+    head.framing = body_framing::length;
+    head.content_length = 16U << 20U;
+    const auto open = pool.start(address, head, answer);
+    REQUIRE(run_until(io, [&] { return held != nullptr; }));
+    held->pause_body(true);
+    open->send_body(std::string(head.content_length, 'x'));
+    open->request_done();
+    io.restart();
+    io.run_for(3s); // several times the bound for silent servers
+    CHECK_FALSE(answer->over());
+    held->pause_body(false);
+    REQUIRE(run_until(io, [&] { return answer->over(); }));
+    CHECK(answer->status == 200);
+    CHECK(size == head.content_length);
+}
+
 namespace {
 
 /// A client of raw bytes.
