Fault soak of stops: uploads on connections of their own, and connections that end without an answer

Why: the oracle passed over a connection that ended without an answer where no target had run the request, one form of LOST; no caller sent a body. Change: a connection that ends later than 0.2 s after its request was sent is a violation, unless no connection could be made; one request in ten is an upload of up to 360,000 bytes on a new connection.

--- a/tests/soak/stops_run.cpp
+++ b/tests/soak/stops_run.cpp
@@ -12,7 +12,9 @@
 constexpr duration grace = 6s;            ///< as the cluster tells the processes
 constexpr duration restart_pause = 500ms; ///< from the end of a process to the next one's start
 constexpr duration step = 10ms;
-constexpr std::uint64_t per_node = 10; ///< requests a second
+constexpr std::uint64_t per_node = 10;            ///< requests a second
+constexpr std::uint64_t uploads_in = 10;          ///< one of so many requests is an upload
+constexpr std::uint64_t largest_upload = 360'000; ///< bytes
 
 } // namespace
 
@@ -115,13 +117,22 @@
         const std::uint64_t second = 1s / step;
         for (std::uint64_t i = (per_node * m_cluster.nodes() + draw_load(second)) / second; i > 0;
              --i) {
-            m_cluster.send(draw_load(m_cluster.nodes()), draw_load(5) < 3, draw_load(2) == 0,
-                           static_cast<std::uint32_t>(draw_load(65536)));
+            send_one();
         }
         m_cluster.run_for(step);
     }
 }
 
+void stops_run::send_one() {
+    const std::size_t node = draw_load(m_cluster.nodes());
+    if (draw_load(uploads_in) == 0) {
+        m_cluster.upload(node, draw_load(largest_upload));
+        return;
+    }
+    m_cluster.send(node, draw_load(5) < 3, draw_load(2) == 0,
+                   static_cast<std::uint32_t>(draw_load(65536)));
+}
+
 void stops_run::tend() {
     const clock::time_point now = clock::now();
     for (auto it = m_stops.begin(); it != m_stops.end();) {
@@ -160,7 +171,8 @@
               << counts.cut_served << "), given up out of time " << counts.out_of_time
               << ", in the last sixth " << counts.last_sixth << ", at work " << counts.given_up
               << "; lost answers " << counts.lost_answers << ", unfounded 502 " << counts.unfounded
-              << "\n";
+              << ", crossed the end of a connection " << counts.crossed << ", unanswered "
+              << counts.unanswered << "\n";
     for (const std::string &what : m_violations) {
         std::cout << what << "\n";
     }
--- a/tests/soak/stops_run.hpp
+++ b/tests/soak/stops_run.hpp
@@ -36,6 +36,7 @@
     void stop_one();
     void disturb();
     void send_for(duration time);
+    void send_one();
     /// Starts again what has ended; ends what has had its time.
     void tend();
     bool report();
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -49,14 +49,18 @@
 /// Collects an answer and hands it on.
 class whole_answer final : public http_response_handler {
 public:
-    /// `status`: -1 if there was no whole answer; `head` has no headers then.
+    /// `status`: -1 if there was no whole answer, `no_connection` if nothing was sent; `head` has
+    /// no headers then.
     using function =
         std::function<void(int status, const std::string &body, const http_head &head)>;
+    static constexpr int no_connection = -2;
     explicit whole_answer(function done) : m_done(std::move(done)) {}
     void on_response_head(http_head head) override { m_head = std::move(head); }
     void on_response_body(std::string_view piece) override { m_body.append(piece); }
     void on_response_end() override { m_done(m_head.status, m_body, m_head); }
-    void on_call_failed(call_failure, const std::string &) override { m_done(-1, {}, {}); }
+    void on_call_failed(call_failure why, const std::string &) override {
+        m_done(sent_nothing(why) ? no_connection : -1, {}, {});
+    }
     void keep(std::shared_ptr<http_call> call) { m_call = std::move(call); }
 
 private:
@@ -68,7 +72,7 @@
 
 /// Makes a call whose handler lives until it was told the end.
 void call(asio::io_context &io, http_client_pool &pool, const std::string &address, http_head head,
-          const std::string &body, whole_answer::function done) {
+          const std::string &body, whole_answer::function done, bool fresh = false) {
     if (!body.empty()) {
         head.framing = body_framing::length;
         head.content_length = body.size();
@@ -81,7 +85,7 @@
             done(status, text, head);
             asio::post(io, [kept] { kept->reset(); });
         });
-    const auto open = pool.start(address, head, *kept);
+    const auto open = pool.start(address, head, *kept, fresh);
     (*kept)->keep(open);
     open->send_body(body);
     if (whole) {
@@ -120,7 +124,8 @@
         const std::string *retry_after = head.find("Retry-After");
         attempt->retry_after = retry_after == nullptr ? std::string() : *retry_after;
         attempt->body = body;
-        attempt->status = status;
+        attempt->unsent = status == whole_answer::no_connection;
+        attempt->status = attempt->unsent ? -1 : status;
     };
 }
 
@@ -824,24 +829,30 @@
     return head;
 }
 
-std::shared_ptr<caller_attempt> platform_cluster::send_to_path(const std::string &path,
-                                                               std::size_t node, bool keyed,
-                                                               bool once, std::uint32_t key,
-                                                               const std::string &body) {
+std::shared_ptr<caller_attempt>
+platform_cluster::send_to_path(const std::string &path, std::size_t node, bool keyed, bool once,
+                               std::uint32_t key, const std::string &body, bool fresh) {
     const auto attempt = expect(node, once, once ? body : "");
-    const http_head head = request_head(*attempt, path, keyed, key);
+    http_head head = request_head(*attempt, path, keyed, key);
+    head.keep_alive = !fresh;
     const std::string address = caller_address(node);
     m_stops.note_sent(attempt->id, node,
                       steady_instant() + std::min<duration>(m_options.deadline, m_options.timeout));
-    call(m_io, m_pool, address, head, once ? body : "",
-         [this, attempt, fill = fill_in(attempt)](int status, const std::string &text,
-                                                  const http_head &answer) {
-             fill(status, text, answer);
-             m_stops.note_answer(attempt->id, status);
-         });
+    call(
+        m_io, m_pool, address, head, once ? body : "",
+        [this, attempt, fill = fill_in(attempt)](int status, const std::string &text,
+                                                 const http_head &answer) {
+            fill(status, text, answer);
+            m_stops.note_answer(attempt->id, attempt->status, attempt->unsent);
+        },
+        fresh);
     return attempt;
 }
 
+std::shared_ptr<caller_attempt> platform_cluster::upload(std::size_t node, std::size_t size) {
+    return send_to_path("/a/x", node, false, true, 0, std::string(size, 'u'), true);
+}
+
 std::shared_ptr<caller_attempt> platform_cluster::ask(std::size_t node, const std::string &host,
                                                       std::uint64_t length) {
     auto attempt = std::make_shared<caller_attempt>();
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -156,6 +156,7 @@
     bool once = false;
     int status = 0; ///< 0: no answer yet; -1: the connection ended without one
     std::string body;
+    bool unsent = false;     ///< no connection could be made, so that nothing was sent
     std::string retry_after; ///< as the answer says
     /// The request before it on its connection, if it was sent before that one was answered.
     std::shared_ptr<caller_attempt> previous;
@@ -244,6 +245,8 @@
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
                                          const std::string &body = "body");
+    /// Sends a request that may run once, with a body of so many bytes, on a connection of its own.
+    std::shared_ptr<caller_attempt> upload(std::size_t node, std::size_t size);
     /// Notes a request that is sent by other means, so that its runs are watched and
     /// `check_requests` judges the answer that is filled in. `body`: as it is sent.
     std::shared_ptr<caller_attempt> expect(std::size_t node, bool once, const std::string &body);
@@ -293,7 +296,7 @@
 
     std::shared_ptr<caller_attempt> send_to_path(const std::string &path, std::size_t node,
                                                  bool keyed, bool once, std::uint32_t key,
-                                                 const std::string &body);
+                                                 const std::string &body, bool fresh = false);
     std::string control_address(std::size_t node) const;
     std::string voter_ip(std::size_t place) const;
     std::string node_ip(std::size_t place) const;
--- a/tests/support/stop_oracle.cpp
+++ b/tests/support/stop_oracle.cpp
@@ -19,8 +19,9 @@
         .node = node, .sent_ms = read_clocks().wall_ms, .sent = steady_instant(), .limit = limit};
 }
 
-void stop_oracle::note_answer(const std::string &id, int status) {
+void stop_oracle::note_answer(const std::string &id, int status, bool unsent) {
     request &asked = m_requests[id];
+    asked.unsent = unsent;
     asked.answered = steady_instant();
     asked.status = status;
 }
@@ -71,10 +72,7 @@
     } else if (served) {
         return;
     } else if (asked.runs.empty()) {
-        if (asked.status == 502) {
-            ++m_tally.unfounded;
-            violations.push_back(story(id, asked) + ": it reached no target");
-        }
+        judge_without_run(id, asked, violations);
         return;
     }
     const instant given_up =
@@ -94,6 +92,20 @@
     }
 }
 
+void stop_oracle::judge_without_run(const std::string &id, const request &asked,
+                                    std::vector<std::string> &violations) {
+    if (asked.status == 502) {
+        ++m_tally.unfounded;
+        violations.push_back(story(id, asked) + ": it reached no target");
+    } else if (asked.status == -1 && !asked.unsent) {
+        const bool owed = asked.answered > asked.sent + m_options.lost_after;
+        ++(owed ? m_tally.unanswered : m_tally.crossed);
+        if (owed) {
+            violations.push_back(story(id, asked) + ": its connection ended without an answer");
+        }
+    }
+}
+
 bool stop_oracle::in_last_sixth(const request &asked, instant given_up) const {
     const auto found = m_stops.find(asked.node);
     return found != m_stops.end() &&
--- a/tests/support/stop_oracle.hpp
+++ b/tests/support/stop_oracle.hpp
@@ -18,6 +18,8 @@
     struct options {
         duration grace = std::chrono::seconds(6);
         duration sent_by = std::chrono::seconds(3); ///< requests sent later must not be given up
+        /// A connection that ends later than this after a request was sent owes it an answer.
+        duration lost_after = std::chrono::milliseconds(200);
     };
     /// What became of the requests that were checked.
     struct tally {
@@ -30,11 +32,14 @@
         std::uint64_t given_up = 0;     ///< at work, against the rules
         std::uint64_t lost_answers = 0; ///< the target had answered, the caller got a failure
         std::uint64_t unfounded = 0;    ///< answered 502 though no target ran it
+        std::uint64_t crossed = 0;      ///< sent just before their connection ended
+        std::uint64_t unanswered = 0;   ///< not run, and their connection ended later
     };
 
     /// A caller sends a request to `node`; its deadline and its route's time-out end at `limit`.
     void note_sent(const std::string &id, std::size_t node, instant limit);
-    void note_answer(const std::string &id, int status);
+    /// `unsent`: no connection could be made, so that nothing was sent.
+    void note_answer(const std::string &id, int status, bool unsent);
     void note_run(const std::string &id, std::size_t target);
     /// The run ended; `cut`: its connection was closed before its answer.
     void note_run_end(const std::string &id, std::size_t target, bool cut);
@@ -58,10 +63,13 @@
         instant limit{};
         instant answered{};
         int status = 0;
+        bool unsent = false;
         std::vector<run> runs;
     };
 
     void judge(const std::string &id, const request &asked, std::vector<std::string> &violations);
+    void judge_without_run(const std::string &id, const request &asked,
+                           std::vector<std::string> &violations);
     bool in_last_sixth(const request &asked, instant given_up) const;
     std::string story(const std::string &id, const request &asked) const;
     /// How long a node had been stopping at `at`, for people; empty: it was not.
