--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -347,6 +347,21 @@
     CHECK(problems[0].setting == "cold-slack");
 }
 
+TEST_CASE("what a process may use is read from the settings") {
+    std::vector<settings_problem> problems;
+    const auto unstated =
+        read_platform_settings(node_settings, process_role::beside_target, problems);
+    REQUIRE(unstated);
+    CHECK(unstated->memory_mb == 256);
+    CHECK(unstated->max_descriptors == 4096);
+    const auto settings = read_platform_settings(std::string(node_settings) +
+                                                     "memory-mb = 160\nmax-descriptors = 4100\n",
+                                                 process_role::beside_target, problems);
+    REQUIRE(settings);
+    CHECK(settings->memory_mb == 160);
+    CHECK(settings->max_descriptors == 4100);
+}
+
 // Guards against a request that is taken just before the refusal and is still running when the
 // process has to end: the platform excuses that for requests of the first three seconds of a stop.
 TEST_CASE("a node that stops refuses new requests while those taken can still be finished") {
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -569,6 +569,8 @@
            "\ngrants = " + m_options.grants +
            "\ncold-over = " + std::to_string(m_options.cold_over) +
            "\ncold-slack = " + std::to_string(m_options.cold_slack) +
+           "\nmemory-mb = " + std::to_string(m_options.memory_mb) +
+           "\nmax-descriptors = " + std::to_string(m_options.max_descriptors) +
            "\nmost-hold-s = 10\ngrace-s = 6\nlink-mbps = " + std::to_string(m_options.link_mbps) +
            "\n";
 }
@@ -779,7 +781,7 @@
         }
     }
     config["limits"] = {{"max_header_bytes", 16384},
-                        {"max_body_bytes", 1000000},
+                        {"max_body_bytes", m_options.max_body},
                         {"header_timeout_s", 3},
                         {"idle_timeout_s", 15}};
     const std::string body = config.dump();
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -177,9 +177,12 @@
                                           "plain"}; ///< a node each
         double heartbeat_s = 0.2;
         duration work = std::chrono::milliseconds(5);
-        std::uint32_t slots = 8;          ///< that targets tell
-        target_capacity capacity;         ///< that targets have at first
-        double link_mbps = 8;             ///< as told to the processes
+        std::uint32_t slots = 8;              ///< that targets tell
+        target_capacity capacity;             ///< that targets have at first
+        double link_mbps = 8;                 ///< as told to the processes
+        double memory_mb = 256;               ///< as told to the processes
+        std::uint32_t max_descriptors = 4096; ///< as told to the processes
+        std::uint64_t max_body = 1'000'000;   ///< bytes, by the configuration
         double cold_per_s = 0;            ///< requests that a cold target tolerates; 0: any number
         duration cold_start{};            ///< targets are cold for so long after their start
         double cold_over = 1.5;           ///< factor on `cold_per_s` that bounds any second
