Bound what a server still takes in when it stops

What callers saw: a node that outlasts its grace time, found by a review: one caller that sends blank lines without end kept a stop from ending (2.68, 3.62 and over 9 s after SIGTERM, limit 5.7 s), after which everything is cut. Cause: the reader passes over blank lines, so that the connection stays idle and readable; the loop that reads what the system holds had no bound, nor had the one that accepts. Change: at most four buffers a connection are read, and twice the backlog of the listener is accepted.

--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -130,7 +130,7 @@
 /// socket, and their requests count as perhaps handled.
 void http_server::close_listener() {
     asio::error_code error;
-    while (!error) {
+    for (int taken = 0; taken < 2 * listen_backlog && !error; taken += most_accepted_at_once) {
         accept_waiting(error);
     }
     m_acceptor.close(error);
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -20,6 +20,8 @@
 constexpr const char *limits_retry_after = "0.5";
 /// Bytes that are held back while no request is read; beyond that the caller is held back.
 constexpr std::size_t max_waiting_bytes = 64U << 10U;
+/// A caller that never ceases to send what is no request would else keep a server from its end.
+constexpr int most_reads_at_end = 4;
 /// Bytes that come within this time of each other count as come together.
 constexpr duration waiting_resolution = std::chrono::milliseconds(10);
 
@@ -413,7 +415,8 @@
 
 void http_server_connection::end_if_idle(connection_end cause) {
     const auto self = shared_from_this();
-    while (m_server != nullptr && idle() && m_stream->has_unread()) {
+    for (int i = 0;
+         i < most_reads_at_end && m_server != nullptr && idle() && m_stream->has_unread(); ++i) {
         m_stream->read_now();
     }
     if (m_server != nullptr && idle()) {
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <asio.hpp>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
 #include <thread>
@@ -129,6 +130,29 @@
     CHECK(paused_server::received(idle) == "End of file");
 }
 
+// Guards against a stop that waits for a caller who never ceases to send.
+TEST_CASE("blank lines do not keep a server from its end") {
+    paused_server paused;
+    asio::ip::tcp::socket caller = paused.connect_kept();
+    std::atomic<bool> over = false;
+    std::thread flood([&] {
+        const std::string lines(64U << 10U, '\n');
+        asio::error_code error;
+        caller.non_blocking(true, error);
+        while (!over && (!error || error == asio::error::would_block)) {
+            caller.write_some(asio::buffer(lines), error);
+        }
+    });
+    paused.run();
+    const std::uint64_t before = byte_stream::thread_traffic().read;
+    paused.server().stop_accepting();
+    const std::uint64_t read = byte_stream::thread_traffic().read - before;
+    over = true;
+    flood.join();
+    CHECK(read <= 256U << 10U);
+    CHECK(paused.server().connections() == 0);
+}
+
 // Guards against closing a connection as idle, or its request as late, with the bytes unread in it.
 TEST_CASE("what has come in time is not ended as late by a server that stood still") {
     paused_server paused;
