Keep the system's error of a connection however it is found

Cause: the look for the end of a stream behind its bytes, and the one while reading is paused, take the error from the socket, which tells it once. Change: both keep it. Test: the ends of connections are counted by cause, reset with bytes that are read before; counted as peer_ended before, as peer_reset now.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -81,6 +81,8 @@
     bool end_is_next();
     void watch_paused();
     bool ended_behind_unread();
+    void note_error(int error);
+    int pending_error();
     void lost(bool in_order);
 
     asio::ip::tcp::socket m_socket;
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -111,6 +111,7 @@
             return;
         }
         if (self->ended_behind_unread()) {
+            self->note_error(self->pending_error());
             self->lost(false);
         } else {
             self->watch_paused();
@@ -156,8 +157,7 @@
     } else if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
         wait_readable();
     } else {
-        // A failed write has taken the error from the socket already.
-        m_error = size < 0 && m_error == 0 ? errno : m_error;
+        note_error(size < 0 ? errno : 0);
         lost(size == 0);
     }
 }
@@ -178,7 +178,23 @@
     char next = 0;
     const ssize_t size =
         ::recv(m_socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+    if (size < 0 && errno != EAGAIN && errno != EINTR) {
+        note_error(errno);
+        return true;
+    }
+    return size == 0;
+}
+
+/// Keeps the first: the system tells an error once.
+void byte_stream::note_error(int error) {
+    m_error = m_error == 0 ? error : m_error;
+}
+
+int byte_stream::pending_error() {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
 }
 
 void byte_stream::set_unacknowledged_limit(duration limit) {
@@ -211,7 +227,7 @@
         } else {
             // Reported from the event loop: the owner may be in the middle of a step. What came in
             // before the loss is still read first, since it may be the answer.
-            m_error = errno;
+            note_error(errno);
             m_out.clear();
             m_sent = 0;
             asio::post(m_socket.get_executor(), [self = shared_from_this()] {
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -222,6 +222,14 @@
         REQUIRE(paused.run_until([&] { return paused.server().connections() == 0; }));
         CHECK(ends.count(connection_end::peer_reset, false) == 1);
     }
+    SUBCASE("reset with bytes that are read before") {
+        asio::ip::tcp::socket caller = paused.connect_kept();
+        send(caller, "GET ");
+        caller.set_option(asio::socket_base::linger(true, 0));
+        caller.close();
+        REQUIRE(paused.run_until([&] { return paused.server().connections() == 0; }));
+        CHECK(ends.count(connection_end::peer_reset, false) == 1);
+    }
     SUBCASE("after an answer that says so") {
         asio::ip::tcp::socket caller = paused.connect_kept();
         send(caller, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
