Keep a late reader's bound while the rest of a body is on its way

Cause: the bound for silent servers came back with the answer. Change: it comes back with the next call, once all that was written is acknowledged.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -56,6 +56,8 @@
     /// Bound on how long bytes that were sent may go unacknowledged, or the other side may take
     /// none. The system ends the connection then.
     void set_unacknowledged_limit(duration limit);
+    /// Whether the other side has acknowledged all that was written.
+    bool acknowledged() const;
     /// Stops and resumes reading; the other side is held back by its full window.
     void pause_reading(bool pause);
     /// Writes at once what the system takes and queues the rest.
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -5,8 +5,10 @@
 #include <array>
 #include <asio/ip/address.hpp>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace peppertack {
@@ -201,6 +203,13 @@
     limit_unacknowledged(m_socket.native_handle(), limit);
 }
 
+bool byte_stream::acknowledged() const {
+    int unacknowledged = 0;
+    const int fd = const_cast<asio::ip::tcp::socket &>(m_socket).native_handle();
+    const bool known = ::ioctl(fd, SIOCOUTQ, &unacknowledged) == 0;
+    return queued() == 0 && (!known || unacknowledged == 0);
+}
+
 void byte_stream::write(std::string_view bytes) {
     if (m_closed || m_closing) {
         return;
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -59,6 +59,11 @@
 
     void begin_request(const http_head &head) {
         m_body_bytes = 0;
+        // A server may answer before it reads the rest of a body.
+        if (m_late_reader && m_stream->acknowledged()) {
+            m_late_reader = false;
+            m_stream->set_unacknowledged_limit(silent_server_limit);
+        }
         const std::string *id = head.find(m_pool->m_options.id_header);
         m_expected_id = id == nullptr ? std::string() : *id;
         m_request_done = false;
@@ -350,9 +355,6 @@
         }
         m_reader.next();
         m_paused = false;
-        if (std::exchange(m_late_reader, false)) {
-            m_stream->set_unacknowledged_limit(silent_server_limit);
-        }
         m_stream->pause_reading(false);
         m_idle_until = steady_instant() + m_idle_time;
         m_pool->give_back(shared_from_this());
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -274,6 +274,35 @@
     CHECK(size == head.content_length);
 }
 
+// Guards against a server that answers early and is reset while it still reads the body.
+TEST_CASE("a server that reads on after its answer is not taken for silent") {
+    asio::io_context io;
+    const std::string address = own_address();
+    asio::ip::tcp::acceptor acceptor(io, endpoint_from(address));
+    http_client_pool pool(io, {});
+    auto answer = std::make_shared<collected_answer>();
+    http_head head = get("1");
+    head.framing = body_framing::length;
+    head.content_length = 2U << 20U;
+    const auto open = pool.start(address, head, answer);
+    open->send_body(std::string(head.content_length, 'x'));
+    open->request_done();
+    asio::ip::tcp::socket server = acceptor.accept();
+    asio::write(server, asio::buffer(answer_text("1", "early")));
+    REQUIRE(run_until(io, [&] { return answer->over(); }));
+    io.restart();
+    io.run_for(3s); // several times the bound for silent servers
+    std::string buffer(1U << 20U, '\0');
+    std::size_t size = 0;
+    server.non_blocking(true);
+    CHECK(run_until(io, [&] {
+        asio::error_code error;
+        size += server.read_some(asio::buffer(buffer), error);
+        return size > head.content_length || (error && error != asio::error::would_block);
+    }));
+    CHECK(size > head.content_length);
+}
+
 namespace {
 
 /// A client of raw bytes.
