End a caller's connection for not reading by what it takes alone

Cause: a connection whose answers are queued counted as idle; the system takes more only once a good part of its buffer was read, so that seconds without progress are usual. The bound of 30 s that the system enforced took the place of the number of keep-alive probes as well.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -107,14 +107,15 @@
 /// Sets what every connection of this system needs: no delay of small writes, probes while it is
 /// idle, and a bound on how long sent bytes may go unacknowledged. Without the bound a connection
 /// that something on the way has lost track of hangs for minutes, and only the requests on it would
-/// show it. The bound also ends connections whose other side is there and reads nothing.
+/// show it. The bound also ends connections whose other side is there and reads nothing, and takes
+/// the place of the number of probes. Zero: no bound.
 void set_connection_options(asio::ip::tcp::socket &socket, duration unacknowledged_limit);
 
 /// Bound for connections to servers: several round trips and one retransmission within an instance
 /// group; far below the deadlines.
 inline constexpr duration silent_server_limit = std::chrono::milliseconds(800);
-/// Bound for connections whose other side may read late, and is owed what it has asked for: more
-/// than any deadline that callers tell.
+/// For an other side that may read late, and is owed what it has asked for: more than any deadline
+/// that callers tell.
 inline constexpr duration late_reader_limit = std::chrono::seconds(30);
 
 /// Endpoint of "IP:port"; a default endpoint with port 0 if the text is no such address.
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -32,7 +32,7 @@
       m_since(steady_instant()) {
     asio::error_code ignored;
     m_peer = socket.remote_endpoint(ignored).address();
-    set_connection_options(socket, late_reader_limit);
+    set_connection_options(socket, {}); // `check_time` ends those that read nothing
     m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
     m_stream->watch_end();
 }
@@ -500,11 +500,19 @@
 
 void http_server_connection::check_time(instant now) {
     // Bytes that have come in time may wait to be read, on a process that stood still.
+    if (std::exchange(m_taken, m_stream->taken()) != m_stream->taken() || queued() == 0) {
+        m_taken_at = now;
+    }
     if (busy() || m_stream->has_unread()) {
         return;
     }
-    if (std::exchange(m_taken, m_stream->taken()) != m_stream->taken()) {
-        m_since = now; // the caller still takes its last answer
+    if (queued() != 0) {
+        // The system takes more only when a good part of its buffer has been read.
+        m_since = now;
+        if (m_taken_at + late_reader_limit < now) {
+            end_now(connection_end::unacknowledged);
+        }
+        return;
     }
     // While reading is stalled, bytes of a request may be here and not be read: its caller is not
     // slow to send them, but slow to read the answers before.
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -28,8 +28,11 @@
     std::size_t queued() const { return m_stream->queued(); }
     /// Whether a request is in progress.
     bool busy() const { return !m_exchanges.empty(); }
-    /// Whether no request is in progress, waits for its turn or is partly here.
-    bool idle() const { return m_exchanges.empty() && !m_stalled && !m_reader.in_message(); }
+    /// Whether no request is in progress, waits for its turn or is partly here, and all answers are
+    /// written.
+    bool idle() const {
+        return m_exchanges.empty() && !m_stalled && !m_reader.in_message() && queued() == 0;
+    }
     /// Answers the next request, which may be on its way, and handles none. Precondition: not
     /// `busy()`.
     void answer_unread(int status, std::vector<header_field> headers);
@@ -111,6 +114,7 @@
     bool m_input_refused = false; ///< after bytes that are no request
     instant m_since{};            ///< idle, or waiting for the rest of a head, since then
     std::uint64_t m_taken = 0;    ///< bytes written until the last look at the time
+    instant m_taken_at{};         ///< when that last grew, or nothing was queued
     instant m_read_at{};          ///< when the bytes that are being read came
 };
 
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -59,12 +59,13 @@
 
     /// Reads an answer to its end, so many bytes at a time with a pause after each. Yields its size
     /// with the head, or what came of it before the connection ended.
-    std::size_t read_all(asio::ip::tcp::socket &caller, std::size_t piece, duration pause) {
+    std::size_t read_all(asio::ip::tcp::socket &caller, std::size_t piece, duration pause,
+                         duration patience = 20s) {
         std::string buffer(piece, '\0');
         std::size_t size = 0;
         asio::error_code error;
         caller.non_blocking(true, error);
-        const auto limit = std::chrono::steady_clock::now() + 20s;
+        const auto limit = std::chrono::steady_clock::now() + patience;
         while (size <= m_body.size() && std::chrono::steady_clock::now() < limit) {
             size += caller.read_some(asio::buffer(buffer), error);
             if (error && error != asio::error::would_block) {
@@ -196,6 +197,30 @@
     CHECK(paused.server().ends().count(connection_end::unacknowledged, false) == 0);
 }
 
+// Guards against ending a connection as idle while the system's buffer, out of which its caller
+// reads, is still full.
+TEST_CASE("a caller that reads very slowly is not idle") {
+    paused_server paused({.idle_timeout = 300ms});
+    paused.answer_at_length(large_answer);
+    asio::ip::tcp::socket caller = paused.connect_kept();
+    send(caller, get);
+    CHECK(paused.read_all(caller, 4U << 10U, 20ms, 3s) > 0);
+    CHECK(paused.server().connections() == 1);
+}
+
+// Guards against an answer that is cut off when its server stops.
+TEST_CASE("a connection with an answer that is not read yet is not idle") {
+    paused_server paused;
+    paused.answer_at_length(large_answer);
+    asio::ip::tcp::socket caller = paused.connect_kept();
+    send(caller, get);
+    paused.run();
+    REQUIRE(paused.server().unsent() == 1);
+    paused.server().stop_accepting();
+    CHECK(paused.server().unsent() == 1);
+    CHECK(paused.read_all(caller, 1U << 20U, {}) > large_answer);
+}
+
 // Guards against ending a connection as idle while its caller still takes an answer.
 TEST_CASE("a caller that reads slowly is not idle") {
     paused_server paused({.idle_timeout = 300ms});
