Tests: loss of power at all voters, with a stand-in disk that knows what was synced

Why: whether an acknowledged configuration can be lost with disks and power (rule LOST, row E of the first table in DESIGN-HOSTILE.md) was shown on simulated storage only. Change: liblossy_disk.so, preloaded into voters, notes every create, write, rename, removal and sync; lose_power leaves of a data folder what was synced and, by seed, each later write whole, torn or missing and each later name or not.

--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -4,6 +4,7 @@
 #include "failure_report.hpp"
 #include "local_cluster.hpp"
 #include "peppertack/transport/http/whole_request.hpp"
+#include "power_loss.hpp"
 #include "wall_clock.hpp"
 
 #include <asio/executor_work_guard.hpp>
@@ -598,9 +599,9 @@
 }
 
 void platform_cluster::start_voter(std::size_t place, bool first) {
-    const std::string data = m_folder + "/voter-" + std::to_string(place);
-    m_voters[place] = spawn("voter", "voter-" + std::to_string(place),
-                            settings_text(voter_ip(place), voter_ip(place), "z", "", data, first));
+    m_voters[place] =
+        spawn("voter", "voter-" + std::to_string(place),
+              settings_text(voter_ip(place), voter_ip(place), "z", "", voter_folder(place), first));
 }
 
 void platform_cluster::start_node(std::size_t place) {
@@ -611,7 +612,19 @@
 }
 
 void platform_cluster::wipe_voter(std::size_t place) {
-    run_beside([&] { std::filesystem::remove_all(m_folder + "/voter-" + std::to_string(place)); });
+    run_beside([&] {
+        std::filesystem::remove_all(voter_folder(place));
+        std::filesystem::remove_all(voter_folder(place) + ".disk");
+    });
+}
+
+void platform_cluster::cut_voter_power(std::size_t place, std::uint64_t seed) {
+    end_voter(place);
+    run_beside([&] { lose_power(voter_folder(place), seed); });
+}
+
+std::string platform_cluster::voter_folder(std::size_t place) const {
+    return m_folder + "/voter-" + std::to_string(place);
 }
 
 std::size_t platform_cluster::voter_log_lines(std::size_t place, const std::string &event) const {
@@ -726,13 +739,16 @@
     return result;
 }
 
-std::shared_ptr<caller_attempt> platform_cluster::ask_voter(std::size_t voter) {
+std::shared_ptr<caller_attempt> platform_cluster::ask_voter(std::size_t voter,
+                                                            const std::string &method,
+                                                            const std::string &path,
+                                                            const std::string &body) {
     http_head head;
-    head.method = "GET";
-    head.target = "/peppertack/config";
+    head.method = method;
+    head.target = path;
     head.headers = {{"Host", "voter"}};
     auto attempt = std::make_shared<caller_attempt>();
-    call(m_io, m_pool, voter_ip(voter) + ":" + std::to_string(m_ports.at("control")), head, {},
+    call(m_io, m_pool, voter_ip(voter) + ":" + std::to_string(m_ports.at("control")), head, body,
          fill_in(attempt));
     return attempt;
 }
@@ -755,6 +771,11 @@
 }
 
 bool platform_cluster::configure(std::uint64_t version, std::uint64_t base) {
+    const std::string body = configuration(version, base);
+    return run_until([&] { return operate("PUT", body).first == 200; });
+}
+
+std::string platform_cluster::configuration(std::uint64_t version, std::uint64_t base) const {
     const auto digits = [](std::uint64_t value) {
         std::string text =
             std::to_string(value); // below ten thousand both notations are read alike
@@ -784,8 +805,7 @@
                         {"max_body_bytes", m_options.max_body},
                         {"header_timeout_s", 3},
                         {"idle_timeout_s", 15}};
-    const std::string body = config.dump();
-    return run_until([&] { return operate("PUT", body).first == 200; });
+    return config.dump();
 }
 
 std::shared_ptr<caller_attempt> platform_cluster::send(std::size_t node, bool keyed, bool once,
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -222,6 +222,11 @@
         run_beside([&] { end(m_nodes[place]); });
     }
     void wipe_voter(std::size_t place);
+    /// Kills a voter and leaves on its disk what a loss of power would, drawn by `seed`.
+    /// Precondition: liblossy_disk.so is preloaded into it.
+    void cut_voter_power(std::size_t place, std::uint64_t seed);
+    /// Data folder of a voter.
+    std::string voter_folder(std::size_t place) const;
     bool node_ended(std::size_t place) { return ended(m_nodes[place]); }
     bool voter_ended(std::size_t place) { return ended(m_voters[place]); }
     /// Resident memory (VmRSS) of a node's process in bytes; 0 if it has ended.
@@ -237,13 +242,17 @@
 
     /// Puts a configuration whose version is `version` into force; true once it was acknowledged.
     bool configure(std::uint64_t version, std::uint64_t base);
+    /// What `configure` sends.
+    std::string configuration(std::uint64_t version, std::uint64_t base) const;
     /// The word for how keys are handed over that the next configuration has.
     void set_grants(const std::string &word) { m_options.grants = word; }
     /// Status and body of an operator's call, following redirections over the voters.
     std::pair<int, std::string> operate(const std::string &method, const std::string &body,
                                         const std::string &path = "/peppertack/config");
     /// Sends an operator's call to one voter and follows no redirection.
-    std::shared_ptr<caller_attempt> ask_voter(std::size_t voter);
+    std::shared_ptr<caller_attempt> ask_voter(std::size_t voter, const std::string &method = "GET",
+                                              const std::string &path = "/peppertack/config",
+                                              const std::string &body = {});
     /// Sends one request to a node; the attempt is filled in as the loop runs.
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
