Count what a log reads back as durable only once it was synced again

Shown by the new seventh fault of the power test: two of five voters stand still, the process of a third is killed between its write and its sync and started again, the configuration is acknowledged, and then all lose power and the two others their disks. Cause: durable_log::open took all that it read as synced (m_durable). A killed process leaves its writes in the page cache; the new one read the entry there and acknowledged it to the leader without a sync of its own. Second symptom of the same: the new process appended behind that unsynced write. If the first of the two is missing after the loss of power, the log "is damaged before its end" and the voter refuses to start, so that with two disks lost no configuration can be read back within 20 s. Change: the first write of an opened log syncs its file, and so its names, before anything is appended; until then no index and no vote counts as durable. A voter whose disk is slow at its start answers as before, and acknowledges later. Tests: the seventh fault; what a killed process wrote is durable once it was synced, not once it is read back.

--- a/include/peppertack/state/durable_log.hpp
+++ b/include/peppertack/state/durable_log.hpp
@@ -59,8 +59,11 @@
     std::string file;
     std::string records;      ///< encoded changes
     bool begins_file = false; ///< the records replace the file's content
-    std::string snapshot;     ///< encoded; stored before the file is written; empty if none
-    std::string obsolete;     ///< file to remove afterwards; empty if none
+    /// The file is synced before the records, if any, are appended: behind another write that is
+    /// not synced they would make a torn log look damaged.
+    bool syncs_first = false;
+    std::string snapshot; ///< encoded; stored before the file is written; empty if none
+    std::string obsolete; ///< file to remove afterwards; empty if none
     std::optional<stored_file> companion; ///< replaced together with the file that begins
 };
 
@@ -95,8 +98,10 @@
     };
 
     /// Opens the log. A new log has no file until its first change, so that opening it waits for no
-    /// sync. Truncates an unsynced tail. Returns nullopt and sets `reason` if synced data is
-    /// damaged, since skipping it could lose an acknowledged decision.
+    /// sync. What another process left is durable once it was synced again, which is the first
+    /// write: that process may have been killed before its sync. Truncates a torn tail. Returns
+    /// nullopt and sets `reason` if synced data is damaged, since skipping it could lose an
+    /// acknowledged decision.
     static std::optional<durable_log> open(storage &files, options settings, std::string &reason);
     static std::optional<durable_log> open(storage &files, std::string &reason) {
         return open(files, options{}, reason);
@@ -135,9 +140,9 @@
     std::uint64_t staged() const { return m_staged; }
     std::uint64_t written() const { return m_written; }
     /// Last index up to which the current entries have been synced.
-    std::uint64_t durable_index() const { return m_durable.last_index; }
+    std::uint64_t durable_index() const { return loaded_synced() ? m_durable.last_index : 0; }
     /// Whether the current vote and its term have been synced.
-    bool vote_durable() const { return m_durable.vote == m_vote; }
+    bool vote_durable() const { return loaded_synced() && m_durable.vote == m_vote; }
 
     bool failed() const { return m_failed; }
     const std::string &last_reason() const { return m_reason; }
@@ -161,6 +166,8 @@
     bool load_entry(log_entry entry, std::string &reason);
     bool stage(log_write write);
     bool stage_records(std::string records);
+    bool loaded_synced() const { return m_written >= m_loaded_synced_by; }
+    void sync_loaded();
     void record_position();
     void advance_durable();
     void truncate_positions(std::uint64_t last_index);
@@ -187,7 +194,9 @@
     std::uint64_t m_staged = 0;
     std::uint64_t m_written = 0;
     std::uint64_t m_writing_up_to = 0; ///< last change of the write in progress
-    position m_durable;
+    /// Number of the change that syncs what `open` has read.
+    std::uint64_t m_loaded_synced_by = 0;
+    position m_durable;               ///< as soon as what `open` has read is synced
     std::deque<position> m_positions; ///< of the changes that are not durable
     bool m_failed = false;
     std::string m_reason;
--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -193,10 +193,17 @@
         }
         return {};
     }
+    const auto synced = [&] { return !sync || files.sync(write.file); };
+    if (write.syncs_first && !synced()) {
+        return failed("can't sync " + write.file);
+    }
+    if (write.records.empty()) {
+        return {};
+    }
     if (!files.append(write.file, make_frame(write.records))) {
         return failed("can't write " + write.file);
     }
-    if (sync && !files.sync(write.file)) {
+    if (!synced()) {
         return failed("can't sync " + write.file);
     }
     return {};
@@ -212,6 +219,7 @@
     }
     log.m_durable = {
         .vote = log.m_vote, .base_index = log.m_base_index, .last_index = log.last_index()};
+    log.sync_loaded();
     return log;
 }
 
@@ -548,6 +556,15 @@
     return !m_failed;
 }
 
+/// A killed process leaves what it wrote in the page cache, where it is read back though a loss of
+/// power may still take it.
+void durable_log::sync_loaded() {
+    if (m_file_begun) {
+        m_loaded_synced_by = m_staged + 1;
+        stage({.file = m_file, .syncs_first = true});
+    }
+}
+
 std::optional<log_write> durable_log::begin_write() {
     if (m_writing || m_failed || m_writes.empty()) {
         return std::nullopt;
--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
 
 using namespace peppertack;
 using namespace peppertack::testing;
@@ -77,6 +78,27 @@
         settle();
         cut_power({(empty + 1 + draw(voters - 1)) % voters});
     }
+    /// What a voter reads back after its process was killed may never have reached the disk.
+    void after_a_voter_was_killed_while_it_wrote() {
+        signal_two(SIGSTOP);
+        std::size_t leader = voters;
+        REQUIRE(m_cluster.run_until([&] {
+            m_cluster.run_for(20ms);
+            leader = leading(3);
+            return leader < 3;
+        }));
+        const std::size_t killed = (leader + 1 + draw(2)) % 3;
+        const std::string slow = m_cluster.voter_folder(killed) + ".disk/slow";
+        std::ofstream(slow) << 400;
+        const auto change = start_put(leader);
+        m_cluster.run_for(std::chrono::milliseconds(100 + draw(200)));
+        m_cluster.end_voter(killed);
+        std::filesystem::remove(slow);
+        m_cluster.start_voter(killed);
+        m_cluster.run_until([&] { return change->status != 0; }, 5s);
+        note(change->status);
+        cut_power({leader, 3 - leader - killed});
+    }
     void around_a_snapshot() {
         flood(2400);
         bool begun = false;
@@ -130,6 +152,11 @@
     }
 
     /// Sends the next configuration, or the last one again if nobody knows what became of it.
+    std::shared_ptr<caller_attempt> start_put(std::size_t voter) {
+        m_sent = m_acknowledged + 1;
+        return m_cluster.ask_voter(voter, "PUT", "/peppertack/config",
+                                   m_cluster.configuration(m_sent, m_acknowledged));
+    }
     bool put() {
         m_sent = m_acknowledged + 1;
         return note(
@@ -222,6 +249,8 @@
     {"with stale voters", &power_run::with_stale_voters},
     {"during the change of a voter", &power_run::during_the_change_of_a_voter},
     {"around a snapshot", &power_run::around_a_snapshot},
+    {"after a voter was killed while it wrote",
+     &power_run::after_a_voter_was_killed_while_it_wrote},
 };
 
 std::uint64_t number_of(const char *name, std::uint64_t otherwise) {
--- a/tests/state/log_write_test.cpp
+++ b/tests/state/log_write_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,39 @@
     CHECK(opened(files).vote() == vote_record{1, "a"});
 }
 
+TEST_CASE("what a killed process wrote is durable once it was synced, not once it is read back") {
+    // Guards against entries and votes that are acknowledged out of the page cache: the process was
+    // killed between its write and its sync, was started again, and then the power failed.
+    for (unsigned int seed = 1; seed <= 50; ++seed) {
+        fake_storage files;
+        {
+            durable_log log = opened(files);
+            REQUIRE(log.append({entry(1, 1)}));
+            REQUIRE(write_next(log, files));
+            REQUIRE(log.append({entry(2, 1)}));
+            REQUIRE(log.save_vote({2, "b"}));
+            REQUIRE(perform(*log.begin_write(), files, false).written);
+        }
+        durable_log log = opened(files);
+        REQUIRE(log.last_index() == 2);
+        CHECK(log.durable_index() == 0);
+        CHECK_FALSE(log.vote_durable());
+        if (seed % 2 == 0) {
+            REQUIRE(write_next(log, files));
+            CHECK(log.durable_index() == 2);
+            CHECK(log.vote_durable());
+        } else {
+            // Behind a write that is missing, a second one would make the log look damaged.
+            REQUIRE(log.append({entry(3, 2)}));
+            CHECK(log.begin_write()->syncs_first);
+        }
+        const std::uint64_t acknowledged = log.durable_index();
+        std::mt19937_64 random(seed);
+        files.crash(random);
+        CHECK(opened(files).last_index() >= acknowledged);
+    }
+}
+
 TEST_CASE("changes staged during a write share the next write") {
     fake_storage files;
     durable_log log = opened(files);
