--- a/tests/platform/power_loss_test.cpp
+++ b/tests/platform/power_loss_test.cpp
@@ -154,8 +154,8 @@
     /// Sends the next configuration, or the last one again if nobody knows what became of it.
     std::shared_ptr<caller_attempt> start_put(std::size_t voter) {
         m_sent = m_acknowledged + 1;
-        return m_cluster.ask_voter(voter, "PUT", "/peppertack/config",
-                                   m_cluster.configuration(m_sent, m_acknowledged));
+        return m_cluster.ask_voter(
+            voter, {.method = "PUT", .body = m_cluster.configuration(m_sent, m_acknowledged)});
     }
     bool put() {
         m_sent = m_acknowledged + 1;
@@ -203,7 +203,8 @@
             }));
             std::vector<std::shared_ptr<caller_attempt>> sent;
             for (std::size_t i = 0; i < 100; ++i) {
-                sent.push_back(m_cluster.ask_voter(leader, "DELETE", "/peppertack/evacuate/z1"));
+                sent.push_back(m_cluster.ask_voter(
+                    leader, {.method = "DELETE", .path = "/peppertack/evacuate/z1"}));
             }
             for (const auto &call : sent) {
                 m_cluster.run_until([&] { return call->status != 0; }, 3s);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <cstdlib>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace peppertack::testing {
@@ -26,6 +27,12 @@
     for (const std::string &variable : options.environment) {
         ::putenv(const_cast<char *>(variable.c_str()));
     }
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    if (options.max_descriptors != 0 && options.max_descriptors < descriptors.rlim_cur) {
+        descriptors.rlim_cur = descriptors.rlim_max = options.max_descriptors;
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    }
     ::execv(words[0], words.data());
     ::_exit(not_started);
 }
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -11,6 +12,7 @@
     std::vector<std::string> words;
     std::string log_file;                 ///< is appended to
     std::vector<std::string> environment; ///< NAME=text, besides this process's own
+    std::size_t max_descriptors = 0; ///< RLIMIT_NOFILE; 0, or more than it has: as this process
 };
 
 /// Starts a process that has no descriptor of this one, and returns once that is so. Between fork
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -177,10 +177,9 @@
     m_queue.clear();
     m_cold_arrivals.clear();
     m_cold_until = steady_instant() + m_cluster.m_options.cold_start;
-    const std::string address =
-        m_cluster.behind_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
     m_server = std::make_unique<http_server>(
-        m_cluster.m_io, http_server::options{.address = address}, [this](const auto &caller) {
+        m_cluster.m_io, http_server::options{.address = listening_address()},
+        [this](const auto &caller) {
             return std::make_shared<watched_request>(
                 caller,
                 [this](const auto &from, const std::string &body) { take_request(from, body); },
@@ -204,6 +203,15 @@
     m_server.reset();
 }
 
+std::string stand_in_platform_target::listening_address() const {
+    return m_cluster.behind_ip(m_place) + ":" + std::to_string(m_cluster.m_ports.at("target"));
+}
+
+std::string stand_in_platform_target::leave_address() {
+    m_server.reset();
+    return listening_address();
+}
+
 bool stand_in_platform_target::holds_key(std::uint32_t key, instant now) const {
     return std::any_of(m_holds.begin(), m_holds.end(), [&](const stand_in_hold &hold) {
         return hold.from <= key && key <= hold.to && now < hold.until;
@@ -581,7 +589,8 @@
     const std::string path = m_folder + "/" + name + ".conf";
     child_options options{.words = {m_options.programs + "/peppertack_platform", role},
                           .log_file = m_folder + "/" + name + ".log",
-                          .environment = m_options.environment};
+                          .environment = m_options.environment,
+                          .max_descriptors = m_options.max_descriptors};
     options.environment.push_back("PEPPERTACK_BOOT=" + path);
     pid_t process = -1;
     run_beside([&] {
@@ -657,8 +666,8 @@
     return process <= 0;
 }
 
-std::string platform_cluster::node_status(std::size_t place, const std::string &field) const {
-    std::ifstream in("/proc/" + std::to_string(m_nodes[place]) + "/status");
+std::string platform_cluster::status_of(pid_t process, const std::string &field) {
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
     const std::string name = field + ":\t";
     for (std::string line; std::getline(in, line);) {
         if (line.rfind(name, 0) == 0) {
@@ -668,13 +677,29 @@
     return {};
 }
 
-std::uint64_t platform_cluster::node_memory(std::size_t place) const {
-    const std::string kilobytes = node_status(place, "VmRSS");
+std::uint64_t platform_cluster::status_bytes(pid_t process, const std::string &field) {
+    const std::string kilobytes = status_of(process, field);
     return kilobytes.empty() ? 0 : std::stoull(kilobytes) * 1024;
 }
 
+std::uint64_t platform_cluster::node_memory(std::size_t place) const {
+    return status_bytes(m_nodes[place], "VmRSS");
+}
+
+process_usage platform_cluster::usage_of(pid_t process) {
+    process_usage usage{.process = process,
+                        .memory = status_bytes(process, "VmRSS"),
+                        .peak = status_bytes(process, "VmHWM")};
+    std::error_code error;
+    std::filesystem::directory_iterator open("/proc/" + std::to_string(process) + "/fd", error);
+    for (; !error && open != std::filesystem::directory_iterator(); open.increment(error)) {
+        ++usage.descriptors;
+    }
+    return usage;
+}
+
 bool platform_cluster::node_paused(std::size_t place) const {
-    return node_status(place, "State").rfind('T', 0) == 0;
+    return status_of(m_nodes[place], "State").rfind('T', 0) == 0;
 }
 
 void platform_cluster::stop_node(std::size_t place) {
@@ -739,17 +764,18 @@
     return result;
 }
 
+std::string platform_cluster::operator_address(std::size_t voter) const {
+    return voter_ip(voter) + ":" + std::to_string(m_ports.at("control"));
+}
+
 std::shared_ptr<caller_attempt> platform_cluster::ask_voter(std::size_t voter,
-                                                            const std::string &method,
-                                                            const std::string &path,
-                                                            const std::string &body) {
+                                                            const operator_call &what) {
     http_head head;
-    head.method = method;
-    head.target = path;
+    head.method = what.method;
+    head.target = what.path;
     head.headers = {{"Host", "voter"}};
     auto attempt = std::make_shared<caller_attempt>();
-    call(m_io, m_pool, voter_ip(voter) + ":" + std::to_string(m_ports.at("control")), head, body,
-         fill_in(attempt));
+    call(m_io, m_pool, operator_address(voter), head, what.body, fill_in(attempt), what.fresh);
     return attempt;
 }
 
@@ -871,6 +897,11 @@
     return attempt;
 }
 
+std::shared_ptr<caller_attempt> platform_cluster::send_alone(std::size_t node, bool keyed,
+                                                             std::uint32_t key) {
+    return send_to_path("/a/x", node, keyed, false, key, "", true);
+}
+
 std::shared_ptr<caller_attempt> platform_cluster::upload(std::size_t node, std::size_t size) {
     return send_to_path("/a/x", node, false, true, 0, std::string(size, 'u'), true);
 }
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -69,6 +69,9 @@
     void set_service(const std::string &service) { m_service = service; }
     /// Falls silent; its address takes no connections.
     void crash();
+    /// Stops to listen and goes on sending heartbeats. Yields the address, "IP:port", where another
+    /// may listen in its place.
+    std::string leave_address();
     void begin_drain() { m_draining = true; }
     /// Names a limit in all answers from now on, as it goes over the wire; empty: none.
     void name_limit(const std::string &per_second) { m_limit = per_second; }
@@ -115,6 +118,7 @@
              std::vector<header_field> headers);
     void start_queued();
     bool holds_key(std::uint32_t key, instant now) const;
+    std::string listening_address() const;
     void take_hold_call(const std::shared_ptr<http_exchange> &caller, const std::string &body);
     /// Status of a grant that is carried out now and counts from `arrived`.
     int apply_grant(const nlohmann::json &call, instant arrived);
@@ -149,6 +153,14 @@
     std::shared_ptr<bool> m_life;
 };
 
+/// What a process uses; zeros if it has ended.
+struct process_usage {
+    pid_t process = -1;
+    std::uint64_t memory = 0; ///< resident, bytes
+    std::uint64_t peak = 0;   ///< most that was ever resident, bytes
+    std::size_t descriptors = 0;
+};
+
 /// One request of a caller and what became of it.
 struct caller_attempt {
     std::string id;
@@ -165,6 +177,14 @@
     }
 };
 
+/// A call of the operator.
+struct operator_call {
+    std::string method = "GET";
+    std::string path = "/peppertack/config";
+    std::string body;
+    bool fresh = false; ///< on a connection of its own
+};
+
 /// Voters and nodes as real processes of `peppertack_platform`, each on an address of its own on
 /// loopback, with stand-in targets, callers and an oracle in this process. Ends what it started.
 class platform_cluster {
@@ -181,7 +201,7 @@
         target_capacity capacity;             ///< that targets have at first
         double link_mbps = 8;                 ///< as told to the processes
         double memory_mb = 256;               ///< as told to the processes
-        std::uint32_t max_descriptors = 4096; ///< as told to the processes
+        std::uint32_t max_descriptors = 4096; ///< as told to the processes, and enforced
         std::uint64_t max_body = 1'000'000;   ///< bytes, by the configuration
         double cold_per_s = 0;            ///< requests that a cold target tolerates; 0: any number
         duration cold_start{};            ///< targets are cold for so long after their start
@@ -231,6 +251,8 @@
     bool voter_ended(std::size_t place) { return ended(m_voters[place]); }
     /// Resident memory (VmRSS) of a node's process in bytes; 0 if it has ended.
     std::uint64_t node_memory(std::size_t place) const;
+    process_usage node_usage(std::size_t place) const { return usage_of(m_nodes[place]); }
+    process_usage voter_usage(std::size_t place) const { return usage_of(m_voters[place]); }
     /// Whether a node's process was stopped by a signal and not told to go on.
     bool node_paused(std::size_t place) const;
     /// Tells a node for the first time to stop.
@@ -250,13 +272,15 @@
     std::pair<int, std::string> operate(const std::string &method, const std::string &body,
                                         const std::string &path = "/peppertack/config");
     /// Sends an operator's call to one voter and follows no redirection.
-    std::shared_ptr<caller_attempt> ask_voter(std::size_t voter, const std::string &method = "GET",
-                                              const std::string &path = "/peppertack/config",
-                                              const std::string &body = {});
+    std::shared_ptr<caller_attempt> ask_voter(std::size_t voter, const operator_call &what = {});
+    /// Where a voter takes calls of the operator.
+    std::string operator_address(std::size_t voter) const;
     /// Sends one request to a node; the attempt is filled in as the loop runs.
     /// `body`: bytes that a request that may run once carries.
     std::shared_ptr<caller_attempt> send(std::size_t node, bool keyed, bool once, std::uint32_t key,
                                          const std::string &body = "body");
+    /// Sends a request without a body that may run more than once, on a connection of its own.
+    std::shared_ptr<caller_attempt> send_alone(std::size_t node, bool keyed, std::uint32_t key);
     /// Sends a request that may run once, with a body of so many bytes, on a connection of its own.
     std::shared_ptr<caller_attempt> upload(std::size_t node, std::size_t size);
     /// Notes a request that is sent by other means, so that its runs are watched and
@@ -323,8 +347,10 @@
     /// keys longer than they were told.
     void run_beside(const std::function<void()> &work);
     void signal(pid_t process, int number) const;
-    /// A field of /proc/PID/status of a node; empty if it has ended or the field is missing.
-    std::string node_status(std::size_t place, const std::string &field) const;
+    /// A field of /proc/PID/status; empty if the process has ended or the field is missing.
+    static std::string status_of(pid_t process, const std::string &field);
+    static std::uint64_t status_bytes(pid_t process, const std::string &field);
+    static process_usage usage_of(pid_t process);
     static void end(pid_t &process);
     static bool ended(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
