--- a/tests/platform/hostile_callers_test.cpp
+++ b/tests/platform/hostile_callers_test.cpp
@@ -163,9 +163,10 @@
 }
 
 /// Head of a request whose body the caller frames by `framing`.
-std::string head(const std::string &id, const std::string &framing) {
+std::string head(const std::string &id, const std::string &framing,
+                 std::chrono::milliseconds deadline = 15s) {
     return "POST /a/x HTTP/1.1\r\nHost: plain-once\r\nX-Request-Id: " + id +
-           "\r\nX-Deadline-Ms: 15000\r\n" + framing + "\r\n";
+           "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n" + framing + "\r\n";
 }
 
 /// The same under an id that the cluster doesn't expect: if a target runs it, the test fails.
@@ -204,6 +205,13 @@
     return out;
 }
 
+/// What a crowd did, for people.
+std::string told(const hostile_crowd &crowd) {
+    return "connected " + std::to_string(crowd.connected()) + ", wrote all " +
+           std::to_string(crowd.written()) + ", ended " + std::to_string(crowd.ended()) + ", " +
+           std::to_string(crowd.bytes() / mebibyte) + " MiB";
+}
+
 /// Brings a crowd to a node and checks that all processes stay within their limits and that
 /// ordinary requests are served at that node while the crowd is there and after it has gone.
 void check_outlasts(const platform_cluster::options &limits, std::size_t connections,
@@ -218,8 +226,7 @@
         watch.run_until([&] { return crowd.done_writing(); });
         watch.run_for(settling);
         check_served(watch, cluster, 0);
-        MESSAGE("connected ", crowd.connected(), ", wrote all ", crowd.written(), ", ended ",
-                crowd.ended(), ", ", crowd.bytes() / mebibyte, " MiB");
+        MESSAGE(told(crowd));
     }
     watch.run_for(settling);
     check_served(watch, cluster, 0);
@@ -240,8 +247,7 @@
         watch.run_until([&] { return crowd.done_writing(); });
         watch.run_for(settling);
         check_operator_served(watch, cluster, 0);
-        MESSAGE("connected ", crowd.connected(), ", wrote all ", crowd.written(), ", ended ",
-                crowd.ended(), ", ", crowd.bytes() / mebibyte, " MiB");
+        MESSAGE(told(crowd));
     }
     watch.run_for(settling);
     check_operator_served(watch, cluster, 0);
@@ -388,6 +394,125 @@
     });
 }
 
+TEST_CASE("many whole bodies at once for a slow target take bounded memory") {
+    // Failure: bodies that waited for a target were kept whole and nothing added them up.
+    platform_cluster::options limits = lowered();
+    limits.work_at = [](std::size_t target) -> duration { return target == 1 ? 2000ms : 5ms; };
+    limits.capacity = {.slots = 8, .queue = 100};
+    platform_cluster cluster(limits);
+    bring_up(cluster);
+    usage_watch watch(cluster, limits);
+    const std::string unit(1000, 'b');
+    constexpr std::size_t callers = 250;
+    std::vector<std::shared_ptr<caller_attempt>> attempts;
+    for (std::size_t i = 0; i < callers; ++i) {
+        attempts.push_back(cluster.expect(0, true, repeated(unit, 1000)));
+    }
+    {
+        hostile_crowd crowd(
+            cluster.io(),
+            {.address = cluster.caller_address(0),
+             .connections = callers,
+             .plan =
+                 [&](std::size_t number) {
+                     return byte_plan{
+                         .begin = head(attempts[number]->id, with_length(short_length), 6000ms),
+                         .unit = unit,
+                         .units = 1000};
+                 },
+             .reads = true,
+             .on_answer =
+                 [&](std::size_t number, const http_head &answer, const std::string &body) {
+                     attempts[number]->status = answer.status;
+                     attempts[number]->body = body;
+                 }});
+        watch.run_until([&] { return crowd.done_writing(); });
+        check_served(watch, cluster, 0);
+        // Until nothing of the crowd can run any more.
+        watch.run_for(7s);
+        MESSAGE(told(crowd), " answered 200: ",
+                std::count_if(attempts.begin(), attempts.end(),
+                              [](const auto &one) { return one->status == 200; }),
+                ", 503: ", std::count_if(attempts.begin(), attempts.end(), [](const auto &one) {
+                    return one->status == 503;
+                }));
+    }
+    check_served(watch, cluster, 0);
+    watch.check();
+    check_all(cluster);
+}
+
+TEST_CASE("bodies of all entries that meet at one node take bounded memory there") {
+    // Failure: an owner's node added nothing up either, where forwarded bodies come together.
+    platform_cluster::options limits = lowered();
+    limits.services = {"keyed", "keyed", "keyed", "plain"};
+    limits.link_mbps = 100'000;
+    platform_cluster cluster(limits);
+    bring_up(cluster);
+    usage_watch watch(cluster, limits);
+    constexpr std::size_t entries = 3;
+    {
+        std::vector<std::unique_ptr<hostile_crowd>> crowds;
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            crowds.push_back(std::make_unique<hostile_crowd>(
+                cluster.io(), hostile_crowd::options{.address = cluster.caller_address(entry),
+                                                     .connections = 100,
+                                                     .plan = [entry](std::size_t number) {
+                                                         return one_byte_short(never_whole(
+                                                             1000 * entry + number,
+                                                             with_length(short_length)));
+                                                     }}));
+        }
+        watch.run_until([&] {
+            return std::all_of(crowds.begin(), crowds.end(),
+                               [](const auto &crowd) { return crowd->done_writing(); });
+        });
+        watch.run_for(settling);
+        for (std::size_t node = 0; node < cluster.nodes(); ++node) {
+            check_served(watch, cluster, node);
+        }
+        for (const auto &crowd : crowds) {
+            MESSAGE(told(*crowd));
+        }
+    }
+    watch.run_for(settling);
+    for (std::size_t node = 0; node < cluster.nodes(); ++node) {
+        check_served(watch, cluster, node);
+    }
+    watch.check();
+    check_all(cluster);
+}
+
+TEST_CASE("callers that send whole requests and read no answer take bounded memory") {
+    // Failure: answers that nobody reads would be kept without a bound.
+    const platform_cluster::options limits = lowered();
+    platform_cluster cluster(limits);
+    bring_up(cluster);
+    usage_watch watch(cluster, limits);
+    {
+        hostile_crowd crowd(
+            cluster.io(),
+            {.address = cluster.caller_address(0), .connections = 40, .plan = [&](std::size_t) {
+                 byte_plan plan;
+                 for (int i = 0; i < 8; ++i) {
+                     plan.begin += "GET " + std::string(long_path) +
+                                   "1000000 HTTP/1.1\r\nHost: plain-safe\r\nX-Request-Id: " +
+                                   cluster.expect(0, false, "")->id +
+                                   "\r\nX-Deadline-Ms: 15000\r\n\r\n";
+                 }
+                 return plan;
+             }});
+        watch.run_until([&] { return crowd.done_writing(); });
+        watch.run_for(3s);
+        check_served(watch, cluster, 0);
+        MESSAGE(told(crowd));
+    }
+    watch.run_for(settling);
+    check_served(watch, cluster, 0);
+    watch.check();
+    check_all(cluster);
+}
+
 TEST_CASE("callers that are refused and never close leave descriptors to others") {
     // Failure: refused connections were not counted and had no time limit; nobody was served.
     check_outlasts(few_descriptors(), 400,
