--- a/tests/platform/hostile_callers_test.cpp
+++ b/tests/platform/hostile_callers_test.cpp
@@ -445,18 +445,18 @@
 TEST_CASE("bodies of all entries that meet at one node take bounded memory there") {
     // Failure: an owner's node added nothing up either, where forwarded bodies come together.
     platform_cluster::options limits = lowered();
-    limits.services = {"keyed", "keyed", "keyed", "plain"};
+    limits.services = {"keyed", "keyed", "keyed", "keyed", "keyed", "plain"};
     limits.link_mbps = 100'000;
     platform_cluster cluster(limits);
     bring_up(cluster);
     usage_watch watch(cluster, limits);
-    constexpr std::size_t entries = 3;
+    constexpr std::size_t entries = 5;
     {
         std::vector<std::unique_ptr<hostile_crowd>> crowds;
         for (std::size_t entry = 0; entry < entries; ++entry) {
             crowds.push_back(std::make_unique<hostile_crowd>(
                 cluster.io(), hostile_crowd::options{.address = cluster.caller_address(entry),
-                                                     .connections = 100,
+                                                     .connections = 150,
                                                      .plan = [entry](std::size_t number) {
                                                          return one_byte_short(never_whole(
                                                              1000 * entry + number,
