--- a/tests/platform/hostile_callers_test.cpp
+++ b/tests/platform/hostile_callers_test.cpp
@@ -153,7 +153,7 @@
             attempt = nullptr;
         }
         if (!attempt) {
-            attempt = cluster.ask_voter(voter, true);
+            attempt = cluster.ask_voter(voter, {.fresh = true});
             next = steady_instant() + retry_pause;
         }
         return attempt->status != 0 && attempt->status != 503;
