Bound what a reader of HTTP keeps behind a head

Cause: http_reader keeps whatever the library's parser does not take yet. The head is bounded; a chunk's line and a block of trailers, which are parsed only whole, were not. Class: input of unknown length is collected before it is judged. Evidence: limit of a head 1,024 bytes: 65,538 bytes and more of a chunk's line, of one trailer line and of many were kept, for requests and for answers; a trailer of 2,048 bytes passed. Change: bytes that the parser leaves within a body are bounded by the limit of a head (431, or an answer that is none), and so are the fields of trailers, however the bytes are cut. Tests: lines without end behind a head are refused within the limit of a head; trailers within the limit are passed over, and longer ones refused, however they come. Both fail before and pass now.

--- a/src/transport/http/http_reader.cpp
+++ b/src/transport/http/http_reader.cpp
@@ -32,6 +32,7 @@
         this->eager(false); // returns after the head, where reading may pause
         this->header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
         this->body_limit(bounds.body_bytes);
+        m_trailer_limit = bounds.header_bytes;
     }
     void set_sink(http_message_sink *sink) { m_sink = sink; }
 
@@ -45,8 +46,16 @@
         m_head.status = status;
         m_version = version;
     }
-    void on_field_impl(beast::http::field, text name, text value, code &) override {
-        m_head.headers.push_back({std::string(name), std::string(value)});
+    void on_field_impl(beast::http::field, text name, text value, code &error) override {
+        if (!this->is_header_done()) {
+            m_head.headers.push_back({std::string(name), std::string(value)});
+            return;
+        }
+        // Fields behind a body, which nobody passes on.
+        m_trailer_bytes += name.size() + value.size();
+        if (m_trailer_bytes > m_trailer_limit) {
+            error = beast::http::error::header_limit;
+        }
     }
     void on_header_impl(code &error) override {
         const std::string *encoding = m_head.find("Transfer-Encoding");
@@ -100,6 +109,8 @@
 
     http_head m_head;
     int m_version = 11;
+    std::size_t m_trailer_bytes = 0;
+    std::size_t m_trailer_limit = 0;
     http_message_sink *m_sink = nullptr;
 };
 
@@ -191,7 +202,13 @@
             std::string().swap(m_kept); // a large body has passed through
         }
         if (error == beast::http::error::need_more) {
-            return state::more;
+            // Within a body the parser leaves only a line, or a block of lines, that has no end
+            // yet.
+            return m_kept.size() > m_limits.header_bytes
+                       ? refuse(header_too_large, "a chunk's line or a trailer is longer than " +
+                                                      std::to_string(m_limits.header_bytes) +
+                                                      " bytes")
+                       : state::more;
         }
         if (error == beast::http::error::body_limit) {
             return refuse(body_too_large, "the body is longer than " +
--- a/tests/transport/http_reader_test.cpp
+++ b/tests/transport/http_reader_test.cpp
@@ -112,6 +112,64 @@
     CHECK(status == 413);
 }
 
+// Guards against a reader that keeps, without a bound, what has no end in sight behind a head.
+TEST_CASE("lines without end behind a head are refused within the limit of a head") {
+    constexpr std::size_t limit = 1024;
+    constexpr std::size_t most_sent = 64 * limit;
+    std::string without_end;
+    SUBCASE("a chunk's line") {
+        without_end = "5;name=";
+    }
+    SUBCASE("trailers as one line") {
+        without_end = "5\r\nhello\r\n0\r\nNote: ";
+    }
+    SUBCASE("trailers as many lines") {
+        without_end = "5\r\nhello\r\n0\r\n";
+    }
+    const bool lines = without_end.ends_with("0\r\n");
+    for (const auto kind : {requests, responses}) {
+        CAPTURE(static_cast<int>(kind));
+        http_reader reader(kind, {.header_bytes = limit});
+        collected message;
+        const std::string start =
+            kind == requests ? "POST / HTTP/1.1\r\nHost: h" : "HTTP/1.1 200 OK";
+        state now =
+            reader.take(start + "\r\nTransfer-Encoding: chunked\r\n\r\n" + without_end, message);
+        std::size_t sent = 0;
+        while (now == state::more && sent < most_sent) {
+            const std::string piece = lines ? "Note: 1\r\n" : "xxxxxxxxxx";
+            sent += piece.size();
+            now = reader.take(piece, message);
+        }
+        CHECK(now == state::refused);
+        CHECK(reader.refusal_status() == 431);
+        CHECK(sent <= 2 * limit);
+    }
+}
+
+TEST_CASE("trailers within the limit are passed over, and longer ones refused, however they come") {
+    constexpr std::size_t limit = 1024;
+    const auto with_trailer = [](std::size_t size) {
+        return "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+               "Note: " +
+               std::string(size, 'x') + "\r\n\r\n";
+    };
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{100}, std::size_t{1} << 20U}) {
+        CAPTURE(piece);
+        const auto read = [&](const std::string &text) {
+            http_reader reader(requests, {.header_bytes = limit});
+            collected message;
+            state now = state::more;
+            for (std::size_t at = 0; at < text.size() && now == state::more; at += piece) {
+                now = reader.take(std::string_view(text).substr(at, piece), message);
+            }
+            return now;
+        };
+        CHECK(read(with_trailer(limit / 2)) == state::ended);
+        CHECK(read(with_trailer(limit * 2)) == state::refused);
+    }
+}
+
 TEST_CASE("an answer without a length is whole only when its connection ends") {
     http_reader reader(responses, {});
     collected sink;
