Tell a call that what it queued while it connected has been written

Cause: a node holds its caller back while more than held_back is queued towards the target. What was queued while the connection was being made is written at once when it is there, and byte_stream tells only what it had to wait for: nothing resumed the caller. Evidence: a call with 2,000 bytes of body queued before it was connected was not told within 20 s that they were written. Change: the call is told when the queue is empty after the first write; a body that waits to be asked for does not take that as leave to read on.

--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -203,7 +203,11 @@
         if (m_make) {
             make_request();
         } else {
+            const bool waited = !m_before_connect.empty();
             write(std::exchange(m_before_connect, {}));
+            if (waited && m_stream->queued() == 0) {
+                on_drained(); // the stream tells only what it had to wait for
+            }
         }
     }
 
--- a/src/transport/traffic/request_body.cpp
+++ b/src/transport/traffic/request_body.cpp
@@ -97,7 +97,7 @@
 }
 
 void request_body::on_drained() {
-    if (m_paused) {
+    if (m_paused && flows()) {
         m_paused = false;
         m_from->pause_body(false);
     }
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -235,6 +235,30 @@
     CHECK_FALSE(answer->over());
 }
 
+// Guards against a caller that is held back while a connection is made, and never goes on.
+TEST_CASE("what was queued while a connection was made is told to be written") {
+    asio::io_context io;
+    raw_server server(io, {});
+    struct told final : http_response_handler {
+        void on_response_head(http_head) override {}
+        void on_response_body(std::string_view) override {}
+        void on_response_end() override {}
+        void on_call_failed(call_failure, const std::string &) override {}
+        void on_call_drained() override { drained = true; }
+        bool drained = false;
+    };
+    http_client_pool pool(io, {});
+    auto handler = std::make_shared<told>();
+    http_head head = get("1");
+    head.framing = body_framing::length;
+    head.content_length = 4000;
+    const auto open = pool.start(server.address, head, handler);
+    open->send_body(std::string(head.content_length / 2, 'x'));
+    CHECK(open->queued() > 0);
+    CHECK(run_until(io, [&] { return handler->drained; }));
+    CHECK(open->queued() == 0);
+}
+
 // Guards against a request that is lost since its server had no room for the body at once.
 TEST_CASE("a server that reads a large body late is not taken for silent") {
     asio::io_context io;
