Bound what a process holds of requests and answers on their way

What callers saw: a process ended since it ran out of memory: many bodies of legal size at once, with a length or in chunks, most of which stopped just short of their end. Cause: limits are per connection; each upload keeps up to 512 KiB for a second attempt and as much again in its queue, and nothing adds them up. Class: a resource of the process is bounded only by the number of its users. Change: byte_budget counts what is kept of bodies, what is queued towards callers, nodes and targets, and heads that are not whole. As it fills: sources of answers pause at once (half), new bodies are refused before they are read (three quarters: 503 node-full, not run), copies for a second attempt are given up and a body that grows unsent is refused (full), and at last connections end whose callers take nothing, longest first. Bodies up to 4 KiB are always taken. Metrics: peppertack_held_bytes.

--- a/include/peppertack/state/error_kind.hpp
+++ b/include/peppertack/state/error_kind.hpp
@@ -33,6 +33,7 @@
     no_target_left,        ///< the service currently has no target
     dependency_overloaded, ///< a service that the target depends on is overloaded
     quarantined,           ///< targets have crashed each time they ran the request
+    node_full,             ///< a node on the way holds as many bytes as it may
     cancelled,
 };
 
--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/byte_budget.hpp"
 #include "peppertack/state/time.hpp"
 
 #include <asio/io_context.hpp>
@@ -29,7 +30,9 @@
         virtual void on_closed(bool in_order) = 0;
     };
 
-    byte_stream(asio::ip::tcp::socket socket, listener &owner);
+    /// `budget`: charged for what is queued; may be null.
+    byte_stream(asio::ip::tcp::socket socket, listener &owner,
+                std::shared_ptr<byte_budget> budget = nullptr);
 
     /// Bytes that all streams of this thread have read and written.
     struct traffic {
@@ -90,6 +93,7 @@
     asio::ip::tcp::socket m_socket;
     listener *m_owner;
     std::optional<asio::steady_timer> m_pause_watch;
+    byte_budget::charge m_charge;
     std::string m_out;
     std::size_t m_sent = 0; ///< bytes of `m_out` that the system has taken
     std::uint64_t m_taken = 0;
--- a/include/peppertack/transport/http/connection_end.hpp
+++ b/include/peppertack/transport/http/connection_end.hpp
@@ -15,9 +15,10 @@
     unacknowledged, ///< the other side acknowledged nothing for too long
     idle,           ///< nothing was sent on it for as long as it may be idle
     answer_cut,     ///< an answer that had begun could not be finished
+    no_memory,      ///< its caller took nothing, and the process held as much as it may
     server_stopped  ///< the server takes no more requests
 };
-inline constexpr std::size_t connection_end_count = 7;
+inline constexpr std::size_t connection_end_count = 8;
 
 /// Name of a cause in logs and metrics.
 const char *name_of(connection_end cause);
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -95,6 +95,8 @@
         /// Header by which an answer is matched to its request.
         std::string id_header;
         http_reader::limits limits{.header_bytes = 32U << 10U, .body_bytes = 256U << 20U};
+        /// Charged for what waits to be sent; null: nothing is.
+        std::shared_ptr<byte_budget> budget;
     };
 
     http_client_pool(asio::io_context &io, options settings);
--- a/include/peppertack/transport/http/http_exchange.hpp
+++ b/include/peppertack/transport/http/http_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peppertack/coordination/byte_budget.hpp"
 #include "peppertack/coordination/pipelining.hpp"
 #include "peppertack/state/time.hpp"
 #include "peppertack/transport/http/http_head.hpp"
@@ -67,6 +68,9 @@
     /// Whether more than `limit` bytes wait for the caller to read them, or the answer waits for
     /// those before it and as much is held as may be.
     bool backlogged(std::size_t limit) const;
+    /// Bounds what is held of the request and its answer; null if nothing does. Precondition: not
+    /// `closed()`.
+    const std::shared_ptr<byte_budget> &budget() const;
     bool answer_begun() const { return m_answer_begun; }
     /// Whether no answer can be sent any more.
     bool closed() const;
--- a/include/peppertack/transport/http/http_reader.hpp
+++ b/include/peppertack/transport/http/http_reader.hpp
@@ -60,6 +60,8 @@
     bool in_message() const; ///< some bytes of the message have come
     bool head_done() const;  ///< the head was reported
     bool has_unread() const { return !m_kept.empty(); }
+    /// Bytes of memory that are used for bytes kept.
+    std::size_t memory() const { return m_kept.capacity(); }
     int refusal_status() const { return m_refusal_status; }
     const std::string &reason() const { return m_reason; }
 
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -40,6 +40,8 @@
         std::function<bool(const http_head &)> may_overlap;
         pipelining_policy::options pipelining;
         held_answer_budget::options held_answers;
+        /// Bounds what all connections hold; null: nothing does.
+        std::shared_ptr<byte_budget> budget;
     };
     using handler_factory = std::function<std::shared_ptr<http_request_handler>(
         const std::shared_ptr<http_exchange> &)>;
@@ -81,6 +83,7 @@
     void take_in(asio::ip::tcp::socket socket);
     void close_listener();
     void sweep();
+    void end_stuck(instant now);
     void forget_ended();
 
     asio::io_context &m_io;
--- a/include/peppertack/transport/http/whole_request.hpp
+++ b/include/peppertack/transport/http/whole_request.hpp
@@ -14,9 +14,16 @@
     using function = std::function<void(const std::shared_ptr<http_exchange> &, std::string body)>;
 
     whole_request(std::shared_ptr<http_exchange> caller, function handle)
-        : m_caller(std::move(caller)), m_handle(std::move(handle)) {}
-
-    void on_request_body(std::string_view piece) override { m_body.append(piece); }
+        : m_caller(std::move(caller)), m_handle(std::move(handle)), m_charge(m_caller->budget()) {}
+
+    void on_request_body(std::string_view piece) override {
+        m_body.append(piece);
+        m_charge.set(m_body.capacity());
+        if (m_charge.full()) {
+            const auto caller = m_caller; // the answer may end this handler
+            caller->respond(503, {{"Retry-After", "1"}}, {});
+        }
+    }
     void on_request_end() override {
         const auto caller = m_caller;
         m_handle(caller, std::move(m_body));
@@ -33,6 +40,7 @@
     std::shared_ptr<http_exchange> m_caller;
     function m_handle;
     std::string m_body;
+    byte_budget::charge m_charge; ///< for that
 };
 
 } // namespace peppertack
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -142,6 +142,7 @@
 
     asio::io_context &m_io;
     traffic_options m_options;
+    std::shared_ptr<byte_budget> m_held_bytes;
     http_client_pool m_pool;
     target_selector m_selector;
     request_log m_log;
--- a/src/protocol/error_answer.cpp
+++ b/src/protocol/error_answer.cpp
@@ -52,6 +52,8 @@
      "A service that the target calls has no room for the request's calls"},
     {error_kind::quarantined, blame::system, 503, "quarantined",
      "Several targets have ended while they ran this request"},
+    {error_kind::node_full, blame::system, 503, "node-full",
+     "The node has no memory for the request"},
     {error_kind::cancelled, blame::sender, 499, "cancelled", "The request was cancelled"},
 }};
 
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -76,8 +76,9 @@
     return {host, static_cast<unsigned short>(*port)};
 }
 
-byte_stream::byte_stream(asio::ip::tcp::socket socket, listener &owner)
-    : m_socket(std::move(socket)), m_owner(&owner) {}
+byte_stream::byte_stream(asio::ip::tcp::socket socket, listener &owner,
+                         std::shared_ptr<byte_budget> budget)
+    : m_socket(std::move(socket)), m_owner(&owner), m_charge(std::move(budget)) {}
 
 const byte_stream::traffic &byte_stream::thread_traffic() {
     return traffic_of_thread();
@@ -218,6 +219,7 @@
     if (!m_waiting_write) {
         write_some();
     }
+    m_charge.set(queued() == 0 ? 0 : m_out.capacity());
 }
 
 void byte_stream::write_some() {
@@ -237,8 +239,9 @@
             // Reported from the event loop: the owner may be in the middle of a step. What came in
             // before the loss is still read first, since it may be the answer.
             note_error(errno);
-            m_out.clear();
+            std::string().swap(m_out);
             m_sent = 0;
+            m_charge.set(0);
             asio::post(m_socket.get_executor(), [self = shared_from_this()] {
                 if (!self->m_closed && self->m_paused) {
                     self->lost(false);
@@ -249,6 +252,7 @@
     }
     m_sent = 0;
     release_if_large(m_out);
+    m_charge.set(0);
 }
 
 void byte_stream::wait_writable() {
@@ -279,6 +283,9 @@
     if (m_pause_watch) {
         m_pause_watch->cancel();
     }
+    std::string().swap(m_out);
+    m_sent = 0;
+    m_charge.set(0);
     asio::error_code ignored;
     m_socket.close(ignored);
 }
--- a/src/transport/http/connection_end.cpp
+++ b/src/transport/http/connection_end.cpp
@@ -12,6 +12,7 @@
     case connection_end::unacknowledged: return "unacknowledged";
     case connection_end::idle: return "idle";
     case connection_end::answer_cut: return "answer_cut";
+    case connection_end::no_memory: return "no_memory";
     case connection_end::server_stopped: break;
     }
     return "server_stopped";
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -26,7 +26,8 @@
 public:
     connection(http_client_pool &pool, std::string address)
         : m_pool(&pool), m_pool_alive(pool.m_alive), m_address(std::move(address)),
-          m_reader(http_reader::kind::responses, pool.m_options.limits), m_timer(pool.m_io) {
+          m_reader(http_reader::kind::responses, pool.m_options.limits), m_timer(pool.m_io),
+          m_charge(pool.m_options.budget) {
         ++pool.m_open[m_address];
         ++pool.m_made;
     }
@@ -103,6 +104,7 @@
             m_stream->write(bytes);
         } else {
             m_before_connect.append(bytes);
+            m_charge.set(m_before_connect.capacity());
         }
     }
 
@@ -129,6 +131,8 @@
 
     void close() {
         m_closed = true;
+        std::string().swap(m_before_connect);
+        m_charge.set(0);
         count_established(false);
         if (m_stream) {
             m_stream->close();
@@ -193,7 +197,8 @@
             return;
         }
         set_connection_options(socket, silent_server_limit);
-        m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
+        m_stream =
+            std::make_shared<byte_stream>(std::move(socket), *this, m_pool->m_options.budget);
         // Another thread of control may keep the stream beyond this object's life: the stream calls
         // back only while it is open, and this object closes it first.
         count_established(true);
@@ -205,6 +210,7 @@
         } else {
             const bool waited = !m_before_connect.empty();
             write(std::exchange(m_before_connect, {}));
+            m_charge.set(0);
             if (waited && m_stream->queued() == 0) {
                 on_drained(); // the stream tells only what it had to wait for
             }
@@ -379,7 +385,8 @@
     std::shared_ptr<byte_stream> m_stream;
     std::weak_ptr<http_response_handler> m_handler;
     std::string m_before_connect;
-    call_maker m_make; ///< of a call whose request is not made yet
+    byte_budget::charge m_charge; ///< for that
+    call_maker m_make;            ///< of a call whose request is not made yet
     std::string m_expected_id;
     bool m_in_call = false;
     bool m_request_done = false;
--- a/src/transport/http/http_exchange.cpp
+++ b/src/transport/http/http_exchange.cpp
@@ -119,7 +119,11 @@
     if (m_held) {
         return m_held->full();
     }
-    return m_connection != nullptr && m_connection->queued() > limit;
+    return m_connection != nullptr && m_connection->queued() > m_connection->queue_limit(limit);
+}
+
+const std::shared_ptr<byte_budget> &http_exchange::budget() const {
+    return m_connection->budget();
 }
 
 void http_exchange::detach() {
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -15,6 +15,8 @@
 /// Keeps the event loop responsive to connections that are open already.
 constexpr int most_accepted_at_once = 64;
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
+/// Where memory is short, a caller that takes nothing for so long gives way to others.
+constexpr duration stuck_limit = std::chrono::seconds(1);
 constexpr duration accept_pause = std::chrono::milliseconds(20);
 
 } // namespace
@@ -113,10 +115,33 @@
             connection->check_time(now);
         }
         forget_ended();
+        end_stuck(now);
         sweep();
     });
 }
 
+/// Ends connections whose callers take nothing, those that have done so for longest first, until
+/// the process holds less than it may.
+void http_server::end_stuck(instant now) {
+    if (!m_options.budget || !m_options.budget->full()) {
+        return;
+    }
+    std::vector<std::pair<instant, std::shared_ptr<http_server_connection>>> stuck;
+    for (const auto &connection : m_connections) {
+        const auto since = connection->stuck_since();
+        if (since && *since + stuck_limit < now) {
+            stuck.emplace_back(*since, connection);
+        }
+    }
+    std::sort(stuck.begin(), stuck.end());
+    for (const auto &[since, connection] : stuck) {
+        if (!m_options.budget->full()) {
+            return;
+        }
+        connection->end_now(connection_end::no_memory);
+    }
+}
+
 void http_server::stop_accepting() {
     close_listener();
     const std::vector<std::shared_ptr<http_server_connection>> all(m_connections.begin(),
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -29,11 +29,11 @@
 
 http_server_connection::http_server_connection(http_server &server, asio::ip::tcp::socket socket)
     : m_server(&server), m_reader(http_reader::kind::requests, server.m_options.limits),
-      m_since(steady_instant()) {
+      m_charge(server.m_options.budget), m_since(steady_instant()) {
     asio::error_code ignored;
     m_peer = socket.remote_endpoint(ignored).address();
     set_connection_options(socket, {}); // `check_time` ends those that read nothing
-    m_stream = std::make_shared<byte_stream>(std::move(socket), *this);
+    m_stream = std::make_shared<byte_stream>(std::move(socket), *this, server.m_options.budget);
     m_stream->watch_end();
 }
 
@@ -50,6 +50,15 @@
     return m_server->m_held_answers;
 }
 
+const std::shared_ptr<byte_budget> &http_server_connection::budget() const {
+    return m_server->m_options.budget;
+}
+
+std::size_t http_server_connection::queue_limit(std::size_t usual) const {
+    const bool bounded = m_server != nullptr && budget() != nullptr;
+    return bounded ? budget()->queue_limit(usual) : usual;
+}
+
 // ---- reading requests ----
 
 http_exchange *http_server_connection::receiving() const {
@@ -79,10 +88,24 @@
     const instant now = steady_instant();
     if (m_stalled) {
         hold_back(bytes, now);
+        charge_unhandled();
         return;
     }
     m_read_at = now;
     read(bytes);
+    charge_unhandled();
+}
+
+/// Refuses a head that would be held beyond what the process may hold.
+void http_server_connection::charge_unhandled() {
+    if (m_server == nullptr) {
+        return;
+    }
+    const bool holds = m_reader.has_unread() || m_waiting_bytes > 0;
+    m_charge.set(holds ? m_reader.memory() + m_waiting_bytes : 0);
+    if (m_charge.full() && m_exchanges.empty() && !m_input_refused && m_reader.in_message()) {
+        refuse(unavailable, "the node has no memory for the request");
+    }
 }
 
 void http_server_connection::hold_back(std::string_view bytes, instant now) {
@@ -498,12 +521,15 @@
     all.erase(place);
 }
 
+std::optional<instant> http_server_connection::stuck_since() const {
+    return queued() == 0 ? std::nullopt : std::optional(m_taken_at);
+}
+
 void http_server_connection::check_time(instant now) {
-    // Bytes that have come in time may wait to be read, on a process that stood still.
     if (std::exchange(m_taken, m_stream->taken()) != m_stream->taken() || queued() == 0) {
         m_taken_at = now;
     }
-    if (busy() || m_stream->has_unread()) {
+    if (busy()) {
         return;
     }
     if (queued() != 0) {
@@ -514,6 +540,10 @@
         }
         return;
     }
+    // Bytes that have come in time may wait to be read, on a process that stood still.
+    if (m_stream->has_unread()) {
+        return;
+    }
     // While reading is stalled, bytes of a request may be here and not be read: its caller is not
     // slow to send them, but slow to read the answers before.
     const bool partly_here = m_reader.in_message() && !m_stalled;
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -38,6 +38,8 @@
     void answer_unread(int status, std::vector<header_field> headers);
     /// Ends what has waited longer than the limits allow.
     void check_time(instant now);
+    /// Since when the caller has taken nothing of what is queued for it; nothing if none is queued.
+    std::optional<instant> stuck_since() const;
     /// Ends the connection at once. Requests in progress are told that their caller has gone.
     void end_now(connection_end cause);
     /// Reads what the system holds and ends the connection if it is `idle()` then.
@@ -47,6 +49,9 @@
 
     // ---- for the exchanges ----
     held_answer_budget &held_answers();
+    const std::shared_ptr<byte_budget> &budget() const;
+    /// Bytes that may wait for the caller to read them before their source is paused.
+    std::size_t queue_limit(std::size_t usual) const;
     void write(std::string_view bytes) { m_stream->write(bytes); }
     /// Whether the answer of this exchange is the last on the connection.
     bool ends_with(const http_exchange &exchange) const;
@@ -77,6 +82,7 @@
     void hold_back(std::string_view bytes, instant now);
     void put_back(std::string_view bytes);
     void update_reading();
+    void charge_unhandled();
     void resume();
     void schedule_resume();
     void refuse(int status, const std::string &reason);
@@ -107,6 +113,7 @@
     std::optional<held_request> m_held_request;
     std::deque<held_bytes> m_waiting;
     std::size_t m_waiting_bytes = 0;
+    byte_budget::charge m_charge; ///< for what has come and is not handled yet
     bool m_stalled = false;       ///< what comes in is held back
     bool m_reading = false;       ///< within `read`
     bool m_resume_posted = false; ///< `resume` follows from the event loop
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -112,6 +112,10 @@
         refuse(error_kind::draining, outcome::not_run, restart_time);
         return;
     }
+    if (!m_body.admitted()) {
+        refuse(error_kind::node_full, outcome::not_run, usual_retry_after);
+        return;
+    }
     if (m_begun >= m_deadline) {
         // It waited behind others on its connection for as long as its caller waits.
         refuse(error_kind::deadline_before_target, outcome::not_run, usual_retry_after);
@@ -195,7 +199,14 @@
 }
 
 void entry_relay::on_request_body(std::string_view piece) {
-    if (!m_done && m_body.take(piece) && may_dispatch()) {
+    if (m_done) {
+        return;
+    }
+    const bool enough = m_body.take(piece);
+    if (m_body.beyond_budget()) {
+        const auto self = shared_from_this();
+        refuse(error_kind::node_full, outcome::not_run, usual_retry_after);
+    } else if (enough && may_dispatch()) {
         dispatch(steady_instant());
     }
 }
@@ -589,7 +600,7 @@
         const unavailable_targets::absence gone{.cause = kind, .expected = now + retry_after};
         m_host.unavailable().record_absent(m_target, gone, m_deadline, now);
         await_return(gone, now);
-    } else if (m_key && kind != error_kind::overloaded) {
+    } else if (m_key && kind != error_kind::overloaded && kind != error_kind::node_full) {
         park(kind, now);
     } else {
         // Other targets of the service have not said that they stop.
--- a/src/transport/traffic/request_body.cpp
+++ b/src/transport/traffic/request_body.cpp
@@ -1,10 +1,46 @@
 #include "request_body.hpp"
 
+#include <algorithm>
+
 namespace peppertack {
 
+namespace {
+
+/// Bodies up to this size, in bytes, are taken in whatever else a node holds: most requests that
+/// change something are no larger.
+constexpr std::size_t small_body = 4U << 10U;
+
+} // namespace
+
 request_body::request_body(http_exchange &from, std::size_t retained, std::size_t held_back)
     : m_from(&from), m_retained(retained), m_held_back(held_back),
-      m_framing(from.request().framing), m_length(from.request().content_length) {}
+      m_framing(from.request().framing), m_length(from.request().content_length),
+      m_charge(from.budget()) {}
+
+bool request_body::admitted() const {
+    if (m_framing == body_framing::none) {
+        return true;
+    }
+    const std::uint64_t size = m_framing == body_framing::length
+                                   ? std::min<std::uint64_t>(m_length, m_retained)
+                                   : m_retained;
+    return size <= small_body || m_charge.admits(size);
+}
+
+bool request_body::beyond_budget() const {
+    return !flows() && m_kept.size() > small_body && m_charge.full();
+}
+
+void request_body::keep(std::string_view piece) {
+    m_kept.append(piece);
+    m_charge.set(m_kept.capacity());
+}
+
+void request_body::drop_kept() {
+    m_replayable = false;
+    std::string().swap(m_kept);
+    m_charge.set(0);
+}
 
 bool request_body::take(std::string_view piece) {
     if (flows()) {
@@ -13,13 +49,12 @@
     if (!m_replayable) {
         return true;
     }
-    m_kept.append(piece);
+    keep(piece);
     if (m_kept.size() <= m_retained) {
         return false;
     }
     if (flows()) {
-        m_replayable = false;
-        m_kept.clear();
+        drop_kept();
     } else if (!m_paused) {
         m_paused = true; // until there is somewhere to send it
         m_from->pause_body(true);
@@ -70,15 +105,14 @@
     if (!m_kept.empty()) {
         send(m_kept);
     }
+    if (m_kept.size() > m_retained || m_charge.full()) {
+        drop_kept(); // a second attempt is given up before another request is refused
+    }
     if (m_whole) {
         end_call();
         return;
     }
-    if (m_kept.size() > m_retained) {
-        m_replayable = false;
-        m_kept.clear();
-    }
-    if (m_paused && m_call->queued() <= m_held_back) {
+    if (m_paused && m_call->queued() <= m_charge.queue_limit(m_held_back)) {
         m_paused = false;
         m_from->pause_body(false);
     }
@@ -90,7 +124,7 @@
     } else {
         m_call->send_body(piece);
     }
-    if (m_call->queued() > m_held_back && !m_paused && !m_whole) {
+    if (m_call->queued() > m_charge.queue_limit(m_held_back) && !m_paused && !m_whole) {
         m_paused = true;
         m_from->pause_body(true);
     }
--- a/src/transport/traffic/request_body.hpp
+++ b/src/transport/traffic/request_body.hpp
@@ -27,6 +27,12 @@
     bool replayable() const { return m_replayable; }
     /// Sets how `head` tells the end of the body.
     void frame(http_head &head) const;
+    /// Whether the body may be begun: the node has room for as much as is held of it. Small ones
+    /// always may.
+    bool admitted() const;
+    /// Whether what has come can't be held: the node holds as much as it may, and a body that is
+    /// not small waits here, unsent. Whoever has the body refuses the request then.
+    bool beyond_budget() const;
     /// Bytes kept so far.
     std::size_t kept() const { return m_kept.size(); }
     /// The first bytes, as many as are kept; all of the body where `replayable()` and `whole()`.
@@ -47,6 +53,8 @@
     void on_drained();
 
 private:
+    void keep(std::string_view piece);
+    void drop_kept();
     void send(std::string_view piece);
     void send_kept();
     void end_call();
@@ -58,6 +66,7 @@
     body_framing m_framing;
     std::uint64_t m_length;
     std::string m_kept;
+    byte_budget::charge m_charge; ///< for that
     std::shared_ptr<http_call> m_call;
     bool m_whole = false;
     bool m_replayable = true;
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -73,6 +73,10 @@
         return;
     }
     m_target_name = m_host.agent().target().name;
+    if (!m_body.admitted()) {
+        refuse(error_kind::node_full, m_received, usual_retry_after);
+        return;
+    }
     if (m_sender->awaits_continue()) {
         offer_body(m_received);
     }
@@ -188,7 +192,15 @@
 }
 
 void target_relay::on_request_body(std::string_view piece) {
-    if (m_phase != phase::done && m_body.take(piece) && m_phase == phase::receiving) {
+    if (m_phase == phase::done) {
+        return;
+    }
+    const bool enough = m_body.take(piece);
+    if (m_body.beyond_budget()) {
+        const auto self = shared_from_this();
+        leave_queue(std::nullopt);
+        refuse(error_kind::node_full, steady_instant(), usual_retry_after);
+    } else if (enough && m_phase == phase::receiving) {
         offer(steady_instant());
     }
 }
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -75,9 +75,12 @@
 
 traffic_host::traffic_host(asio::io_context &io, traffic_options options, node_agent::sender send)
     : m_io(io), m_options(std::move(options)),
+      m_held_bytes(
+          std::make_shared<byte_budget>(byte_budget::options{.limit = m_options.held_bytes})),
       m_pool(io, {.connect_timeout = connect_limit,
                   .idle_timeout = pool_idle,
-                  .id_header = m_options.headers.request_id}),
+                  .id_header = m_options.headers.request_id,
+                  .budget = m_held_bytes}),
       m_selector(m_options.selector, m_options.node.seed), m_random(m_options.node.seed),
       m_agent(m_options, std::move(send),
               [this](const std::string &address, std::function<void(const target_health &)> done) {
@@ -95,13 +98,15 @@
           io,
           {.address = m_options.caller_address,
            .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); },
-           .may_overlap = [this](const http_head &head) { return may_overlap(head); }},
+           .may_overlap = [this](const http_head &head) { return may_overlap(head); },
+           .budget = m_held_bytes},
           [this](const auto &exchange) { return entry_relay::make(*this, exchange); }),
       m_nodes(io,
               {.address = m_options.node_address,
                .limits = forwarded_limits,
                .idle_timeout = forwarded_idle,
-               .continue_at_once = false},
+               .continue_at_once = false,
+               .budget = m_held_bytes},
               [this](const auto &exchange) { return target_relay::make(*this, exchange); }),
       m_read_delay(io,
                    [this](duration delay, instant now) { m_metrics.note_read_delay(delay, now); }),
@@ -205,7 +210,9 @@
 std::string traffic_host::metrics_text() const {
     return m_metrics.text() + "peppertack_pipelined_overlapped_total " +
            std::to_string(m_callers.overlapped()) + "\npeppertack_held_answer_bytes " +
-           std::to_string(m_callers.held_answer_bytes()) + "\n" + m_callers.ends().text("callers") +
+           std::to_string(m_callers.held_answer_bytes()) + "\npeppertack_held_bytes " +
+           std::to_string(m_held_bytes->charged()) + "\npeppertack_held_bytes_limit " +
+           std::to_string(m_held_bytes->limit()) + "\n" + m_callers.ends().text("callers") +
            m_nodes.ends().text("nodes");
 }
 
