Bound the connections that callers may keep, refused ones included

Cause: a connection after its last answer waited for its caller without a limit of time and in no count; most_connections knows nothing of descriptors; a request whose body stood still, or was passed over, had no limit either. Change: connections are counted as streams of the thread. Callers get five eighths of max-descriptors, other nodes and targets seven eighths, the rest is for heartbeats, peers and files. Beyond it a connection is answered 503 before it is read and closed; the pool closes idle connections before it fails. After its last answer a connection is closed within 2 s (30 s while something is still to be written). A body without a byte for header_timeout after its answer, or for idle_timeout before it, ends its connection.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -40,6 +40,12 @@
         std::uint64_t written = 0;
     };
     static const traffic &thread_traffic();
+    /// Streams of this thread that are not closed. Each has a descriptor.
+    static std::size_t thread_open();
+
+    ~byte_stream();
+    byte_stream(const byte_stream &) = delete;
+    byte_stream &operator=(const byte_stream &) = delete;
 
     /// Begins to read. Precondition: connected.
     void start();
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -6,6 +6,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -95,6 +96,9 @@
         /// Header by which an answer is matched to its request.
         std::string id_header;
         http_reader::limits limits{.header_bytes = 32U << 10U, .body_bytes = 256U << 20U};
+        /// Connections are made only while the thread has fewer streams open than this; idle ones
+        /// give way first.
+        std::size_t most_streams = std::numeric_limits<std::size_t>::max();
         /// Charged for what waits to be sent; null: nothing is.
         std::shared_ptr<byte_budget> budget;
     };
@@ -127,6 +131,7 @@
 
     connection_ptr take_idle(const std::string &address);
     void give_back(const connection_ptr &link);
+    bool make_room();
     void sweep();
 
     asio::io_context &m_io;
@@ -137,6 +142,7 @@
     std::map<std::string, std::size_t, std::less<>> m_established;
     asio::steady_timer m_sweep;
     std::uint64_t m_made = 0;
+    std::size_t m_connecting = 0; ///< sockets that are no streams yet
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -10,6 +10,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -29,6 +30,9 @@
         duration header_timeout = std::chrono::seconds(3);
         duration idle_timeout = std::chrono::seconds(15);
         std::size_t most_connections = 3000;
+        /// Connections are taken only while the thread has fewer streams open than this, those of
+        /// other servers and of client pools included.
+        std::size_t most_streams = std::numeric_limits<std::size_t>::max();
         /// A caller that waits for it is told to send the body at once; otherwise the handler
         /// chooses the moment.
         bool continue_at_once = true;
@@ -72,6 +76,8 @@
     std::uint64_t overlapped() const { return m_overlapped; }
     /// Bytes charged for answers that wait for those before them.
     std::size_t held_answer_bytes() const { return m_held_answers.charged(); }
+    /// Connections that were answered 503 and closed since there were too many.
+    std::uint64_t turned_away() const { return m_turned_away; }
     /// Connections that have ended, by cause.
     const connection_end_counts &ends() const { return m_ends; }
 
@@ -81,6 +87,8 @@
     void accept();
     void accept_waiting(asio::error_code &error);
     void take_in(asio::ip::tcp::socket socket);
+    void turn_away(asio::ip::tcp::socket socket);
+    void end_lingering(instant now);
     void close_listener();
     void sweep();
     void end_stuck(instant now);
@@ -98,8 +106,15 @@
         int status = 0;
         std::vector<header_field> headers;
     };
-    std::optional<refusal> m_refusal;                 ///< of all further requests
-    std::vector<std::weak_ptr<byte_stream>> m_ending; ///< after their last answer
+    std::optional<refusal> m_refusal; ///< of all further requests
+    /// A connection after its last answer, which its caller is to close.
+    struct ending_stream {
+        std::weak_ptr<byte_stream> stream;
+        std::uint64_t taken = 0; ///< bytes, at the last look
+        instant moved{};         ///< when bytes were last seen to be taken
+    };
+    std::vector<ending_stream> m_ending;
+    std::uint64_t m_turned_away = 0;
     bool m_draining = false;
     std::uint64_t m_overlapped = 0;
     connection_end_counts m_ends;
--- a/include/peppertack/transport/traffic/traffic_options.hpp
+++ b/include/peppertack/transport/traffic/traffic_options.hpp
@@ -88,6 +88,9 @@
     /// A body that takes longer than this to come no longer keeps others from their turn.
     duration body_turn_limit = std::chrono::seconds(1);
     std::size_t buffered_answer = 64U << 10U; ///< an answer up to this is passed on only when whole
+    /// Descriptors that the process may have open. Callers get a part of them, so that other nodes,
+    /// the local target's heartbeats and voters are served whatever callers do.
+    std::size_t max_descriptors = 4096;
     std::size_t held_bytes = 64U << 20U; ///< of requests and answers on their way, all together
     std::size_t held_back = 256U << 10U; ///< bytes queued on one side before the other is paused
 };
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -40,6 +40,11 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
+std::size_t &open_of_thread() {
+    thread_local std::size_t count = 0;
+    return count;
+}
+
 /// A buffer that once held a large body would keep its memory for as long as the connection lives.
 void release_if_large(std::string &buffer) {
     if (buffer.capacity() > kept_capacity) {
@@ -78,7 +83,19 @@
 
 byte_stream::byte_stream(asio::ip::tcp::socket socket, listener &owner,
                          std::shared_ptr<byte_budget> budget)
-    : m_socket(std::move(socket)), m_owner(&owner), m_charge(std::move(budget)) {}
+    : m_socket(std::move(socket)), m_owner(&owner), m_charge(std::move(budget)) {
+    ++open_of_thread();
+}
+
+byte_stream::~byte_stream() {
+    if (!m_closed) {
+        --open_of_thread();
+    }
+}
+
+std::size_t byte_stream::thread_open() {
+    return open_of_thread();
+}
 
 const byte_stream::traffic &byte_stream::thread_traffic() {
     return traffic_of_thread();
@@ -280,6 +297,7 @@
         return;
     }
     m_closed = true;
+    --open_of_thread();
     if (m_pause_watch) {
         m_pause_watch->cancel();
     }
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -80,6 +80,15 @@
     }
 
     void connect() {
+        if (!m_pool->make_room()) {
+            asio::post(m_pool->m_io, [self = shared_from_this()] {
+                if (!self->m_closed) {
+                    self->close();
+                    self->fail(call_failure::not_connected, "too many connections");
+                }
+            });
+            return;
+        }
         const asio::ip::tcp::endpoint endpoint = endpoint_from(m_address);
         auto socket = std::make_shared<asio::ip::tcp::socket>(m_pool->m_io);
         m_timer.expires_after(m_pool->m_options.connect_timeout);
@@ -89,8 +98,12 @@
                 socket->close(ignored);
             }
         });
+        ++m_pool->m_connecting;
         socket->async_connect(endpoint,
                               [self = shared_from_this(), socket](asio::error_code error) {
+                                  if (!self->m_pool_alive.expired()) {
+                                      --self->m_pool->m_connecting;
+                                  }
                                   self->m_timer.cancel();
                                   self->connected(std::move(*socket), error);
                               });
@@ -501,6 +514,24 @@
     m_idle[link->address()].push_back(link);
 }
 
+/// Closes idle connections until one more may be made. Yields whether it may.
+bool http_client_pool::make_room() {
+    const auto full = [this] {
+        return byte_stream::thread_open() + m_connecting >= m_options.most_streams;
+    };
+    while (full() && !m_idle.empty()) {
+        const auto place = m_idle.begin();
+        if (!place->second.empty()) {
+            place->second.front()->close();
+            place->second.erase(place->second.begin());
+        }
+        if (place->second.empty()) {
+            m_idle.erase(place);
+        }
+    }
+    return !full();
+}
+
 void http_client_pool::forget(const std::string &address) {
     const auto found = m_idle.find(address);
     if (found == m_idle.end()) {
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -15,6 +15,10 @@
 /// Keeps the event loop responsive to connections that are open already.
 constexpr int most_accepted_at_once = 64;
 constexpr duration sweep_interval = std::chrono::milliseconds(500);
+constexpr int unavailable = 503;
+constexpr const char *turned_away_retry_after = "0.5";
+/// For a caller to read its last answer and close, or to end a body that is passed over.
+constexpr duration linger_limit = std::chrono::seconds(2);
 /// Where memory is short, a caller that takes nothing for so long gives way to others.
 constexpr duration stuck_limit = std::chrono::seconds(1);
 constexpr duration accept_pause = std::chrono::milliseconds(20);
@@ -92,7 +96,11 @@
 }
 
 void http_server::take_in(asio::ip::tcp::socket socket) {
-    if (m_connections.size() < m_options.most_connections) {
+    const bool room = m_connections.size() < m_options.most_connections &&
+                      byte_stream::thread_open() < m_options.most_streams;
+    if (!room) {
+        turn_away(std::move(socket));
+    } else {
         auto connection = std::make_shared<http_server_connection>(*this, std::move(socket));
         m_connections.push_back(connection);
         connection->start();
@@ -102,6 +110,21 @@
     }
 }
 
+/// Answers before anything is read, which therefore has not run, and keeps no descriptor for it.
+void http_server::turn_away(asio::ip::tcp::socket socket) {
+    ++m_turned_away;
+    http_head head;
+    head.status = unavailable;
+    head.headers = {{"Retry-After", turned_away_retry_after}};
+    head.framing = body_framing::length;
+    head.keep_alive = false;
+    const std::string bytes = response_bytes(head);
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(bytes), ignored);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void http_server::sweep() {
     m_sweep.expires_after(sweep_interval);
     m_sweep.async_wait([this, alive = std::weak_ptr(m_alive)](asio::error_code error) {
@@ -115,11 +138,29 @@
             connection->check_time(now);
         }
         forget_ended();
+        end_lingering(now);
         end_stuck(now);
         sweep();
     });
 }
 
+/// Closes what has been answered for the last time and is not closed by its caller.
+void http_server::end_lingering(instant now) {
+    for (ending_stream &ending : m_ending) {
+        const auto stream = ending.stream.lock();
+        if (!stream) {
+            continue;
+        }
+        if (std::exchange(ending.taken, stream->taken()) != stream->taken()) {
+            ending.moved = now;
+        }
+        const duration allowed = stream->queued() == 0 ? linger_limit : late_reader_limit;
+        if (ending.moved + allowed < now) {
+            stream->close();
+        }
+    }
+}
+
 /// Ends connections whose callers take nothing, those that have done so for longest first, until
 /// the process holds less than it may.
 void http_server::end_stuck(instant now) {
@@ -175,8 +216,8 @@
 }
 
 void http_server::forget_ended() {
-    std::erase_if(m_ending, [](const std::weak_ptr<byte_stream> &item) {
-        const auto stream = item.lock();
+    std::erase_if(m_ending, [](const ending_stream &item) {
+        const auto stream = item.stream.lock();
         return !stream || stream->closed();
     });
 }
@@ -189,8 +230,8 @@
 std::size_t http_server::unsent() {
     forget_ended();
     const auto ending =
-        std::count_if(m_ending.begin(), m_ending.end(), [](const std::weak_ptr<byte_stream> &item) {
-            const auto stream = item.lock();
+        std::count_if(m_ending.begin(), m_ending.end(), [](const ending_stream &item) {
+            const auto stream = item.stream.lock();
             return stream && stream->queued() != 0;
         });
     const auto others =
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -243,6 +243,7 @@
     // Reading that is paused for a request that is answered already would never be resumed.
     if (receiving() == &exchange && !exchange.m_answer_done) {
         m_body_paused = pause;
+        m_read_at = pause ? m_read_at : steady_instant(); // its caller was not free to send
         update_reading();
     }
 }
@@ -475,7 +476,8 @@
     note_end(connection_end::answered);
     m_stream->close_after_writes();
     if (m_server != nullptr) {
-        m_server->m_ending.push_back(m_stream);
+        m_server->m_ending.push_back(
+            {.stream = m_stream, .taken = m_stream->taken(), .moved = steady_instant()});
     }
     cancel_exchanges();
     drop();
@@ -529,6 +531,16 @@
     if (std::exchange(m_taken, m_stream->taken()) != m_stream->taken() || queued() == 0) {
         m_taken_at = now;
     }
+    if (const http_exchange *begun = receiving();
+        begun != nullptr && !m_body_paused && !m_stream->has_unread()) {
+        // Nobody awaits the rest of a body whose request is answered.
+        const duration allowed = begun->m_answer_done ? m_server->m_options.header_timeout
+                                                      : m_server->m_options.idle_timeout;
+        if (m_read_at + allowed < now) {
+            end_now(connection_end::idle);
+            return;
+        }
+    }
     if (busy()) {
         return;
     }
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -35,6 +35,15 @@
 /// case.
 constexpr duration connect_limit = std::chrono::milliseconds(150);
 
+/// Parts of the descriptors up to which connections are taken: of callers, and of other nodes and
+/// targets. The rest is for heartbeats, for peers and for files.
+constexpr double callers_part = 0.625;
+constexpr double nodes_part = 0.875;
+
+std::size_t part_of(std::size_t descriptors, double part) {
+    return static_cast<std::size_t>(static_cast<double>(descriptors) * part);
+}
+
 class health_probe_handler final : public http_response_handler {
 public:
     /// `refused` is called before `done` if the address takes no connections.
@@ -80,6 +89,7 @@
       m_pool(io, {.connect_timeout = connect_limit,
                   .idle_timeout = pool_idle,
                   .id_header = m_options.headers.request_id,
+                  .most_streams = part_of(m_options.max_descriptors, nodes_part),
                   .budget = m_held_bytes}),
       m_selector(m_options.selector, m_options.node.seed), m_random(m_options.node.seed),
       m_agent(m_options, std::move(send),
@@ -97,6 +107,7 @@
       m_callers(
           io,
           {.address = m_options.caller_address,
+           .most_streams = part_of(m_options.max_descriptors, callers_part),
            .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); },
            .may_overlap = [this](const http_head &head) { return may_overlap(head); },
            .budget = m_held_bytes},
@@ -105,6 +116,7 @@
               {.address = m_options.node_address,
                .limits = forwarded_limits,
                .idle_timeout = forwarded_idle,
+               .most_streams = part_of(m_options.max_descriptors, nodes_part),
                .continue_at_once = false,
                .budget = m_held_bytes},
               [this](const auto &exchange) { return target_relay::make(*this, exchange); }),
@@ -212,7 +224,12 @@
            std::to_string(m_callers.overlapped()) + "\npeppertack_held_answer_bytes " +
            std::to_string(m_callers.held_answer_bytes()) + "\npeppertack_held_bytes " +
            std::to_string(m_held_bytes->charged()) + "\npeppertack_held_bytes_limit " +
-           std::to_string(m_held_bytes->limit()) + "\n" + m_callers.ends().text("callers") +
+           std::to_string(m_held_bytes->limit()) + "\npeppertack_open_streams " +
+           std::to_string(byte_stream::thread_open()) +
+           "\npeppertack_connections_turned_away_total{side=\"callers\"} " +
+           std::to_string(m_callers.turned_away()) +
+           "\npeppertack_connections_turned_away_total{side=\"nodes\"} " +
+           std::to_string(m_nodes.turned_away()) + "\n" + m_callers.ends().text("callers") +
            m_nodes.ends().text("nodes");
 }
 
