Fault soak of stops: nodes that are short of the processor at their end

What callers saw: on the product as the users ran it, connections that ended without an answer 200 to 299 ms after their requests were sent. Cause: 'ended' of a stop is decided in a timer event; the listener and the connections are then closed without a look at what the kernel holds. A process that stood still has its timer and its sockets ready in one turn. Why the soak did not show it: no process of it was ever short of the processor, and few requests were sent at the moment of the end. Change: mode 'pressed' sends a request each 10 ms to each node that stops, with the deadlines, bodies and answers of the deployment, five voters, and SIGTERM within 50 ms of some starts; mode 'starved' also pauses nodes that stop by SIGSTOP for 40 to 299 ms, with 20 ms between. All modes of stops read back the acknowledged version, and print by how much the soak itself was late. check_requests compares an answer with the one that its path stands for.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -368,16 +368,17 @@
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | stops [NODES]]:
-/// plays seeds and names those that failed. With `signals` the links are left alone, and seeds mean
-/// what they meant before these were disturbed; with `calls` targets get their keys by calls, which
-/// go wrong; with `words` they end under a request, name limits and say that they leave; with
-/// `pipelining` callers also send several requests at once and read slowly, and targets leave some
-/// unanswered; with `stops` nodes are restarted in series.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | stops | pressed
+/// | starved [NODES]]: plays seeds and names those that failed. With `signals` the links are left
+/// alone, and seeds mean what they meant before these were disturbed; with `calls` targets get
+/// their keys by calls, which go wrong; with `words` they end under a request, name limits and say
+/// that they leave; with `pipelining` callers also send several requests at once and read slowly,
+/// and targets leave some unanswered; with `stops` nodes are restarted in series, with `pressed`
+/// callers also send most to those, with `starved` these get little of the processor as well.
 int main(int count, char **words) {
     if (count < 4) {
         std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
-                     "pipelining | stops [NODES]]\n";
+                     "pipelining | stops | pressed | starved [NODES]]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
@@ -389,12 +390,18 @@
                                 : chosen == "words"      ? soak_run::mode::target_words
                                 : chosen == "pipelining" ? soak_run::mode::pipelining
                                                          : soak_run::mode::all;
+    const std::map<std::string, stops_run::options> stop_modes{
+        {"stops", {}},
+        {"pressed", {.pressed = true}},
+        {"starved", {.pressed = true, .starved = true}}};
     const std::size_t nodes = count > 6 ? std::stoul(words[6]) : 5;
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        const bool good = chosen == "stops" ? stops_run(words[1], seed, nodes).play(steps)
-                                            : soak_run(words[1], seed, what).play(steps);
+        const auto stops = stop_modes.find(chosen);
+        const bool good = stops == stop_modes.end()
+                              ? soak_run(words[1], seed, what).play(steps)
+                              : stops_run(words[1], seed, nodes, stops->second).play(steps);
         failed += good ? 0 : 1;
         std::cout << "seed " << seed << (good ? " passed" : " FAILED") << std::endl;
     }
--- a/tests/soak/stops_run.cpp
+++ b/tests/soak/stops_run.cpp
@@ -18,8 +18,12 @@
 
 } // namespace
 
-stops_run::stops_run(const std::string &programs, std::uint64_t seed, std::size_t nodes)
-    : m_random(seed), m_load(seed), m_cluster(cluster_options(programs, seed, nodes)) {}
+stops_run::stops_run(const std::string &programs, std::uint64_t seed, std::size_t nodes,
+                     const options &what)
+    : m_options(what), m_random(seed), m_load(seed),
+      m_cluster(cluster_options(programs, seed, nodes)), m_duty(seed), m_turn(m_cluster.io()) {
+    starve();
+}
 
 platform_cluster::options stops_run::cluster_options(const std::string &programs,
                                                      std::uint64_t seed, std::size_t nodes) {
@@ -32,8 +36,17 @@
     result.deadline = 6s;
     result.timeout = 3s;
     result.direct = true;
+    if (m_options.pressed) {
+        result.voters = 5;
+        result.losses = 2;
+        result.deadline = 2s;
+        result.timeout = 2s;
+    }
     result.work_at = [this](std::size_t target) -> duration {
         const bool slow = m_slow[target] && draw_load(2) == 0;
+        if (m_options.pressed) {
+            return std::chrono::milliseconds(slow ? 50 + draw_load(600) : 65);
+        }
         return std::chrono::milliseconds(slow ? 50 + draw_load(2450) : 20);
     };
     return result;
@@ -52,6 +65,7 @@
         tend();
         return m_stops.empty() && !m_voter;
     });
+    check_version();
     if (!m_cluster.serves()) {
         m_violations.push_back("does not serve again: " + m_cluster.last_answers());
     }
@@ -84,7 +98,7 @@
 
 void stops_run::disturb() {
     const std::size_t node = draw(m_cluster.nodes());
-    const std::uint64_t voter = draw(3);
+    const std::uint64_t voter = draw(m_options.pressed ? 5 : 3);
     const std::uint64_t again = draw(64);
     switch (draw(6)) {
     case 0: m_cluster.signal_node(node, SIGHUP); break;
@@ -119,18 +133,79 @@
              --i) {
             send_one();
         }
+        press();
         m_cluster.run_for(step);
     }
 }
 
 void stops_run::send_one() {
-    const std::size_t node = draw_load(m_cluster.nodes());
+    send_to(draw_load(m_cluster.nodes()));
+}
+
+void stops_run::press() {
+    for (const auto &[node, stopping] : m_stops) {
+        if (m_options.pressed && !stopping.again) {
+            send_to(node);
+        }
+    }
+}
+
+void stops_run::send_to(std::size_t node) {
+    if (m_options.pressed) {
+        m_cluster.set_deadline(1200ms + std::chrono::milliseconds(draw_load(800)));
+    }
     if (draw_load(uploads_in) == 0) {
         m_cluster.upload(node, draw_load(largest_upload));
         return;
     }
-    m_cluster.send(node, draw_load(5) < 3, draw_load(2) == 0,
-                   static_cast<std::uint32_t>(draw_load(65536)));
+    const bool keyed = draw_load(5) < 3;
+    const bool once = draw_load(2) == 0;
+    const auto key = static_cast<std::uint32_t>(draw_load(65536));
+    if (!m_options.pressed) {
+        m_cluster.send(node, keyed, once, key);
+    } else if (once) {
+        m_cluster.send(node, keyed, once, key, std::string(1'200, 'w'));
+    } else {
+        m_cluster.read(node, keyed, key, 5'000);
+    }
+}
+
+bool stops_run::start_again(std::size_t node) {
+    m_cluster.start_node(node);
+    if (!m_options.pressed || m_duty() % 4 != 0) {
+        return true;
+    }
+    m_cluster.run_for(std::chrono::milliseconds(m_duty() % 50));
+    m_cluster.stop_node(node);
+    return false;
+}
+
+void stops_run::starve() {
+    const clock::time_point now = clock::now();
+    m_worst_lag = std::max(m_worst_lag, now - m_last_turn - step);
+    m_last_turn = now;
+    for (const auto &[node, stopping] : m_stops) {
+        turn &its = m_turns[node];
+        if (m_options.starved && !stopping.again && now >= its.until) {
+            its.paused = !its.paused;
+            its.until = now + (its.paused ? std::chrono::milliseconds(40 + m_duty() % 260) : 20ms);
+            m_cluster.signal_node(node, its.paused ? SIGSTOP : SIGCONT);
+        }
+    }
+    m_turn.expires_after(step);
+    m_turn.async_wait([this](asio::error_code error) {
+        if (!error) {
+            starve();
+        }
+    });
+}
+
+void stops_run::check_version() {
+    const auto version = m_cluster.read_version();
+    if (!version || *version < m_version) {
+        m_violations.push_back("version " + std::to_string(m_version) +
+                               " was acknowledged and is not read back");
+    }
 }
 
 void stops_run::tend() {
@@ -138,9 +213,12 @@
     for (auto it = m_stops.begin(); it != m_stops.end();) {
         auto &[node, stopping] = *it;
         if (stopping.again && now >= *stopping.again) {
-            m_cluster.start_node(node);
-            it = m_stops.erase(it);
-            continue;
+            m_turns.erase(node);
+            if (start_again(node)) {
+                it = m_stops.erase(it);
+                continue;
+            }
+            stopping = {clock::now(), std::nullopt};
         }
         if (!stopping.again && !m_cluster.node_ended(node) && now > stopping.since + grace) {
             m_violations.push_back("node " + std::to_string(node) + " outlasts its grace time");
@@ -172,7 +250,9 @@
               << ", in the last sixth " << counts.last_sixth << ", at work " << counts.given_up
               << "; lost answers " << counts.lost_answers << ", unfounded 502 " << counts.unfounded
               << ", crossed the end of a connection " << counts.crossed << ", unanswered "
-              << counts.unanswered << "\n";
+              << counts.unanswered << "; callers late by up to "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(m_worst_lag).count()
+              << " ms\n";
     for (const std::string &what : m_violations) {
         std::cout << what << "\n";
     }
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -71,8 +71,9 @@
     std::shared_ptr<http_call> m_call;
 };
 
-/// Makes a call whose handler lives until it was told the end.
-void call(asio::io_context &io, http_client_pool &pool, const std::string &address, http_head head,
+/// Makes a call whose handler lives until it was told the end. Yields whether its connection served
+/// others before.
+bool call(asio::io_context &io, http_client_pool &pool, const std::string &address, http_head head,
           const std::string &body, whole_answer::function done, bool fresh = false) {
     if (!body.empty()) {
         head.framing = body_framing::length;
@@ -92,6 +93,7 @@
     if (whole) {
         open->request_done();
     }
+    return open->reused();
 }
 
 /// Tells also when its connection is closed before it was answered.
@@ -881,12 +883,13 @@
 platform_cluster::send_to_path(const std::string &path, std::size_t node, bool keyed, bool once,
                                std::uint32_t key, const std::string &body, bool fresh) {
     const auto attempt = expect(node, once, once ? body : "");
+    attempt->path = path;
     http_head head = request_head(*attempt, path, keyed, key);
     head.keep_alive = !fresh;
     const std::string address = caller_address(node);
     m_stops.note_sent(attempt->id, node,
                       steady_instant() + std::min<duration>(m_options.deadline, m_options.timeout));
-    call(
+    const bool kept = call(
         m_io, m_pool, address, head, once ? body : "",
         [this, attempt, fill = fill_in(attempt)](int status, const std::string &text,
                                                  const http_head &answer) {
@@ -894,6 +897,7 @@
             m_stops.note_answer(attempt->id, attempt->status, attempt->unsent);
         },
         fresh);
+    m_stops.note_connection(attempt->id, kept);
     return attempt;
 }
 
@@ -902,6 +906,24 @@
     return send_to_path("/a/x", node, keyed, false, key, "", true);
 }
 
+std::shared_ptr<caller_attempt> platform_cluster::read(std::size_t node, bool keyed,
+                                                       std::uint32_t key, std::size_t length) {
+    return send_to_path(std::string(long_path) + std::to_string(length), node, keyed, false, key,
+                        "");
+}
+
+std::optional<std::uint64_t> platform_cluster::read_version() {
+    std::string text;
+    const bool got = run_until([&] {
+        const auto answer = operate("GET", "");
+        text = answer.second;
+        return answer.first == 200;
+    });
+    return got ? std::optional(
+                     std::stoull(nlohmann::json::parse(text).at("version").get<std::string>()))
+               : std::nullopt;
+}
+
 std::shared_ptr<caller_attempt> platform_cluster::upload(std::size_t node, std::size_t size) {
     return send_to_path("/a/x", node, false, true, 0, std::string(size, 'u'), true);
 }
@@ -1008,7 +1030,7 @@
             violate(attempt->id + " was answered " + std::to_string(attempt->status) +
                     " and has run");
         }
-        if (attempt->status == 200 && attempt->body != "ran " + attempt->id) {
+        if (attempt->status == 200 && attempt->body != answer_to(attempt->path, attempt->id)) {
             violate(attempt->id + " was answered with \"" + attempt->body + "\"");
         }
         if (attempt->status == 404 || attempt->status == 400) {
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -168,6 +168,7 @@
     bool once = false;
     int status = 0; ///< 0: no answer yet; -1: the connection ended without one
     std::string body;
+    std::string path;        ///< decides how long the answer is
     bool unsent = false;     ///< no connection could be made, so that nothing was sent
     std::string retry_after; ///< as the answer says
     /// The request before it on its connection, if it was sent before that one was answered.
@@ -281,6 +282,13 @@
                                          const std::string &body = "body");
     /// Sends a request without a body that may run more than once, on a connection of its own.
     std::shared_ptr<caller_attempt> send_alone(std::size_t node, bool keyed, std::uint32_t key);
+    /// Sends an idempotent request whose answer has so many bytes.
+    std::shared_ptr<caller_attempt> read(std::size_t node, bool keyed, std::uint32_t key,
+                                         std::size_t length);
+    /// Deadline that callers tell from now on; the route's time-out stays.
+    void set_deadline(std::chrono::milliseconds deadline) { m_options.deadline = deadline; }
+    /// Version of the configuration that a voter reads back; none if none does in time.
+    std::optional<std::uint64_t> read_version();
     /// Sends a request that may run once, with a body of so many bytes, on a connection of its own.
     std::shared_ptr<caller_attempt> upload(std::size_t node, std::size_t size);
     /// Notes a request that is sent by other means, so that its runs are watched and
--- a/tests/support/stop_oracle.cpp
+++ b/tests/support/stop_oracle.cpp
@@ -128,7 +128,8 @@
 
 std::string stop_oracle::story(const std::string &id, const request &asked) const {
     std::string text = id + " sent at " + std::to_string(asked.sent_ms) + " to node " +
-                       std::to_string(asked.node) + since_stop(asked.node, asked.sent);
+                       std::to_string(asked.node) + (asked.kept ? " on a kept connection" : "") +
+                       since_stop(asked.node, asked.sent);
     for (const run &one : asked.runs) {
         text += ", ran at target " + std::to_string(one.target) + " from " +
                 ms_text(one.began - asked.sent) + since_stop(one.target, one.began) + " to " +
--- a/tests/support/stop_oracle.hpp
+++ b/tests/support/stop_oracle.hpp
@@ -38,6 +38,8 @@
 
     /// A caller sends a request to `node`; its deadline and its route's time-out end at `limit`.
     void note_sent(const std::string &id, std::size_t node, instant limit);
+    /// `kept`: the request goes over a connection that served others before.
+    void note_connection(const std::string &id, bool kept) { m_requests[id].kept = kept; }
     /// `unsent`: no connection could be made, so that nothing was sent.
     void note_answer(const std::string &id, int status, bool unsent);
     void note_run(const std::string &id, std::size_t target);
@@ -64,6 +66,7 @@
         instant answered{};
         int status = 0;
         bool unsent = false;
+        bool kept = false;
         std::vector<run> runs;
     };
 
