Tell a connection that is not taken, of another node too, that nothing has run

By reading: a node that is beyond its connections answers 503 before it reads; without the header between nodes the sender takes that for an answer of unknown origin, and tells its caller 502. Change: the answer bears the refusal (node-full) towards other nodes. Test: a connection beyond the limit is told that nothing has run (passes; its part about further headers did not exist before).

--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -33,6 +33,8 @@
         /// Connections are taken only while the thread has fewer streams open than this, those of
         /// other servers and of client pools included.
         std::size_t most_streams = std::numeric_limits<std::size_t>::max();
+        /// Further headers of the answer to a connection that is not taken. Empty: none.
+        std::function<std::vector<header_field>()> turned_away_headers;
         /// A caller that waits for it is told to send the body at once; otherwise the handler
         /// chooses the moment.
         bool continue_at_once = true;
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -131,6 +131,7 @@
     void start_from(work_queue &queue, instant now);
     void step_stop(instant now);
     graceful_stop::open_work open_work();
+    std::vector<header_field> refusal_headers(error_kind kind);
     void tell_other_nodes();
     void tell_end(instant now);
     void log_stop(const char *step, instant now);
--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -115,7 +115,10 @@
     ++m_turned_away;
     http_head head;
     head.status = unavailable;
-    head.headers = {{"Retry-After", turned_away_retry_after}};
+    if (m_options.turned_away_headers) {
+        head.headers = m_options.turned_away_headers();
+    }
+    head.headers.push_back({"Retry-After", turned_away_retry_after});
     head.framing = body_framing::length;
     head.keep_alive = false;
     const std::string bytes = response_bytes(head);
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -117,6 +117,7 @@
                .limits = forwarded_limits,
                .idle_timeout = forwarded_idle,
                .most_streams = part_of(m_options.max_descriptors, nodes_part),
+               .turned_away_headers = [this] { return refusal_headers(error_kind::node_full); },
                .continue_at_once = false,
                .budget = m_held_bytes},
               [this](const auto &exchange) { return target_relay::make(*this, exchange); }),
@@ -456,6 +457,12 @@
             .connections = m_nodes.open_streams()};
 }
 
+/// Tells another node that a request was refused unread: without this it may have run.
+std::vector<header_field> traffic_host::refusal_headers(error_kind kind) {
+    const hop_reply refusal{.load = load({}), .refused = kind};
+    return {{std::string(hop_header), encode(refusal)}};
+}
+
 /// A request that crosses the end of its connection could not be told from one that has run: other
 /// nodes are told on each connection that nothing more is taken.
 void traffic_host::tell_other_nodes() {
--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -232,6 +232,27 @@
     CHECK(paused.server().ends().count(connection_end::idle, false) == 1);
 }
 
+// Guards against connections that are closed without a word when there are too many.
+TEST_CASE("a connection beyond the limit is told that nothing has run") {
+    paused_server paused(
+        {.most_streams = byte_stream::thread_open() + 1, .turned_away_headers = [] {
+             return std::vector<header_field>{{"Why", "full"}};
+         }});
+    asio::ip::tcp::socket taken = paused.connect_kept();
+    asio::ip::tcp::socket beyond = paused.connect();
+    send(beyond, get);
+    REQUIRE(paused.run_until([&] { return paused.server().turned_away() == 1; }));
+    std::string answer;
+    asio::error_code end;
+    asio::read(beyond, asio::dynamic_buffer(answer), end);
+    CHECK(answer.rfind("HTTP/1.1 503", 0) == 0);
+    CHECK(answer.find("Why: full\r\n") != std::string::npos);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    send(taken, get);
+    REQUIRE(paused.run_until([&] { return taken.available() > 0; }));
+    CHECK(paused_server::received(taken) == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("the ends of connections are counted by cause") {
     paused_server paused;
     const connection_end_counts &ends = paused.server().ends();
