Keep what an earlier process of a node may have granted

Cause: the node assumed that the server holds its keys (assume_target), and forgot it when the leader's answer took over the registration: a new number reset hold_manager and hold_call_scheduler, as if what was granted before could not be held any more. A server that was heard of first by its heartbeat was not assumed to hold anything at all.

Change: for one lease length after its start a node assumes that the server beside it holds keys, however it hears of it first. A new number ends no hold: begin_registration() drops grants as a reason to serve requests, and keeps when they have run out. A refused connection ends the assumption, since nobody can hold anything then. An answer with a shorter hold no longer shortens the time that is waited for.

--- a/include/peppertack/coordination/hold_call_scheduler.hpp
+++ b/include/peppertack/coordination/hold_call_scheduler.hpp
@@ -77,6 +77,9 @@
     hold_call_scheduler(options settings, hold_manager &manager)
         : m_options(settings), m_manager(manager) {}
 
+    /// The process begins: from `now` on, grants of an earlier one run out. Without this call it
+    /// begins with the first call of `due`.
+    void start(instant now);
     /// Returns the calls to make now. `last_heartbeat`: when the target last sent a heartbeat.
     std::vector<hold_call> due(const lease_client &lease, instant last_heartbeat, instant now);
     /// To be called immediately before the bytes of a call are written. Returns how long the hold
@@ -97,8 +100,10 @@
     /// Records that the target refused a request for a key that it does not hold. The key is
     /// granted again after the retry delay and counts as not held until then.
     void note_refused(std::uint32_t key, instant now);
-    /// Drops all state when the target is replaced, restarted or gone.
+    /// Drops all state when the target holds nothing any more.
     void reset();
+    /// The target gets another number. Grants made before run out, and count as held until then.
+    void begin_registration();
     /// Whether a token has been refused for so long that only a new registration helps.
     bool token_rejected(instant now) const;
 
@@ -149,6 +154,7 @@
     bool grant_in_flight(std::uint32_t from, std::uint32_t to) const;
     void drop_ended_grants(instant now);
     duration max_real_length(duration length) const;
+    instant latest_end(const pending &item) const;
 
     options m_options;
     hold_manager &m_manager;
--- a/include/peppertack/coordination/hold_manager.hpp
+++ b/include/peppertack/coordination/hold_manager.hpp
@@ -97,16 +97,18 @@
     /// Whether keys are about to be assigned to the target, so that a slightly delayed answer could
     /// include them.
     bool expects_keys(const lease_client &lease) const;
-    /// Drops all state when the target changes or is gone.
+    /// Drops all state when the target holds nothing any more.
     void reset();
+    /// The target gets another number. What it was granted before, it may still hold.
+    void begin_registration();
     /// State of the key at `hash` for a request that arrives now.
     key_state state_of(std::uint64_t hash, const lease_client &lease, instant now) const;
     /// As `state_of`, for a key that the target does not hold yet.
     key_state awaited_state(std::uint64_t hash, const lease_client &lease) const;
-    /// End of the last granted hold.
-    instant held_until() const { return m_held_until; }
+    /// When the last hold has ended; zero if there was none.
+    instant may_hold_until() const;
     /// Assumes that the target may hold keys until `until`, although no grant is known.
-    void assume_until(instant until) { m_held_until = until; }
+    void assume_until(instant until) { m_assumed_until = std::max(m_assumed_until, until); }
     /// Adds ranges that the target has released to a renewal.
     void fill_report(renew_request &request, const lease_client &lease) const;
     /// Whether a release has not been put into a renewal yet.
@@ -124,7 +126,8 @@
 
     options m_options;
     std::vector<held_span> m_granted; ///< granted by the last answer, sorted
-    instant m_held_until{};
+    instant m_held_until{};           ///< by the last answer
+    instant m_assumed_until{};        ///< by earlier ones, or by an earlier process of this node
     std::map<std::uint64_t, release> m_released; ///< by the first hash of the range
     bool m_unreported_release = false;
 };
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -193,6 +193,7 @@
     bool accept_heartbeat(const target_heartbeat &beat, moment at);
     void check_identity(const target_heartbeat &beat);
     void look_for_target();
+    void note_start(instant now);
     void assume_target(const std::string &name, moment at);
     void note_farewell(const target_incarnation &life, instant now);
     void drop_target(const char *why, bool ended, moment at);
@@ -232,8 +233,10 @@
     instant m_draining_since{}; ///< zero while the target is not leaving
     bool m_left = false;        ///< it says nothing more
     ended_incarnations m_ended;
-    instant m_reborn_at{};  ///< when a new life followed under the name of the old one
-    std::string m_probing;  ///< name that is being checked
+    instant m_reborn_at{}; ///< when a new life followed under the name of the old one
+    std::string m_probing; ///< name that is being checked
+    /// Holds granted by an earlier process of this node may run until then; zero: not started yet.
+    instant m_inherited_until{};
     bool m_looked = false;  ///< for a target that was here before this process
     bool m_assumed = false; ///< known from the map, not by a heartbeat, nor in which life
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
--- a/src/coordination/hold_call_scheduler.cpp
+++ b/src/coordination/hold_call_scheduler.cpp
@@ -17,9 +17,7 @@
 
 std::vector<hold_call> hold_call_scheduler::due(const lease_client &lease, instant last_heartbeat,
                                                 instant now) {
-    if (m_previous_process_until == instant{}) {
-        m_previous_process_until = now + m_options.previous_process_hold;
-    }
+    start(now);
     drop_ended_grants(now);
     update_wanted(lease);
     std::vector<hold_call> calls;
@@ -30,6 +28,12 @@
     return calls;
 }
 
+void hold_call_scheduler::start(instant now) {
+    if (m_previous_process_until == instant{}) {
+        m_previous_process_until = now + m_options.previous_process_hold;
+    }
+}
+
 /// Updates the wanted spans from the map. A span that was split, joined or moved becomes a new one;
 /// grants of the old span stay in `m_granted`.
 void hold_call_scheduler::update_wanted(const lease_client &lease) {
@@ -257,7 +261,7 @@
             return item.from <= to && from <= item.to && now < item.ends;
         });
     return !granted_still && !grant_in_flight(from, to) && m_previous_process_until <= now &&
-           m_manager.held_until() <= now;
+           m_manager.may_hold_until() <= now;
 }
 
 bool hold_call_scheduler::grant_in_flight(std::uint32_t from, std::uint32_t to) const {
@@ -281,13 +285,17 @@
     }
     for (const auto &[id, item] : m_in_flight) {
         if (item.written && item.call.what == hold_call::kind::grant) {
-            last = std::max(last, *item.written + m_options.answer_timeout +
-                                      max_real_length(item.length));
+            last = std::max(last, latest_end(item));
         }
     }
     return last;
 }
 
+/// Of a grant that was written and has no answer yet.
+instant hold_call_scheduler::latest_end(const pending &item) const {
+    return *item.written + m_options.answer_timeout + max_real_length(item.length);
+}
+
 void hold_call_scheduler::note_refused(std::uint32_t key, instant now) {
     for (granted &item : m_granted) {
         item.refused = item.refused || (item.from <= key && key <= item.to);
@@ -300,8 +308,23 @@
 }
 
 void hold_call_scheduler::reset() {
-    m_in_flight.clear();
+    begin_registration();
     m_granted.clear();
+}
+
+void hold_call_scheduler::begin_registration() {
+    for (const auto &[id, item] : m_in_flight) {
+        if (item.written && item.call.what == hold_call::kind::grant) {
+            m_granted.push_back({.from = item.call.span.from,
+                                 .to = item.call.span.to,
+                                 .written = *item.written,
+                                 .ends = latest_end(item)});
+        }
+    }
+    for (granted &item : m_granted) {
+        item.refused = true; // by its new tokens the target may refuse requests for it
+    }
+    m_in_flight.clear();
     m_wanted.clear();
     m_releasing.clear();
     m_consecutive_lost_grants = 0;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -74,8 +74,8 @@
 
 instant node_agent::may_hold_until() const {
     const bool by_call = delivery() == hold_delivery::by_call;
-    return by_call ? std::max(m_holds.held_until(), m_caller.may_hold_until())
-                   : m_holds.held_until();
+    return by_call ? std::max(m_holds.may_hold_until(), m_caller.may_hold_until())
+                   : m_holds.may_hold_until();
 }
 
 /// A node that is started again while its target lives on would not know it until its next
@@ -163,15 +163,23 @@
                                 .slots = known->second.slots};
     m_assumed = true;
     m_beat_at = at.now;
-    // An earlier life of this node may have granted a hold up to the moment before it ended. Giving
-    // the lease up sooner would let others be given keys that the target still holds.
-    m_holds.assume_until(at.now + m_options.node.lease.node_length());
+    m_holds.assume_until(m_inherited_until);
     m_queue.set_limit(std::max<std::uint32_t>(m_target->slots, 1));
     announce(at);
     update_cold_limit(at.now);
 }
 
+/// An earlier process of this node may have granted a hold up to the moment before it ended. Giving
+/// the lease up sooner would let others be given keys that the target still holds.
+void node_agent::note_start(instant now) {
+    if (m_inherited_until == instant{}) {
+        m_inherited_until = now + m_options.node.lease.node_length();
+        m_caller.start(now);
+    }
+}
+
 void node_agent::tick(moment at) {
+    note_start(at.now);
     if (std::exchange(m_last_tick, at.now) + node_stall < at.now) {
         m_cold.record_unknown();
     }
@@ -304,8 +312,8 @@
                   {{"version", m_lease.routes().version}, {"reason", changed.unreadable_routes}});
     }
     if (changed.registration) {
-        m_holds.reset(); // what was given under the old number is not this one's
-        m_caller.reset();
+        m_holds.begin_registration(); // requests under the new number have to wait for its grants
+        m_caller.begin_registration();
         log_event(
             log_level::info, "registration",
             {{"number", m_lease.number()}, {"target", m_target ? m_target->name : std::string()}});
@@ -422,6 +430,7 @@
 
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
+    note_start(at.now);
     if (judge(beat, at.now) != call_fault::none || m_ended.has_ended(beat.life(), at.now)) {
         return false;
     }
@@ -491,6 +500,9 @@
                {"service", beat.service}});
     m_holds.reset();
     m_caller.reset();
+    if (at.now < m_inherited_until) {
+        m_holds.assume_until(m_inherited_until);
+    }
     m_draining_since = {};
     m_left = false;
     m_queue.set_rate(std::nullopt, at.now);
@@ -629,6 +641,7 @@
     if (at.now < m_reborn_at + refusal_in_flight) {
         return;
     }
+    m_inherited_until = std::min(m_inherited_until, at.now);
     drop_target("connection refused", true, at);
 }
 
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -1,3 +1,4 @@
+#include "node_under_test.hpp"
 #include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/state/routing_delta.hpp"
 #include "peppertack/state/text_compression.hpp"
@@ -6,11 +7,13 @@
 #include <doctest/doctest.h>
 
 using namespace peppertack;
+using namespace peppertack::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
 constexpr int first_failure_status = 500;
+constexpr duration lease_length = 3s;
 
 traffic_options one_node() {
     traffic_options options;
@@ -18,6 +21,8 @@
     options.target_address = "n:80";
     options.node.self = "n:1";
     options.node.voters = {"a:1"};
+    options.node.lease.length = lease_length;
+    options.node.announce_timeout = 24h;
     return options;
 }
 
@@ -31,6 +36,7 @@
               [this](const outgoing &item) {
                   if (const auto *renewal = std::get_if<renew_request>(&item.body)) {
                       asked = renewal->sequence;
+                      gave_up = gave_up || renewal->giving_up;
                   }
               },
               [this](const std::string &, const std::function<void(const target_health &)> &done) {
@@ -51,11 +57,26 @@
 
 public:
     std::uint64_t asked = 0;
-    std::string found; ///< name that the target tells when it is asked
+    bool gave_up = false; ///< a renewal said that the target holds nothing any more
+    std::string found;    ///< name that the target tells when it is asked
     std::optional<duration> found_cold;
     node_agent agent;
 };
 
+routing_table keyed_service(hold_delivery delivery = hold_delivery::by_heartbeat) {
+    routing_table routing{.version = 4};
+    routing.services["s"] = {.name = "s", .keyed = true, .delivery = delivery};
+    return routing;
+}
+
+/// An answer of a leader that knows the target "t" beside the node under number 7.
+renew_reply registered() {
+    renew_reply reply{.number = 7, .lease = lease_length};
+    reply.map = {.to = 9, .as_of = 9};
+    reply.map.targets = {{.number = 7, .name = "t", .service = "s", .address = "n:1", .slots = 1}};
+    return reply;
+}
+
 } // namespace
 
 // The node beside a target said "malformed" of a request without a key, and its sender told the
@@ -159,3 +180,35 @@
     one.agent.tick({known + 1ms, 0});
     CHECK(one.agent.has_target() == taken);
 }
+
+// Guards against two owners: a node was started again and took over the registration of its target,
+// which forgot that the process before had granted holds. The target said that it leaves, and its
+// keys went to others while it held them (review case 4).
+TEST_CASE("keys granted by an earlier process of the node are not given away before they run out") {
+    agent_with_leader one(one_node());
+    const instant start = test_moment().now; // the target is asked by the real clock
+    renew_reply reply = registered();
+    SUBCASE("the target is known from the map") {
+        one.found = "t";
+        one.answer(start, reply, keyed_service());
+        one.agent.tick({start + 10ms, 0});
+    }
+    SUBCASE("the target reports, and is granted nothing as there is no lease") {
+        reply.lease = {};
+        one.answer(start, reply, keyed_service());
+        one.agent.heartbeat({.name = "t", .address = "n:80", .service = "s"}, {start + 10ms, 0},
+                            [](const hold_grant &) {});
+    }
+    REQUIRE(one.agent.has_target());
+    one.answer(start + 900ms, reply, keyed_service());
+    REQUIRE(one.agent.number() == 7);
+    one.agent.target_leaves("t", {start + 1s, 0});
+    const instant over = start + one_node().node.lease.node_length();
+    for (instant now = start + 1100ms; now < over; now += 50ms) {
+        one.answer(now, reply, keyed_service());
+    }
+    CHECK(!one.gave_up);
+    one.answer(over + 10ms, reply, keyed_service());
+    one.answer(over + 20ms, reply, keyed_service());
+    CHECK(one.gave_up);
+}
