Let keys run out that the next life of a target may have taken

Cause: a grant by call goes to an address. The new process took the renewals that were written after its start; when its heartbeat came, the node took the old life's keys for free, dropped all it knew of grants, and gave the lease up, so that the leader gave the keys to others at once. The same holds for a new id, and for a DELETE of a new life.

Change: when another process has taken the place of a target, the node hands out nothing and keeps the lease until the grants by call have run out; the new life is registered after that. What ended is told by evidence alone: a refused connection shows that nobody listened at some moment after the attempt was begun, so grants that were written before are held by nobody, and the keys of a crashed target are free at once as before. Attempts now carry when they were begun, in place of a bound of 200 ms.

--- a/include/peppertack/coordination/hold_call_scheduler.hpp
+++ b/include/peppertack/coordination/hold_call_scheduler.hpp
@@ -100,6 +100,9 @@
     /// Records that the target refused a request for a key that it does not hold. The key is
     /// granted again after the retry delay and counts as not held until then.
     void note_refused(std::uint32_t key, instant now);
+    /// No process listened at the target's address at some moment after `at`: whichever took a
+    /// call that was written before then has ended. Precondition: `start` was called before `at`.
+    void note_no_listener(instant at);
     /// Drops all state when the target holds nothing any more.
     void reset();
     /// The target gets another number. Grants made before run out, and count as held until then.
--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -73,6 +73,9 @@
     bool sent() const;
     /// Whether the call goes over a connection that served others before.
     bool reused() const;
+    /// When the connection of the call was begun to be made. If it is refused, nobody listened at
+    /// some moment after that.
+    instant connection_begun() const;
 
 private:
     friend class http_client_pool;
--- a/include/peppertack/transport/traffic/hold_call_runner.hpp
+++ b/include/peppertack/transport/traffic/hold_call_runner.hpp
@@ -30,7 +30,8 @@
         /// Directly before the bytes are written: how long a grant may run; nothing: not any more.
         std::function<std::optional<duration>(std::uint64_t)> write;
         std::function<void(const hold_call &, const hold_call_end &)> end;
-        std::function<void()> refused; ///< the target's address takes no connections
+        /// The target's address takes no connections; told when the attempt was begun.
+        std::function<void(instant)> refused;
     };
 
     hold_call_runner(http_client_pool &pool, std::shared_ptr<const hold_call_format> format,
@@ -47,7 +48,8 @@
 private:
     class exchange;
 
-    void end(const hold_call &call, const hold_call_end &how, bool refused);
+    void end(const hold_call &call, const hold_call_end &how,
+             std::optional<instant> refused = std::nullopt);
 
     http_client_pool &m_pool;
     std::shared_ptr<const hold_call_format> m_format;
--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -101,8 +101,9 @@
     void target_leaves(const std::string &name, moment at);
     /// Whether the target has said that it leaves.
     bool target_leaving() const { return m_draining_since != instant{}; }
-    /// The target's address takes no connections: its process has ended.
-    void target_refused(moment at);
+    /// The target's address refused a connection, in an attempt that was begun then: the process
+    /// that listened there before has ended.
+    void target_refused(instant attempt_begun, moment at);
     /// No connection to the target is open. The process at its address may have been started again,
     /// so until it is asked it counts as cold.
     void target_disconnected(instant now);
@@ -197,6 +198,7 @@
     void assume_target(const std::string &name, moment at);
     void note_farewell(const target_incarnation &life, instant now);
     void drop_target(const char *why, bool ended, moment at);
+    void drop_for_successor(const char *why, moment at);
     std::optional<rate_limit::bucket> cold_bucket() const;
     void update_cold_limit(instant now);
     void ask_whether_cold(instant now);
@@ -237,6 +239,8 @@
     std::string m_probing; ///< name that is being checked
     /// Holds granted by an earlier process of this node may run until then; zero: not started yet.
     instant m_inherited_until{};
+    /// The lease of a target that is gone is given up then; zero: there is none such.
+    instant m_lease_kept_until{};
     bool m_looked = false;  ///< for a target that was here before this process
     bool m_assumed = false; ///< known from the map, not by a heartbeat, nor in which life
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -82,7 +82,7 @@
     /// The local target has refused a connection. It has ended only if the connections that it had
     /// accepted are closed too: one with too many, or one that leaves, refuses new ones while it
     /// still holds its keys.
-    void note_target_refused();
+    void note_target_refused(instant attempt_begun);
     /// The connection of a request that the local target, in a life of that incarnation, was
     /// running broke. If it was the last one, the target is asked whether it has ended.
     void note_target_broke_off(std::uint64_t fingerprint, std::uint64_t life);
@@ -178,6 +178,7 @@
     asio::steady_timer m_timer;
     std::string m_forward_port;
     std::string m_refused_address; ///< of a target that refused a connection; empty: none
+    instant m_refused_attempt{};   ///< when that connection was begun to be made
     instant m_refused_at{};
     bool m_asking = false; ///< the target is being asked whether it has ended
     instant m_summary_at{};
--- a/src/coordination/hold_call_scheduler.cpp
+++ b/src/coordination/hold_call_scheduler.cpp
@@ -296,6 +296,16 @@
     return *item.written + m_options.answer_timeout + max_real_length(item.length);
 }
 
+void hold_call_scheduler::note_no_listener(instant at) {
+    const auto ended = [at](const granted &item) { return item.written < at; };
+    std::erase_if(m_granted, ended);
+    std::erase_if(m_in_flight, [at](const auto &entry) {
+        const pending &item = entry.second;
+        return item.written && *item.written < at;
+    });
+    m_previous_process_until = std::min(m_previous_process_until, at);
+}
+
 void hold_call_scheduler::note_refused(std::uint32_t key, instant now) {
     for (granted &item : m_granted) {
         item.refused = item.refused || (item.from <= key && key <= item.to);
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -27,7 +27,7 @@
     connection(http_client_pool &pool, std::string address)
         : m_pool(&pool), m_pool_alive(pool.m_alive), m_address(std::move(address)),
           m_reader(http_reader::kind::responses, pool.m_options.limits), m_timer(pool.m_io),
-          m_charge(pool.m_options.budget) {
+          m_charge(pool.m_options.budget), m_begun(steady_instant()) {
         ++pool.m_open[m_address];
         ++pool.m_made;
     }
@@ -165,6 +165,7 @@
     /// What an earlier call had queued counts as sent by this one, which errs on the safe side.
     bool sent() const { return taken() > m_taken_before; }
     bool reused() const { return m_calls > 0; }
+    instant begun() const { return m_begun; }
     bool closed() const { return m_closed; }
 
 private:
@@ -399,7 +400,8 @@
     std::weak_ptr<http_response_handler> m_handler;
     std::string m_before_connect;
     byte_budget::charge m_charge; ///< for that
-    call_maker m_make;            ///< of a call whose request is not made yet
+    instant m_begun;
+    call_maker m_make; ///< of a call whose request is not made yet
     std::string m_expected_id;
     bool m_in_call = false;
     bool m_request_done = false;
@@ -449,6 +451,10 @@
     return m_link->reused();
 }
 
+instant http_call::connection_begun() const {
+    return m_link->begun();
+}
+
 http_client_pool::http_client_pool(asio::io_context &io, options settings)
     : m_io(io), m_options(std::move(settings)), m_sweep(io) {
     sweep();
--- a/src/transport/traffic/hold_call_runner.cpp
+++ b/src/transport/traffic/hold_call_runner.cpp
@@ -29,13 +29,13 @@
     void lose() {
         cancel();
         log_lost("no answer in time");
-        m_runner.end(m_call, {.result = hold_call_end::kind::lost}, false);
+        m_runner.end(m_call, {.result = hold_call_end::kind::lost});
     }
 
     void on_response_head(http_head head) override { m_head = std::move(head); }
     void on_response_body(std::string_view) override {}
     void on_response_end() override {
-        m_runner.end(m_call, m_runner.m_format->read_answer(m_call, m_head), false);
+        m_runner.end(m_call, m_runner.m_format->read_answer(m_call, m_head));
     }
     void on_call_failed(call_failure why, const std::string &reason) override {
         const hold_call_end how{.result = m_written ? hold_call_end::kind::lost
@@ -43,7 +43,9 @@
         if (m_written) {
             log_lost(reason);
         }
-        m_runner.end(m_call, how, why == call_failure::refused);
+        const std::optional<instant> refused =
+            why == call_failure::refused ? std::optional(m_http->connection_begun()) : std::nullopt;
+        m_runner.end(m_call, how, refused);
     }
 
 private:
@@ -101,11 +103,12 @@
     }
 }
 
-void hold_call_runner::end(const hold_call &call, const hold_call_end &how, bool refused) {
+void hold_call_runner::end(const hold_call &call, const hold_call_end &how,
+                           std::optional<instant> refused) {
     const auto kept = m_running.extract(call.id); // lives until this returns
     m_callbacks.end(call, how);
     if (refused) {
-        m_callbacks.refused();
+        m_callbacks.refused(*refused);
     }
 }
 
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -28,9 +28,6 @@
 constexpr duration keys_wait_over_interval = std::chrono::milliseconds(300);
 /// Counts over a longer time than this are no present load.
 constexpr double longest_load_interval = 5;
-/// An attempt to connect that is refused so soon after a new life was found may have been made at
-/// the old one: attempts are given up after 150 ms.
-constexpr duration refusal_in_flight = std::chrono::milliseconds(200);
 /// A target's limit may change with each answer.
 constexpr duration limit_told_interval = std::chrono::seconds(1);
 /// Heartbeat intervals for which a target's statement that it is cold, or warm, is valid.
@@ -152,7 +149,7 @@
         return item.second.name == name && item.second.address == m_options.node.self &&
                item.second.phase == target_phase::serving;
     });
-    if (m_target || m_stopping || known == targets.end() ||
+    if (m_target || m_stopping || known == targets.end() || m_lease_kept_until != instant{} ||
         m_ended.has_ended_recently(name, at.now)) {
         return;
     }
@@ -186,6 +183,10 @@
     update_cold_limit(at.now);
     ask_whether_cold(at.now);
     decide_waiting(at.now, ready());
+    if (m_lease_kept_until != instant{} && m_lease_kept_until <= at.now) {
+        m_lease_kept_until = {};
+        m_lease.give_up(at);
+    }
     take_unjudged(at.now);
     if (!m_target && !m_looked && ready()) {
         look_for_target();
@@ -410,7 +411,7 @@
 }
 
 void node_agent::take_unjudged(instant now) {
-    if (!m_unjudged || !ready()) {
+    if (!m_unjudged || !ready() || m_lease_kept_until != instant{}) {
         return;
     }
     const unjudged_heartbeat kept = *std::exchange(m_unjudged, std::nullopt);
@@ -439,9 +440,13 @@
         return false;
     }
     if (m_target && !m_assumed && m_target->life() != beat.life()) {
-        drop_target("new life", true, at);
+        drop_for_successor("new life", at);
         m_reborn_at = at.now;
     }
+    if (m_lease_kept_until != instant{}) {
+        keep_unjudged(beat, at); // announced now, it would end the registration of the one before
+        return false;
+    }
     if (m_target && beat.sequence < m_target->sequence) {
         return false; // overtaken by a later one
     }
@@ -523,12 +528,19 @@
             return;
         }
         if (m_target && m_target->name != name) {
-            // The address is the new one's: the old process has ended, and holds nothing.
-            drop_target("replaced", true, read_clocks());
+            drop_for_successor("replaced", read_clocks());
         }
     });
 }
 
+/// Another process has taken the place of the target. What the target was granted with answers to
+/// its heartbeats has ended with it. Calls go to an address, so the other one may have taken some.
+void node_agent::drop_for_successor(const char *why, moment at) {
+    m_holds.reset();
+    drop_target(why, true, at);
+}
+
+/// The lease is given up once the holds that the target's address was granted have run out.
 void node_agent::drop_target(const char *why, bool ended, moment at) {
     if (!m_target) {
         return;
@@ -545,6 +557,7 @@
         }
     }
     const std::string address = m_target->address;
+    const instant held_until = keyed() ? may_hold_until() : instant{};
     m_target.reset();
     m_cold.record_unknown();
     m_key_loads.clear();
@@ -556,7 +569,16 @@
     m_caller.reset();
     m_left = false;
     m_draining_since = {};
-    m_lease.give_up(at);
+    if (at.now < held_until) {
+        m_lease_kept_until = held_until;
+        log_event(
+            log_level::info, "lease_kept",
+            {{"cause", why},
+             {"ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(held_until - at.now).count()}});
+    } else {
+        m_lease.give_up(at);
+    }
     if (m_on_target_gone) {
         m_on_target_gone(address);
     }
@@ -598,7 +620,7 @@
     }
     if (present) {
         // The first that is heard of a later life is that it leaves.
-        drop_target("new life", true, at);
+        drop_for_successor("new life", at);
     }
     if (!m_target) {
         note_farewell(life, at.now);
@@ -637,11 +659,15 @@
     announce(at);
 }
 
-void node_agent::target_refused(moment at) {
-    if (at.now < m_reborn_at + refusal_in_flight) {
-        return;
+void node_agent::target_refused(instant attempt_begun, moment at) {
+    if (attempt_begun < m_reborn_at) {
+        return; // it may have been made at the life before
+    }
+    m_inherited_until = std::min(m_inherited_until, attempt_begun);
+    m_caller.note_no_listener(attempt_begun);
+    if (m_heartbeat_at < attempt_begun) {
+        m_holds.reset(); // granted to a process that has ended
     }
-    m_inherited_until = std::min(m_inherited_until, at.now);
     drop_target("connection refused", true, at);
 }
 
--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -400,6 +400,7 @@
     }
     const auto self = shared_from_this();
     const instant now = steady_instant();
+    const instant attempt_begun = m_call->connection_begun();
     m_body.detach();
     m_call.reset();
     leave_queue(std::nullopt);
@@ -421,7 +422,7 @@
         const bool same =
             m_host.agent().has_target() && m_host.agent().target().name == m_target_name;
         if (why == call_failure::refused && same) {
-            m_host.note_target_refused();
+            m_host.note_target_refused(attempt_begun);
         }
         refuse(error_kind::target_unreachable, now, usual_retry_after);
     } else {
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -46,8 +46,9 @@
 
 class health_probe_handler final : public http_response_handler {
 public:
-    /// `refused` is called before `done` if the address takes no connections.
-    health_probe_handler(const traffic_headers &names, std::function<void()> refused,
+    /// `refused` is called before `done` if the address takes no connections, with when the attempt
+    /// was begun.
+    health_probe_handler(const traffic_headers &names, std::function<void(instant)> refused,
                          std::function<void(const target_health &)> done)
         : m_names(names), m_refused(std::move(refused)), m_done(std::move(done)) {}
 
@@ -66,7 +67,7 @@
     void on_response_end() override { m_done(m_found); }
     void on_call_failed(call_failure why, const std::string &) override {
         if (why == call_failure::refused) {
-            m_refused();
+            m_refused(m_call->connection_begun());
         }
         m_done({});
     }
@@ -75,7 +76,7 @@
 private:
     const traffic_headers &m_names;
     target_health m_found;
-    std::function<void()> m_refused;
+    std::function<void(instant)> m_refused;
     std::function<void(const target_health &)> m_done;
     std::shared_ptr<http_call> m_call;
 };
@@ -102,7 +103,7 @@
                [this](std::uint64_t id) { return m_agent.hold_call_written(id, steady_instant()); },
            .end = [this](const hold_call &call,
                          const hold_call_end &how) { note_hold_call(call, how); },
-           .refused = [this] { note_target_refused(); }}),
+           .refused = [this](instant begun) { note_target_refused(begun); }}),
       m_body_turns({.limit = m_options.body_turns}),
       m_callers(
           io,
@@ -275,8 +276,9 @@
 }
 
 /// Single requests have lines within a budget only: the causes of all are told by their counts.
-void traffic_host::note_target_refused() {
+void traffic_host::note_target_refused(instant attempt_begun) {
     if (m_agent.has_target()) {
+        m_refused_attempt = attempt_begun;
         m_refused_address = m_agent.target().address;
         m_refused_at = steady_instant();
         judge_refusal(read_clocks());
@@ -312,7 +314,7 @@
     }
     if (same && !m_agent.target_leaving() && m_pool.established_to(m_refused_address) == 0) {
         m_refused_address.clear();
-        m_agent.target_refused(at);
+        m_agent.target_refused(m_refused_attempt, at);
     } else if (!same || at.now > m_refused_at + refusal_lifetime) {
         m_refused_address.clear();
     }
@@ -398,9 +400,9 @@
     auto handler = std::make_shared<std::shared_ptr<health_probe_handler>>();
     *handler = std::make_shared<health_probe_handler>(
         m_options.headers,
-        [this, address] {
+        [this, address](instant begun) {
             if (m_agent.has_target() && m_agent.target().address == address) {
-                note_target_refused();
+                note_target_refused(begun);
             }
         },
         [this, handler, done = std::move(done)](const target_health &found) {
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -2,6 +2,7 @@
 #include "peppertack/protocol/error_answer.hpp"
 #include "peppertack/state/routing_delta.hpp"
 #include "peppertack/state/text_compression.hpp"
+#include "peppertack/transport/traffic/hold_call_runner.hpp"
 #include "peppertack/transport/traffic/node_agent.hpp"
 
 #include <doctest/doctest.h>
@@ -77,6 +78,63 @@
     return reply;
 }
 
+/// Such an answer once the target has been given all keys.
+renew_reply with_keys() {
+    renew_reply reply = registered();
+    reply.map.services = {
+        {.service = "s", .whole = true, .ranges = {{.first = 0, .owner = 7, .token = 5}}}};
+    return reply;
+}
+
+/// The calls of holds are made by the test.
+class no_calls final : public hold_call_format {
+    whole_call request(const hold_call &, const std::string &, duration) const override {
+        return {};
+    }
+    hold_call_end read_answer(const hold_call &, const http_head &) const override { return {}; }
+};
+
+traffic_options node_with_calls() {
+    traffic_options options = one_node();
+    options.hold_format = std::make_shared<no_calls>();
+    return options;
+}
+
+/// A node long after its start, whose target was granted all keys by a call.
+class granted_by_call : public agent_with_leader {
+public:
+    granted_by_call() : agent_with_leader(node_with_calls()) {
+        const instant start = granted - 10s;
+        const routing_table routing = keyed_service(hold_delivery::by_call);
+        answer(start, with_keys(), routing);
+        const target_heartbeat beat{
+            .name = "t", .born = 1, .address = "n:80", .service = "s", .slots = 4};
+        agent.heartbeat(beat, {granted - 1s, 0}, [](const hold_grant &) {});
+        renew_until(granted);
+        const auto calls = agent.due_hold_calls(granted);
+        REQUIRE(calls.size() == 1);
+        const auto length = agent.hold_call_written(calls[0].id, granted);
+        REQUIRE(length);
+        agent.hold_call_ended(calls[0].id, {.result = hold_call_end::kind::done}, granted + 1ms);
+        ends = granted + hold_manager({}).max_real_length(*length);
+        now = granted;
+    }
+    void renew_until(instant until) {
+        for (now = std::max(now, until - 900ms); now <= until; now += 50ms) {
+            answer(now, with_keys(), keyed_service(hold_delivery::by_call));
+        }
+    }
+    /// The target reports for the first time in its second life.
+    void begin_second_life(instant at) {
+        agent.heartbeat({.name = "t", .born = 2, .address = "n:80", .service = "s", .slots = 4},
+                        {at, 0}, [](const hold_grant &) {});
+    }
+
+    const instant granted = test_moment().now;
+    instant ends{}; ///< latest end of the hold
+    instant now{};
+};
+
 } // namespace
 
 // The node beside a target said "malformed" of a request without a key, and its sender told the
@@ -212,3 +270,54 @@
     one.answer(over + 20ms, reply, keyed_service());
     CHECK(one.gave_up);
 }
+
+// Guards against two owners: a target was started again and took the grant that was written to its
+// address. Then its first heartbeat came, the node took the keys for free, and they went to another
+// target at once (review case 2).
+TEST_CASE("keys that the next life of a target may have taken run out before they are given away") {
+    granted_by_call one;
+    const instant seen = one.granted + 200ms;
+    SUBCASE("it reports") {
+        one.begin_second_life(seen);
+    }
+    SUBCASE("it leaves") {
+        one.agent.target_leaves(target_incarnation{.name = "t", .born = 2}, {seen, 0});
+    }
+    SUBCASE("it has another name") {
+        one.found = "u";
+        one.agent.heartbeat({.name = "u", .born = 2, .address = "n:80", .service = "s"}, {seen, 0},
+                            [](const hold_grant &) {});
+    }
+    CHECK(!one.agent.has_target());
+    CHECK(one.agent.due_hold_calls(seen).empty());
+    one.renew_until(one.ends - 50ms);
+    CHECK(!one.gave_up);
+    one.renew_until(one.ends + 100ms);
+    CHECK(one.gave_up);
+}
+
+// Guards against keys that stay unserved although their holder has ended.
+TEST_CASE("a refused connection shows that what was granted before is held by nobody") {
+    granted_by_call one;
+    instant attempt = one.granted + 5ms;
+    bool ended = true;
+    SUBCASE("it was begun after the grant") {}
+    SUBCASE("it was begun before the grant, which another process may have taken") {
+        attempt = one.granted - 5ms;
+        ended = false;
+    }
+    one.agent.target_refused(attempt, {one.granted + 50ms, 0});
+    CHECK(!one.agent.has_target());
+    one.renew_until(one.granted + 300ms);
+    CHECK(one.gave_up == ended);
+}
+
+// Guards against a target that reports in vain until its next heartbeat.
+TEST_CASE("the next life of a target is registered once the holds before it have run out") {
+    granted_by_call one;
+    one.begin_second_life(one.granted + 500ms);
+    one.renew_until(one.ends - 50ms);
+    CHECK(!one.agent.has_target());
+    one.renew_until(one.ends + 100ms);
+    CHECK(one.agent.has_target());
+}
--- a/tests/transport/refused_connection_test.cpp
+++ b/tests/transport/refused_connection_test.cpp
@@ -39,6 +39,6 @@
     node.agent().target_leaves("old", test_moment());
     REQUIRE(node.agent().has_target());
     node.stop_target_listening();
-    node.host().note_target_refused();
+    node.host().note_target_refused(test_moment().now);
     CHECK(node.agent().has_target());
 }
