Ask who is there before a late heartbeat replaces a registered target

A node was started again, and a late heartbeat of a server that had ended came before one of the server that lives.

While holds that an earlier process of the node granted may run, and the map has another target with keys at this node, a heartbeat is kept until the address itself has told who listens there. If it is the one that reports, the other has ended, and what it was granted with answers to its heartbeats with it; what was granted by calls runs out first.

--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -193,6 +193,8 @@
     void answer_heartbeat(instant now);
     bool accept_heartbeat(const target_heartbeat &beat, moment at);
     void check_identity(const target_heartbeat &beat);
+    const target_route *registered_before(const std::string &name) const;
+    void end_inherited_holds(const std::string &name);
     void look_for_target();
     void note_start(instant now);
     void assume_target(const std::string &name, moment at);
@@ -236,6 +238,7 @@
     bool m_left = false;        ///< it says nothing more
     ended_incarnations m_ended;
     instant m_reborn_at{}; ///< when a new life followed under the name of the old one
+    instant m_probed_at{}; ///< when a name was last checked
     std::string m_probing; ///< name that is being checked
     /// Holds granted by an earlier process of this node may run until then; zero: not started yet.
     instant m_inherited_until{};
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -28,6 +28,8 @@
 constexpr duration keys_wait_over_interval = std::chrono::milliseconds(300);
 /// Counts over a longer time than this are no present load.
 constexpr double longest_load_interval = 5;
+/// Pause between two questions who listens at the target's address.
+constexpr duration identity_check_interval = std::chrono::milliseconds(200);
 /// A target's limit may change with each answer.
 constexpr duration limit_told_interval = std::chrono::seconds(1);
 /// Heartbeat intervals for which a target's statement that it is cold, or warm, is valid.
@@ -429,6 +431,19 @@
     }
 }
 
+/// A target with keys that is registered at this node under another name; null if there is none.
+/// The leader ends its registration for one that is announced in its place.
+const target_route *node_agent::registered_before(const std::string &name) const {
+    const auto &targets = m_lease.map().targets();
+    const auto found = std::find_if(targets.begin(), targets.end(), [&](const auto &item) {
+        const auto service = m_lease.routes().services.find(item.second.service);
+        return item.second.address == m_options.node.self && item.second.name != name &&
+               item.second.phase != target_phase::gone &&
+               service != m_lease.routes().services.end() && service->second.keyed;
+    });
+    return found == targets.end() ? nullptr : &found->second;
+}
+
 /// False if the heartbeat says nothing about the target as it is now.
 bool node_agent::accept_heartbeat(const target_heartbeat &beat, moment at) {
     note_start(at.now);
@@ -447,6 +462,11 @@
         keep_unjudged(beat, at); // announced now, it would end the registration of the one before
         return false;
     }
+    if (!m_target && at.now < m_inherited_until && registered_before(beat.name) != nullptr) {
+        keep_unjudged(beat, at); // it may be a late call of a target before the one that is here
+        check_identity(beat);
+        return false;
+    }
     if (m_target && beat.sequence < m_target->sequence) {
         return false; // overtaken by a later one
     }
@@ -517,22 +537,41 @@
 /// Another target reports from beside this node. Either it was started in place of the one known,
 /// or this is a late heartbeat of one that ended before: only the address itself can tell which.
 void node_agent::check_identity(const target_heartbeat &beat) {
-    if (!m_probing.empty()) {
+    if (!m_probing.empty() || m_last_tick < m_probed_at + identity_check_interval) {
         return;
     }
     m_probing = beat.name;
+    m_probed_at = m_last_tick;
     m_probe(beat.address, [this, name = beat.name](const target_health &found) {
         m_probing.clear();
         log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found.name}});
         if (found.name != name) {
+            if (!m_target && !found.name.empty() && m_unjudged && m_unjudged->beat.name == name) {
+                m_unjudged.reset(); // of one that has ended
+            }
             return;
         }
+        end_inherited_holds(name);
         if (m_target && m_target->name != name) {
             drop_for_successor("replaced", read_clocks());
         }
     });
 }
 
+/// The target of that name listens at the address: the one that an earlier process of this node
+/// knew has ended. Its calls went to the address, so the one that is here may have taken some.
+void node_agent::end_inherited_holds(const std::string &name) {
+    const target_route *const before = registered_before(name);
+    const auto &targets = m_lease.map().targets();
+    const bool registered = std::any_of(targets.begin(), targets.end(), [&](const auto &item) {
+        return item.second.address == m_options.node.self && item.second.name == name;
+    });
+    if (before != nullptr && !registered &&
+        m_lease.routes().services.at(before->service).delivery != hold_delivery::by_call) {
+        m_inherited_until = std::min(m_inherited_until, m_last_tick);
+    }
+}
+
 /// Another process has taken the place of the target. What the target was granted with answers to
 /// its heartbeats has ended with it. Calls go to an address, so the other one may have taken some.
 void node_agent::drop_for_successor(const char *why, moment at) {
--- a/tests/transport/node_agent_test.cpp
+++ b/tests/transport/node_agent_test.cpp
@@ -6,6 +6,7 @@
 #include "peppertack/transport/traffic/node_agent.hpp"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace peppertack;
 using namespace peppertack::testing;
@@ -38,6 +39,7 @@
                   if (const auto *renewal = std::get_if<renew_request>(&item.body)) {
                       asked = renewal->sequence;
                       gave_up = gave_up || renewal->giving_up;
+                      announced.insert(renewal->target.name);
                   }
               },
               [this](const std::string &, const std::function<void(const target_health &)> &done) {
@@ -58,8 +60,9 @@
 
 public:
     std::uint64_t asked = 0;
-    bool gave_up = false; ///< a renewal said that the target holds nothing any more
-    std::string found;    ///< name that the target tells when it is asked
+    std::set<std::string> announced; ///< names of targets in renewals
+    bool gave_up = false;            ///< a renewal said that the target holds nothing any more
+    std::string found;               ///< name that the target tells when it is asked
     std::optional<duration> found_cold;
     node_agent agent;
 };
@@ -321,3 +324,38 @@
     one.renew_until(one.ends + 100ms);
     CHECK(one.agent.has_target());
 }
+
+// Guards against two owners: a node was started again, and a late heartbeat of a target that had
+// ended came before one of the target that lives. The leader ended the registration of that one for
+// it, and its keys went to others while it held them.
+TEST_CASE("a late heartbeat of an ended target does not replace the one beside a restarted node") {
+    agent_with_leader one(one_node());
+    const instant start = test_moment().now;
+    one.answer(start, registered(), keyed_service()); // the target is too busy to say who it is
+    one.agent.tick({start + 10ms, 0});
+    const auto beat = [&](const std::string &name, instant at) {
+        one.agent.heartbeat({.name = name, .address = "n:80", .service = "s"}, {at, 0},
+                            [](const hold_grant &) {});
+    };
+    SUBCASE("the target answers later") {
+        one.found = "t";
+        beat("ended", start + 300ms);
+        one.answer(start + 350ms, registered(), keyed_service());
+        CHECK(one.announced.count("ended") == 0);
+        beat("t", start + 400ms);
+        CHECK(one.agent.has_target());
+    }
+    SUBCASE("it does not answer") {
+        beat("ended", start + 300ms);
+        one.answer(start + 350ms, registered(), keyed_service());
+        one.answer(start + 1800ms, registered(), keyed_service());
+        CHECK(one.announced.count("ended") == 0);
+    }
+    SUBCASE("another target has taken its place") {
+        one.found = "u";
+        beat("u", start + 300ms);
+        one.answer(start + 350ms, registered(), keyed_service());
+        one.answer(start + 400ms, registered(), keyed_service());
+        CHECK(one.announced.count("u") == 1);
+    }
+}
