Start nothing behind an answer that can't be replaced

Cause: idempotent requests of a connection overlap. A large answer is sent from its first bytes, and when it broke off, the connection ended with all that was in progress behind it.

Change: while requests are in progress behind an answer, it is held until it is whole, within the budget for held answers; if it breaks off, its caller gets 502 and the others their answers. Behind an answer of which a part is sent, and behind requests to routes for downloads, whose answers are too large to be held, nothing is started. If the budget is used up, an answer with others behind it is sent as it comes, as before.

Routes keep the type download: retry_policy::idempotent_large.

--- a/include/peppertack/coordination/pipelining.hpp
+++ b/include/peppertack/coordination/pipelining.hpp
@@ -25,6 +25,8 @@
     held_answer_budget(const held_answer_budget &) = delete;
     held_answer_budget &operator=(const held_answer_budget &) = delete;
 
+    /// Whether more is held than may be.
+    bool exceeded() const { return m_charged > m_options.limit; }
     /// Whether one more request may be handled behind another.
     bool has_room() const { return m_charged + m_options.reserve <= m_options.limit; }
     /// Bytes charged now.
@@ -68,7 +70,8 @@
 /// Handles callers that send further requests before the first is answered. Handled one after the
 /// other, the last of several waits for the sum of their times although there is room everywhere.
 /// Only idempotent requests overlap: an earlier answer may end the connection, and the caller then
-/// sends all that followed once more. Immutable.
+/// sends all that followed once more. None starts behind an answer that can't be replaced if it
+/// breaks off, since targets would work on it in vain. Immutable.
 class pipelining_policy {
 public:
     struct options {
@@ -79,10 +82,17 @@
         /// handled: answers up to the size that is passed on only when whole would pile up here.
         std::size_t max_unsent = 256U << 10U;
     };
+    enum class request_kind : std::uint8_t {
+        exclusive,        ///< in progress alone
+        idempotent,       ///< may be in progress with others
+        idempotent_large, ///< the same, but its answer is not held until it is whole
+    };
     /// What is in progress on a connection.
     struct connection_state {
         std::size_t in_progress = 0;
         bool all_idempotent = true;
+        /// Each answer is held until it is whole, and replaced by a failure if it breaks off.
+        bool all_replaceable = true;
         bool ends_after = false; ///< no request after these is read from the connection
         std::size_t unsent = 0;  ///< bytes of answers that wait for the caller to read them
     };
@@ -96,7 +106,7 @@
     /// Whether the next request is read at all.
     bool may_read(const connection_state &now, const held_answer_budget &budget) const;
     /// What is done with a request whose head was read. Precondition: `may_read`.
-    verdict judge(const connection_state &now, bool idempotent) const;
+    verdict judge(const connection_state &now, request_kind kind) const;
 
 private:
     options m_options;
--- a/include/peppertack/state/routing_table.hpp
+++ b/include/peppertack/state/routing_table.hpp
@@ -13,11 +13,17 @@
 
 /// Whether a request may be sent again when its outcome is unknown.
 enum class retry_policy : std::uint8_t {
-    idempotent, ///< may run more than once
-    once,       ///< may run at most once per request of a caller
-    once_large, ///< as `once`, for large request bodies
+    idempotent,       ///< may run more than once
+    idempotent_large, ///< as `idempotent`, for large answers
+    once,             ///< may run at most once per request of a caller
+    once_large,       ///< as `once`, for large request bodies
 };
 
+/// Whether a request may run more than once. Thread safe.
+constexpr bool may_repeat(retry_policy policy) {
+    return policy == retry_policy::idempotent || policy == retry_policy::idempotent_large;
+}
+
 /// Service that receives a share of a route's requests.
 struct weighted_service {
     std::string service;
--- a/include/peppertack/transport/http/http_exchange.hpp
+++ b/include/peppertack/transport/http/http_exchange.hpp
@@ -35,9 +35,9 @@
 class http_exchange : public std::enable_shared_from_this<http_exchange> {
 public:
     struct origin {
-        instant received{};      ///< when the whole head could be read
-        std::size_t ahead = 0;   ///< requests before it whose answers are not sent yet
-        bool idempotent = false; ///< may be handled while others of its kind are in progress
+        instant received{};    ///< when the whole head could be read
+        std::size_t ahead = 0; ///< requests before it whose answers are not sent yet
+        pipelining_policy::request_kind kind = pipelining_policy::request_kind::exclusive;
     };
 
     http_exchange(http_server_connection &connection, http_head head, origin from);
@@ -62,11 +62,13 @@
     void respond(int status, std::vector<header_field> headers, std::string_view body);
     /// Gives up an answer that has begun. If the caller has seen a part of it, the connection ends,
     /// so that it can't be taken for whole; otherwise the caller gets a failure (502) in its place.
+    /// While requests behind it are in progress, the caller sees it only when it is whole, as far
+    /// as the budget for held answers goes.
     void abort();
     /// Holds back the request's body.
     void pause_body(bool pause);
     /// Whether more than `limit` bytes wait for the caller to read them, or the answer waits for
-    /// those before it and as much is held as may be.
+    /// those before it and as much is held as may be. An answer in front is held whole.
     bool backlogged(std::size_t limit) const;
     /// Bounds what is held of the request and its answer; null if nothing does. Precondition: not
     /// `closed()`.
@@ -79,6 +81,9 @@
     friend class http_server_connection;
 
     void write(std::string_view bytes);
+    void send_held();
+    /// Whether a failure can be sent in its place if it breaks off.
+    bool replaceable() const;
     void detach();
 
     http_server_connection *m_connection; ///< null once the connection is over
@@ -86,8 +91,9 @@
     http_head m_request;
     origin m_origin;
     std::shared_ptr<http_request_handler> m_handler;
-    std::optional<held_answer> m_held; ///< while others are in front of it
-    bool m_request_done = false;       ///< its body has come whole
+    /// While others are in front of it, or behind it and in progress.
+    std::optional<held_answer> m_held;
+    bool m_request_done = false; ///< its body has come whole
     bool m_answer_begun = false;
     bool m_answer_done = false;
     bool m_close_after = false;
--- a/include/peppertack/transport/http/http_server.hpp
+++ b/include/peppertack/transport/http/http_server.hpp
@@ -41,9 +41,9 @@
         /// Whether the limits above are known to be those in force. Until then what is beyond them
         /// is refused for now (503), not for good. Empty: they always are.
         std::function<bool()> limits_known;
-        /// Whether a request is idempotent, by its head, and so may be handled while others of its
-        /// kind on the same connection are in progress. Empty: one request at a time.
-        std::function<bool(const http_head &)> may_overlap;
+        /// What may be handled while others on the same connection are in progress, by the head of
+        /// a request. Empty: one request at a time.
+        std::function<pipelining_policy::request_kind(const http_head &)> kind_of;
         pipelining_policy::options pipelining;
         held_answer_budget::options held_answers;
         /// Bounds what all connections hold; null: nothing does.
--- a/include/peppertack/transport/traffic/traffic_host.hpp
+++ b/include/peppertack/transport/traffic/traffic_host.hpp
@@ -124,7 +124,7 @@
     std::size_t in_flight() const { return m_requests.size(); }
 
 private:
-    bool may_overlap(const http_head &head) const;
+    pipelining_policy::request_kind kind_of(const http_head &head) const;
     void tick();
     void judge_refusal(moment at);
     bool connected_to(const std::string &address) const;
--- a/src/coordination/pipelining.cpp
+++ b/src/coordination/pipelining.cpp
@@ -40,13 +40,14 @@
     if (now.in_progress == 0) {
         return true;
     }
-    return now.all_idempotent && !now.ends_after && now.in_progress < m_options.max_concurrent &&
-           budget.has_room();
+    return now.all_idempotent && now.all_replaceable && !now.ends_after &&
+           now.in_progress < m_options.max_concurrent && budget.has_room();
 }
 
 pipelining_policy::verdict pipelining_policy::judge(const connection_state &now,
-                                                    bool idempotent) const {
-    return now.in_progress == 0 || idempotent ? verdict::start : verdict::wait;
+                                                    request_kind kind) const {
+    const bool overlaps = kind != request_kind::exclusive && now.all_replaceable;
+    return now.in_progress == 0 || overlaps ? verdict::start : verdict::wait;
 }
 
 } // namespace peppertack
--- a/src/state/routing_delta.cpp
+++ b/src/state/routing_delta.cpp
@@ -66,6 +66,7 @@
 } // namespace
 
 NLOHMANN_JSON_SERIALIZE_ENUM(retry_policy, {{retry_policy::idempotent, "idempotent"},
+                                            {retry_policy::idempotent_large, "idempotent_large"},
                                             {retry_policy::once, "once"},
                                             {retry_policy::once_large, "once_large"}})
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(weighted_service, service, weight)
--- a/src/transport/http/http_exchange.cpp
+++ b/src/transport/http/http_exchange.cpp
@@ -28,11 +28,29 @@
 void http_exchange::write(std::string_view bytes) {
     if (m_held) {
         m_held->append(bytes);
+        if (m_connection != nullptr && m_connection->in_front(*this) &&
+            m_connection->held_answers().exceeded()) {
+            send_held();
+        }
     } else if (m_connection != nullptr) {
         m_connection->write(bytes);
     }
 }
 
+/// Precondition: it is in front.
+void http_exchange::send_held() {
+    const std::string bytes = m_held->take();
+    m_held.reset();
+    if (!bytes.empty()) {
+        m_connection->write(bytes);
+    }
+}
+
+bool http_exchange::replaceable() const {
+    const bool large = m_origin.kind == pipelining_policy::request_kind::idempotent_large;
+    return m_answer_done || (!large && (m_held || !m_answer_begun));
+}
+
 void http_exchange::send_continue() {
     m_awaits_continue = false;
     write(go_on);
@@ -44,6 +62,9 @@
     m_close_after = m_close_after || !m_request.keep_alive || m_connection == nullptr ||
                     m_connection->ends_with(*this) || head.framing == body_framing::until_close;
     head.keep_alive = !m_close_after;
+    if (!m_held && m_connection != nullptr && m_connection->has_behind(*this)) {
+        m_held.emplace(m_connection->held_answers());
+    }
     write(response_bytes(head));
 }
 
@@ -66,6 +87,9 @@
         write(last_chunk);
     }
     const auto self = shared_from_this(); // handler and connection may drop the last references
+    if (m_held && m_connection->in_front(*this)) {
+        send_held();
+    }
     m_answer_done = true;
     m_handler.reset();
     m_connection->answered(*this);
@@ -117,7 +141,7 @@
 
 bool http_exchange::backlogged(std::size_t limit) const {
     if (m_held) {
-        return m_held->full();
+        return !m_connection->in_front(*this) && m_held->full();
     }
     return m_connection != nullptr && m_connection->queued() > m_connection->queue_limit(limit);
 }
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -72,9 +72,13 @@
                             return item->m_close_after || !item->m_request.keep_alive;
                         });
     return {.in_progress = m_exchanges.size(),
-            .all_idempotent =
-                std::all_of(m_exchanges.begin(), m_exchanges.end(),
-                            [](const auto &item) { return item->m_origin.idempotent; }),
+            .all_idempotent = std::all_of(m_exchanges.begin(), m_exchanges.end(),
+                                          [](const auto &item) {
+                                              return item->m_origin.kind !=
+                                                     pipelining_policy::request_kind::exclusive;
+                                          }),
+            .all_replaceable = std::all_of(m_exchanges.begin(), m_exchanges.end(),
+                                           [](const auto &item) { return item->replaceable(); }),
             .ends_after = ending,
             .unsent = m_stream->queued()};
 }
@@ -177,12 +181,13 @@
 }
 
 void http_server_connection::on_head(http_head head) {
-    const auto &may_overlap = m_server->m_options.may_overlap;
+    using request_kind = pipelining_policy::request_kind;
+    const auto &kind_of = m_server->m_options.kind_of;
     const bool interim = head.find("Expect") != nullptr; // its interim answer has a place too
-    const bool idempotent = may_overlap && !interim && may_overlap(head);
+    const request_kind kind = kind_of && !interim ? kind_of(head) : request_kind::exclusive;
     const http_exchange::origin from{
-        .received = m_read_at, .ahead = m_exchanges.size(), .idempotent = idempotent};
-    const auto verdict = m_server->m_pipelining.judge(state(), idempotent);
+        .received = m_read_at, .ahead = m_exchanges.size(), .kind = kind};
+    const auto verdict = m_server->m_pipelining.judge(state(), kind);
     if (verdict == pipelining_policy::verdict::wait) {
         m_held_request = {std::move(head), from};
         m_held_request->from.ahead = 0; // it begins once none is left before it
@@ -347,6 +352,14 @@
 
 // ---- sending answers ----
 
+bool http_server_connection::in_front(const http_exchange &exchange) const {
+    return !m_exchanges.empty() && m_exchanges.front().get() == &exchange;
+}
+
+bool http_server_connection::has_behind(const http_exchange &exchange) const {
+    return !m_exchanges.empty() && m_exchanges.back().get() != &exchange;
+}
+
 bool http_server_connection::ends_with(const http_exchange &exchange) const {
     // Requests behind it that are in progress are answered too: they may have run.
     return m_server == nullptr || (m_server->m_draining && m_exchanges.back().get() == &exchange);
@@ -389,10 +402,9 @@
 }
 
 void http_server_connection::bring_forward(http_exchange &exchange) {
-    const std::string bytes = exchange.m_held->take();
-    exchange.m_held.reset();
-    if (!bytes.empty()) {
-        m_stream->write(bytes);
+    const bool half = exchange.m_answer_begun && !exchange.m_answer_done;
+    if (!half || !has_behind(exchange) || held_answers().exceeded()) {
+        exchange.send_held();
     }
     if (const auto handler = exchange.m_handler; handler && !exchange.m_answer_done) {
         handler->on_caller_drained();
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -53,6 +53,9 @@
     /// Bytes that may wait for the caller to read them before their source is paused.
     std::size_t queue_limit(std::size_t usual) const;
     void write(std::string_view bytes) { m_stream->write(bytes); }
+    bool in_front(const http_exchange &exchange) const;
+    /// Whether requests behind it are in progress.
+    bool has_behind(const http_exchange &exchange) const;
     /// Whether the answer of this exchange is the last on the connection.
     bool ends_with(const http_exchange &exchange) const;
     /// The answer of this exchange is whole.
--- a/src/transport/traffic/entry_relay.cpp
+++ b/src/transport/traffic/entry_relay.cpp
@@ -613,7 +613,7 @@
     ++m_arrivals;
     m_may_have_run = true;
     m_tried.insert(m_target);
-    const bool again = m_route.repeat == retry_policy::idempotent && m_body.replayable() &&
+    const bool again = may_repeat(m_route.repeat) && m_body.replayable() &&
                        m_arrivals < m_route.max_attempts &&
                        !m_host.agent().lease().suspects().suspects(m_fingerprint) &&
                        now + m_hop.load.service_time < m_deadline;
--- a/src/transport/traffic/traffic_host.cpp
+++ b/src/transport/traffic/traffic_host.cpp
@@ -114,7 +114,7 @@
           {.address = m_options.caller_address,
            .most_streams = part_of(m_options.max_descriptors, callers_part),
            .limits_known = [this] { return m_agent.lease().routes_trusted(steady_instant()); },
-           .may_overlap = [this](const http_head &head) { return may_overlap(head); },
+           .kind_of = [this](const http_head &head) { return kind_of(head); },
            .budget = m_held_bytes},
           [this](const auto &exchange) { return entry_relay::make(*this, exchange); }),
       m_nodes(io,
@@ -156,13 +156,18 @@
 }
 
 /// By the table in force: what it does not know, or takes once only, is handled in its turn.
-bool traffic_host::may_overlap(const http_head &head) const {
+pipelining_policy::request_kind traffic_host::kind_of(const http_head &head) const {
+    using kind = pipelining_policy::request_kind;
     const std::string *host = head.find("Host");
     if (!m_options.policy.overlap_pipelined || host == nullptr) {
-        return false;
+        return kind::exclusive;
     }
     const route *found = m_agent.routes().find(*host, head.path());
-    return found != nullptr && found->repeat == retry_policy::idempotent;
+    if (found == nullptr || !may_repeat(found->repeat)) {
+        return kind::exclusive;
+    }
+    return found->repeat == retry_policy::idempotent_large ? kind::idempotent_large
+                                                           : kind::idempotent;
 }
 
 traffic_host::service_retries &traffic_host::retries_of(const std::string &service) {
