Wait for holds by the slowest clock that a target may have

The lease of a target that left or fell silent was given up at the end of its hold by the node's clock. A target whose clock runs 2% slow, as is allowed, holds up to 55 ms longer: its keys went to another meanwhile. Holds by calls were reckoned with the slow clock, holds by heartbeat were not.

--- a/include/peppertack/coordination/hold_manager.hpp
+++ b/include/peppertack/coordination/hold_manager.hpp
@@ -105,10 +105,10 @@
     key_state state_of(std::uint64_t hash, const lease_client &lease, instant now) const;
     /// As `state_of`, for a key that the target does not hold yet.
     key_state awaited_state(std::uint64_t hash, const lease_client &lease) const;
-    /// When the last hold has ended; zero if there was none.
-    instant may_hold_until() const;
+    /// When the last hold has ended by the slowest permitted clock; zero if there was none.
+    instant may_hold_until() const { return m_may_hold_until; }
     /// Assumes that the target may hold keys until `until`, although no grant is known.
-    void assume_until(instant until) { m_assumed_until = std::max(m_assumed_until, until); }
+    void assume_until(instant until) { m_may_hold_until = std::max(m_may_hold_until, until); }
     /// Adds ranges that the target has released to a renewal.
     void fill_report(renew_request &request, const lease_client &lease) const;
     /// Whether a release has not been put into a renewal yet.
@@ -127,7 +127,7 @@
     options m_options;
     std::vector<held_span> m_granted; ///< granted by the last answer, sorted
     instant m_held_until{};           ///< by the last answer
-    instant m_assumed_until{};        ///< by earlier ones, or by an earlier process of this node
+    instant m_may_hold_until{};       ///< by any answer, or by an earlier process of this node
     std::map<std::uint64_t, release> m_released; ///< by the first hash of the range
     bool m_unreported_release = false;
 };
--- a/src/coordination/hold_manager.cpp
+++ b/src/coordination/hold_manager.cpp
@@ -134,15 +134,15 @@
     }
     result.renews = true;
     m_granted = result.holds;
-    m_assumed_until = may_hold_until(); // an earlier hold may have been longer
     m_held_until = received + result.length;
+    assume_until(received + max_real_length(result.length));
     return result;
 }
 
 void hold_manager::reset() {
     begin_registration();
     m_held_until = {};
-    m_assumed_until = {};
+    m_may_hold_until = {};
 }
 
 void hold_manager::begin_registration() {
@@ -151,10 +151,6 @@
     m_unreported_release = false;
 }
 
-instant hold_manager::may_hold_until() const {
-    return std::max(m_held_until, m_assumed_until);
-}
-
 hold_manager::key_state hold_manager::state_of(std::uint64_t hash, const lease_client &lease,
                                                instant now) const {
     const std::uint32_t key = ordered_key_at(hash);
