Do not believe a refused connection of before a target was found

A connection that was refused before the present target was heard of, and whose refusal is handled after that, was taken for the end of that target: it was dropped, its life noted as ended, and its heartbeats were answered 409 for 30 s. The moment of the attempt was compared with that of a new life only, not with the adoption of a target that was unknown before, nor with the heartbeat by which an assumed target's life became known.

--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -237,7 +237,7 @@
     instant m_draining_since{}; ///< zero while the target is not leaving
     bool m_left = false;        ///< it says nothing more
     ended_incarnations m_ended;
-    instant m_reborn_at{}; ///< when a new life followed under the name of the old one
+    instant m_found_at{};  ///< when the life of the target was first heard of
     instant m_probed_at{}; ///< when a name was last checked
     std::string m_probing; ///< name that is being checked
     /// Holds granted by an earlier process of this node may run until then; zero: not started yet.
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -456,7 +456,6 @@
     }
     if (m_target && !m_assumed && m_target->life() != beat.life()) {
         drop_for_successor("new life", at);
-        m_reborn_at = at.now;
     }
     if (m_lease_kept_until != instant{}) {
         keep_unjudged(beat, at); // announced now, it would end the registration of the one before
@@ -477,6 +476,9 @@
     if (!m_target) {
         adopt(beat, at);
     }
+    if (!m_target || m_assumed) {
+        m_found_at = at.now;
+    }
     m_assumed = false;
     m_target = beat;
     m_beat_at = at.now;
@@ -699,7 +701,7 @@
 }
 
 void node_agent::target_refused(instant attempt_begun, moment at) {
-    if (attempt_begun < m_reborn_at) {
+    if (attempt_begun < m_found_at) {
         return; // it may have been made at the life before
     }
     m_inherited_until = std::min(m_inherited_until, attempt_begun);
