Do not take a late answer to a health check for news of a later target

A node asked an address who listens there, and had the answer only when another target had taken the place of the one that gave it. The node took the present target for replaced by the one before it, forgot its holds, and its keys went to others at once.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -544,7 +544,9 @@
     }
     m_probing = beat.name;
     m_probed_at = m_last_tick;
-    m_probe(beat.address, [this, name = beat.name](const target_health &found) {
+    const auto asked_beside =
+        m_target ? std::optional(m_target->life()) : std::optional<target_incarnation>();
+    m_probe(beat.address, [this, name = beat.name, asked_beside](const target_health &found) {
         m_probing.clear();
         log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found.name}});
         if (found.name != name) {
@@ -554,7 +556,8 @@
             return;
         }
         end_inherited_holds(name);
-        if (m_target && m_target->name != name) {
+        // A late answer says nothing of a target that came after the question.
+        if (m_target && m_target->name != name && m_target->life() == asked_beside) {
             drop_for_successor("replaced", read_clocks());
         }
     });
