Keep in mind that the life of an assumed target is not known

A restarted node takes its target from the map until its first heartbeat. When that was two intervals late, since the node stood still, the target counted as one whose life is known to have no start: its heartbeat was taken for a new life, its holds for void, and its keys went to others while it held them.

--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -244,8 +244,9 @@
     instant m_inherited_until{};
     /// The lease of a target that is gone is given up then; zero: there is none such.
     instant m_lease_kept_until{};
-    bool m_looked = false;  ///< for a target that was here before this process
-    bool m_assumed = false; ///< known from the map, not by a heartbeat, nor in which life
+    bool m_looked = false;     ///< for a target that was here before this process
+    bool m_assumed = false;    ///< known from the map, and its heartbeat is not overdue
+    bool m_life_known = false; ///< by a heartbeat; otherwise the target is known from the map
     std::unordered_map<std::string, std::vector<const target_route *>> m_serving; ///< by service
     std::set<std::string> m_evacuated_services;    ///< with targets in evacuated domains only
     std::map<std::string, instant> m_evacuated_at; ///< by failure domain: when it became known
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -161,6 +161,7 @@
                                 .service = known->second.service,
                                 .slots = known->second.slots};
     m_assumed = true;
+    m_life_known = false;
     m_beat_at = at.now;
     m_holds.assume_until(m_inherited_until);
     m_queue.set_limit(std::max<std::uint32_t>(m_target->slots, 1));
@@ -239,7 +240,7 @@
          .connections = m_target->slots,
          .checks_tokens = true,
          .draining = target_leaving(),
-         .incarnation = m_assumed ? any_incarnation : incarnation_id(m_target->life())},
+         .incarnation = m_life_known ? incarnation_id(m_target->life()) : any_incarnation},
         at);
 }
 
@@ -454,7 +455,7 @@
         check_identity(beat);
         return false;
     }
-    if (m_target && !m_assumed && m_target->life() != beat.life()) {
+    if (m_target && m_life_known && m_target->life() != beat.life()) {
         drop_for_successor("new life", at);
     }
     if (m_lease_kept_until != instant{}) {
@@ -476,10 +477,11 @@
     if (!m_target) {
         adopt(beat, at);
     }
-    if (!m_target || m_assumed) {
+    if (!m_target || !m_life_known) {
         m_found_at = at.now;
     }
     m_assumed = false;
+    m_life_known = true;
     m_target = beat;
     m_beat_at = at.now;
     if (beat.draining && !was_draining) {
@@ -594,7 +596,7 @@
                {"born", m_target->born.value_or(0)},
                {"cause", why},
                {"in_flight", m_queue.in_flight()}});
-    if (ended && !m_assumed) {
+    if (ended && m_life_known) {
         m_ended.note(m_target->life(), at.now);
         if (m_draining_since == instant{}) {
             m_crashes.note_end(m_target->name, incarnation_id(m_target->life()), at.now);
@@ -658,7 +660,7 @@
         return fault;
     }
     const bool present = m_target && m_target->name == life.name;
-    if (present && (m_assumed || m_target->life() == life)) {
+    if (present && (!m_life_known || m_target->life() == life)) {
         leave(at);
         return call_fault::none;
     }
