Register the next life of a target that was drained unseen

A restarted node took a target from the map that was being drained. The next life of that target reported, and was announced under the number of the one before. When the leader said that the registration is another one's, the node took the new life for the one whose planned stop is over, and never registered it: its keys were served by others, and it got none.

A registration counts as a finished planned stop only if the leader had confirmed it for the incarnation that is announced.

--- a/include/peppertack/coordination/lease_client.hpp
+++ b/include/peppertack/coordination/lease_client.hpp
@@ -116,6 +116,7 @@
     std::uint64_t m_registration; ///< node-level incarnation of the current or next registration
     target_number m_number = no_target;
     instant m_lease_until{};
+    bool m_confirmed = false; ///< the registration is one of the incarnation that is announced
     bool m_giving_up = false;
     bool m_stopping = false;
     bool m_drain_started = false; ///< a planned stop of this registration was in progress
--- a/src/coordination/lease_client.cpp
+++ b/src/coordination/lease_client.cpp
@@ -62,6 +62,7 @@
     }
     if (m_announcement && m_announcement->incarnation != announcement.incarnation) {
         m_lease_until = {};
+        m_confirmed = false;
     }
     // The planned stop of an earlier incarnation does not apply to a new one; otherwise a target
     // restarted after its planned stop would never be granted keys.
@@ -102,7 +103,9 @@
     // A target whose planned stop is complete may keep announcing itself until it is shut down;
     // registering it again would undo the stop.
     const target_route *own = m_map.find_target(m_number);
-    m_retired = own != nullptr && own->phase != target_phase::serving && m_drain_started;
+    m_retired =
+        m_confirmed && own != nullptr && own->phase != target_phase::serving && m_drain_started;
+    m_confirmed = false;
     m_retired_target = m_retired ? m_announcement : std::nullopt;
     m_drain_started = false;
     m_number = no_target;
@@ -252,6 +255,7 @@
         m_number = reply.number;
         changed.registration = true;
     }
+    m_confirmed = m_confirmed || (m_number != no_target && reply.number == m_number);
     if (reply.lease > duration{} && reply.number == m_number && !m_giving_up) {
         const instant counted_from = g_defects.lease_from_receipt ? at.now : renewal.at;
         m_lease_until = std::max(m_lease_until, counted_from + m_options.lease.node_length());
