Do not take a late report of a target for a release after a restart

A restarted node does not know which of its target's heartbeats was the last. A late one, sent before the target was granted anything, named no keys, and keys that were to move counted as released while the target held them. While holds that an earlier process of the node granted may run, keys count as released only if the report names them as freed.

--- a/include/peppertack/coordination/hold_manager.hpp
+++ b/include/peppertack/coordination/hold_manager.hpp
@@ -73,8 +73,9 @@
 
     explicit hold_manager(options settings) : m_options(settings) {}
 
-    /// Records the releases that a heartbeat reports.
-    void note(const hold_report &report, const lease_client &lease);
+    /// Records the releases that a heartbeat reports. `may_be_old`: it may have been sent before
+    /// the last hold was granted, so keys that it does not name may be held.
+    void note(const hold_report &report, const lease_client &lease, bool may_be_old = false);
     /// Answers a heartbeat received at `received`. The target counts its hold from when it sent the
     /// heartbeat, which is no later than `received`.
     hold_grant grant(const lease_client &lease, instant received, instant now);
@@ -122,6 +123,7 @@
     };
 
     bool still_held(const hold_report &report, const lease_client::own_range &range) const;
+    static bool freed(const hold_report &report, const lease_client::own_range &range);
     std::string handover_of(const hold_report &report, const lease_client::own_range &range) const;
 
     options m_options;
--- a/src/coordination/hold_manager.cpp
+++ b/src/coordination/hold_manager.cpp
@@ -25,6 +25,12 @@
     });
 }
 
+bool hold_manager::freed(const hold_report &report, const lease_client::own_range &range) {
+    return std::any_of(report.freed.begin(), report.freed.end(), [&](const released_span &span) {
+        return span.from <= first_key(range) && span.to >= last_key(range);
+    });
+}
+
 std::string hold_manager::handover_of(const hold_report &report,
                                       const lease_client::own_range &range) const {
     const auto place =
@@ -47,10 +53,11 @@
                });
 }
 
-void hold_manager::note(const hold_report &report, const lease_client &lease) {
+void hold_manager::note(const hold_report &report, const lease_client &lease, bool may_be_old) {
     std::map<std::uint64_t, release> released;
     for (const lease_client::own_range &range : lease.own_ranges()) {
-        if (range.record.next == no_target || still_held(report, range)) {
+        if (range.record.next == no_target || still_held(report, range) ||
+            (may_be_old && !freed(report, range))) {
             continue;
         }
         const auto known = m_released.find(range.record.first);
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -356,7 +356,7 @@
         std::exchange(m_unanswered, nullptr)({});
     }
     m_unanswered = std::move(answer);
-    m_holds.note(beat.report, m_lease);
+    m_holds.note(beat.report, m_lease, at.now < m_inherited_until);
     if (m_holds.has_unreported_release()) {
         m_holds.mark_releases_reported();
         m_lease.renew_at_next_tick();
