Take the time of a probe's answer from the last tick or heartbeat

Cause: three callbacks of health probes in node_agent read the real clock, so a simulation in virtual time gave them instants that had nothing to do with its own. Change: they take the latest instant that the agent was told with a tick or a heartbeat. It is no later than the real one, so holds and leases of a target that was replaced end no sooner for it.

--- a/include/peppertack/transport/traffic/node_agent.hpp
+++ b/include/peppertack/transport/traffic/node_agent.hpp
@@ -196,6 +196,7 @@
     const target_route *registered_before(const std::string &name) const;
     void end_inherited_holds(const std::string &name);
     void look_for_target();
+    void note_time(moment at);
     void note_start(instant now);
     void assume_target(const std::string &name, moment at);
     void note_farewell(const target_incarnation &life, instant now);
@@ -228,6 +229,7 @@
     cold_start_tracker m_cold; ///< of the target
     instant m_cold_asked{};    ///< when the target was last asked whether it is cold
     instant m_last_tick{};
+    moment m_last_told; ///< latest time of a tick or heartbeat: answers of probes bring none
     crash_reporter m_crashes;
     route_index m_index;
     std::function<void()> m_on_change;
--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -1,6 +1,5 @@
 #include "peppertack/transport/traffic/node_agent.hpp"
 
-#include "../wall_clock.hpp"
 #include "peppertack/state/key_hash.hpp"
 #include "peppertack/transport/json_log.hpp"
 
@@ -85,7 +84,7 @@
         return;
     }
     m_probe(m_options.target_address, [this](const target_health &found) {
-        const moment at = read_clocks();
+        const moment at = m_last_told;
         if (found.name.empty()) {
             return;
         }
@@ -130,7 +129,7 @@
     }
     m_cold_asked = now;
     m_probe(m_target->address, [this](const target_health &found) {
-        const instant at = steady_instant();
+        const instant at = m_last_told.now;
         if (m_target && found.name == m_target->name && found.cold_left) {
             m_cold.record_stated(*found.cold_left, at);
             update_cold_limit(at);
@@ -178,7 +177,14 @@
     }
 }
 
+void node_agent::note_time(moment at) {
+    if (m_last_told.now < at.now) {
+        m_last_told = at;
+    }
+}
+
 void node_agent::tick(moment at) {
+    note_time(at);
     note_start(at.now);
     if (std::exchange(m_last_tick, at.now) + node_stall < at.now) {
         m_cold.record_unknown();
@@ -347,6 +353,7 @@
 // ---- the target ----
 
 void node_agent::heartbeat(const target_heartbeat &beat, moment at, heartbeat_answer answer) {
+    note_time(at);
     m_unjudged.reset();
     if (!accept_heartbeat(beat, at) || delivery() != hold_delivery::by_heartbeat) {
         answer({});
@@ -560,7 +567,7 @@
         end_inherited_holds(name);
         // A late answer says nothing of a target that came after the question.
         if (m_target && m_target->name != name && m_target->life() == asked_beside) {
-            drop_for_successor("replaced", read_clocks());
+            drop_for_successor("replaced", m_last_told);
         }
     });
 }
