Name the life of a DELETE to the leader where the target's life is not known

A restarted node had taken its target from the map, so it did not know its life. A late DELETE of an earlier life of that name was believed: the node told the leader, in the name of any life, that the target drains, its keys were moved away, and it was not registered again until it ended.

The node now names the life that the DELETE names. The leader knows which life is registered: if it is another one, the node lets its registration lapse, and the target continues it with its next heartbeat.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -667,6 +667,11 @@
         return fault;
     }
     const bool present = m_target && m_target->name == life.name;
+    if (present && !m_life_known && life.born) {
+        // The leader knows which life is registered, so a late call of an earlier one ends nothing.
+        m_target->born = life.born;
+        m_life_known = true;
+    }
     if (present && (!m_life_known || m_target->life() == life)) {
         leave(at);
         return call_fault::none;
