Let a call without an id share its connection with no other

Answers are matched to calls by the id that targets echo. A request of a caller that gives no id, or a health check, took whatever answer came next, and a second answer to it, which has no id either, was taken for the answer to the next call on a connection on which no id had been echoed.

Such a call now has a new connection, which is closed after it.

"a target's connection that broke before the request was written ..." relied on a kept connection for requests without an id: they have one now, and nothing else of it changed.

--- a/include/peppertack/transport/http/http_client_pool.hpp
+++ b/include/peppertack/transport/http/http_client_pool.hpp
@@ -98,7 +98,8 @@
         /// A connection is not used in the last part of the time for which the server keeps it: it
         /// may be closing it at this moment.
         duration idle_margin = std::chrono::milliseconds(700);
-        /// Header by which an answer is matched to its request.
+        /// Header by which an answer is matched to its request. A call without it shares its
+        /// connection with no other. Empty: answers are matched by their order.
         std::string id_header;
         http_reader::limits limits{.header_bytes = 32U << 10U, .body_bytes = 256U << 20U};
         /// Connections are made only while the thread has fewer streams open than this; idle ones
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -373,7 +373,11 @@
     void settle() {
         m_in_call = false;
         ++m_calls;
-        if (m_closed || !m_keep_alive || m_reader.has_unread() || m_pool_alive.expired()) {
+        // A second answer to a call without an id could be taken for one to any other.
+        const bool told_apart =
+            m_pool_alive.expired() || m_pool->m_options.id_header.empty() || !m_expected_id.empty();
+        if (m_closed || !m_keep_alive || !told_apart || m_reader.has_unread() ||
+            m_pool_alive.expired()) {
             close();
             return;
         }
@@ -478,7 +482,9 @@
                                                    const http_head &head,
                                                    std::weak_ptr<http_response_handler> handler,
                                                    bool fresh) {
-    connection_ptr link = fresh ? nullptr : take_idle(address);
+    const std::string *id = head.find(m_options.id_header);
+    const bool told_apart = m_options.id_header.empty() || (id != nullptr && !id->empty());
+    connection_ptr link = fresh || !told_apart ? nullptr : take_idle(address);
     if (!link) {
         link = std::make_shared<http_call::connection>(*this, address);
         link->connect();
--- a/tests/transport/http_engine_test.cpp
+++ b/tests/transport/http_engine_test.cpp
@@ -170,6 +170,25 @@
     CHECK(call(io, pool, refusing.address, "2")->status == 503);
 }
 
+// Guards against a second answer that is taken for one to another call: neither of them can be
+// matched where one has no id.
+TEST_CASE("a call without an id shares its connection with no other") {
+    asio::io_context io;
+    const std::string nameless = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain";
+    http_client_pool pool(io, {.id_header = "Id"});
+    raw_server before(io, {answer_text("1", "one"), nameless, nameless});
+    CHECK(call(io, pool, before.address, "1")->body == "one");
+    CHECK(call(io, pool, before.address, "")->body == "again");
+    CHECK(before.accepted == 2);
+    CHECK(call(io, pool, before.address, "")->body == "again");
+    CHECK(before.accepted == 3);
+    raw_server after(io, {nameless, answer_text("2", "two")});
+    CHECK(call(io, pool, after.address, "")->body == "again");
+    CHECK(pool.idle_to(after.address) == 0);
+    CHECK(call(io, pool, after.address, "2")->body == "two");
+    CHECK(after.accepted == 2);
+}
+
 TEST_CASE("bytes after an answer end the connection") {
     asio::io_context io;
     raw_server server(io, {answer_text("1", "one") + "trailing", answer_text("2", "two")});
--- a/tests/transport/unsent_request_test.cpp
+++ b/tests/transport/unsent_request_test.cpp
@@ -167,6 +167,7 @@
     };
     const auto forward = [&] {
         http_head head = get_root();
+        head.headers.push_back({node.host().options().headers.request_id, "r"});
         head.headers.push_back({std::string(hop_header), encode(hop_request{.target = old_number,
                                                                             .service = plain,
                                                                             .route = "to-plain",
