Soak: targets that break off answers with others behind them

Cause: a request in progress behind an answer that breaks off is lost with its connection, and no soak provoked that: stand-in targets sent each answer whole and at once, and the oracle of the mode pipelining excuses every connection that ends.

Change: the mode cut_answers. Stand-in targets can send answers piece by piece and close, reset or end in the middle; the ledger of runs says of the last run whether its target broke off, and when its connection was closed. A connection that ends before the deadline of a request that a sound target began to run is a violation (LOST), unless its caller left.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,3 +1,4 @@
+#include "cut_answers_run.hpp"
 #include "pipelining_callers.hpp"
 #include "platform_cluster.hpp"
 #include "stops_run.hpp"
@@ -368,17 +369,19 @@
 
 } // namespace
 
-/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | stops | pressed
-/// | starved [NODES]]: plays seeds and names those that failed. With `signals` the links are left
-/// alone, and seeds mean what they meant before these were disturbed; with `calls` targets get
-/// their keys by calls, which go wrong; with `words` they end under a request, name limits and say
-/// that they leave; with `pipelining` callers also send several requests at once and read slowly,
-/// and targets leave some unanswered; with `stops` nodes are restarted in series, with `pressed`
-/// callers also send most to those, with `starved` these get little of the processor as well.
+/// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | cut_answers |
+/// stops | pressed | starved [NODES]]: plays seeds and names those that failed. With `signals` the
+/// links are left alone, and seeds mean what they meant before these were disturbed; with `calls`
+/// targets get their keys by calls, which go wrong; with `words` they end under a request, name
+/// limits and say that they leave; with `pipelining` callers also send several requests at once and
+/// read slowly, and targets leave some unanswered; with `cut_answers` targets break off in the
+/// middle of answers that have others behind them; with `stops` nodes are restarted in series, with
+/// `pressed` callers also send most to those, with `starved` these get little of the processor as
+/// well.
 int main(int count, char **words) {
     if (count < 4) {
         std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
-                     "pipelining | stops | pressed | starved [NODES]]\n";
+                     "pipelining | cut_answers | stops | pressed | starved [NODES]]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
@@ -399,7 +402,8 @@
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
         const auto stops = stop_modes.find(chosen);
-        const bool good = stops == stop_modes.end()
+        const bool good = chosen == "cut_answers" ? cut_answers_run(words[1], seed).play(steps)
+                          : stops == stop_modes.end()
                               ? soak_run(words[1], seed, what).play(steps)
                               : stops_run(words[1], seed, nodes, stops->second).play(steps);
         failed += good ? 0 : 1;
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -15,6 +15,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -26,6 +27,8 @@
 constexpr std::uint32_t sample_distance = 1024;
 constexpr duration hold_slack = std::chrono::milliseconds(40); ///< late timers of this process
 constexpr auto beat_again = std::chrono::milliseconds(40);
+constexpr auto piece_pause = std::chrono::milliseconds(5);
+constexpr std::size_t unsent_pieces = 64U << 10U;     ///< bytes beyond which a target sends no more
 constexpr const char *crashing_path = "/a/crash";     ///< ends each target that runs it
 constexpr std::string_view working_path = "/a/busy/"; ///< milliseconds follow
 
@@ -44,9 +47,28 @@
 }
 
 std::string answer_to(const std::string &path, const std::string &id) {
+    if (const auto length = number_behind(exact_path, path)) {
+        return exact_answer(id, static_cast<std::size_t>(*length));
+    }
     return long_answer(id, static_cast<std::size_t>(number_behind(long_path, path).value_or(0)));
 }
 
+/// Whether the connections of this process that were accepted at `address` are reset when they are
+/// closed. The product's server, which stand-in targets use, never resets any.
+void reset_on_close(const std::string &address, bool reset) {
+    const asio::ip::tcp::endpoint own = endpoint_from(address);
+    const linger how{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+    std::error_code ignored;
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/fd", ignored)) {
+        const int descriptor = std::stoi(entry.path().filename());
+        asio::ip::tcp::endpoint local;
+        auto size = static_cast<socklen_t>(local.capacity());
+        if (::getsockname(descriptor, local.data(), &size) == 0 && local == own) {
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &how, sizeof how);
+        }
+    }
+}
+
 /// Collects an answer and hands it on.
 class whole_answer final : public http_response_handler {
 public:
@@ -145,6 +167,10 @@
     return text;
 }
 
+std::string exact_answer(const std::string &id, std::size_t length) {
+    return long_answer(id, length).substr(0, length);
+}
+
 // ---- targets ----
 
 stand_in_platform_target::stand_in_platform_target(platform_cluster &cluster, std::size_t place)
@@ -189,6 +215,8 @@
                     if (const std::string *id = head.find("X-Request-Id")) {
                         m_cluster.m_stops.note_run_end(*id, m_place, true);
                         m_cluster.m_cut_runs.push_back(*id);
+                        m_cluster.note_cut(*id, m_place);
+                        m_at_work.erase(*id);
                     }
                 });
         });
@@ -200,6 +228,10 @@
 }
 
 void stand_in_platform_target::crash() {
+    m_cluster.m_ended_lives.emplace(life(), steady_instant());
+    for (const std::string &id : std::exchange(m_at_work, {})) {
+        m_cluster.note_broken(id, m_place);
+    }
     m_life.reset();
     m_holds.clear();
     m_server.reset();
@@ -381,13 +413,25 @@
     }
 }
 
+struct stand_in_platform_target::sending {
+    std::shared_ptr<http_exchange> caller;
+    std::vector<header_field> headers;
+    std::string id;
+    std::string text;
+    answer_manner manner;
+    asio::steady_timer timer;
+    std::size_t sent = 0;
+    bool finished = false;
+};
+
 /// Goes on also when nobody waits for the answer any more, as a target that does not look at its
 /// connections while it works.
 void stand_in_platform_target::run(const std::shared_ptr<http_exchange> &caller,
                                    const std::string &body, std::vector<header_field> headers) {
     const http_head &head = caller->request();
     const std::string *id = head.find("X-Request-Id");
-    m_cluster.note_run(*id, body);
+    m_cluster.note_run(*id, body, *this);
+    m_at_work.insert(*id);
     m_cluster.m_stops.note_run(*id, m_place);
     if (head.target == crashing_path) {
         ++m_crashes;
@@ -416,12 +460,90 @@
         if (!caller->closed()) {
             m_cluster.m_stops.note_run_end(id, m_place, false);
             m_cluster.note_answered(id);
-            caller->respond(200, headers, answer_to(caller->request().target, id));
+            std::string text = answer_to(caller->request().target, id);
+            if (const auto &manner_at = m_cluster.m_options.answer_manner_at) {
+                send_piece(std::make_shared<sending>(
+                    sending{.caller = caller,
+                            .headers = headers,
+                            .id = id,
+                            .text = std::move(text),
+                            .manner = manner_at(m_place),
+                            .timer = asio::steady_timer(m_cluster.m_io)}));
+            } else {
+                m_at_work.erase(id);
+                caller->respond(200, headers, text);
+            }
         }
         start_queued();
     });
 }
 
+/// The request counts as answered once the system has all of the answer, which it delivers also
+/// when this process ends.
+void stand_in_platform_target::send_piece(const std::shared_ptr<sending> &answer) {
+    http_exchange &caller = *answer->caller;
+    const bool breaks = answer->manner.end != answer_manner::ending::whole;
+    if (answer->finished) {
+        m_at_work.erase(answer->id);
+        return;
+    }
+    if (caller.closed()) {
+        return;
+    }
+    if (!caller.answer_begun()) {
+        http_head head;
+        head.status = 200;
+        head.headers = answer->headers;
+        head.framing = answer->manner.chunked ? body_framing::chunked : body_framing::length;
+        head.content_length = answer->text.size();
+        caller.send_head(std::move(head));
+    }
+    const auto all = static_cast<double>(answer->text.size());
+    const std::size_t end =
+        breaks ? static_cast<std::size_t>(all * answer->manner.part) : answer->text.size();
+    if (answer->sent < end && !caller.backlogged(unsent_pieces)) {
+        const std::size_t size = std::min(answer->manner.piece, end - answer->sent);
+        caller.send_body(std::string_view(answer->text).substr(answer->sent, size));
+        answer->sent += size;
+    }
+    if (answer->sent == end && !caller.backlogged(0)) {
+        if (breaks) {
+            break_off(*answer);
+            return;
+        }
+        caller.finish();
+        answer->finished = true;
+    }
+    answer->timer.expires_after(piece_pause);
+    answer->timer.async_wait([this, answer, life = std::weak_ptr(m_life)](asio::error_code error) {
+        if (!error && !life.expired()) {
+            send_piece(answer);
+        }
+    });
+}
+
+void stand_in_platform_target::break_off(const sending &answer) {
+    m_at_work.erase(answer.id);
+    m_cluster.note_broken(answer.id, m_place);
+    switch (answer.manner.end) {
+    case answer_manner::ending::whole: break;
+    case answer_manner::ending::closed: answer.caller->abort(); break;
+    case answer_manner::ending::reset:
+        reset_on_close(listening_address(), true);
+        answer.caller->abort();
+        reset_on_close(listening_address(), false);
+        break;
+    case answer_manner::ending::process_ends:
+        // Not within the call of the server that goes.
+        asio::post(m_cluster.m_io, [this, life = std::weak_ptr(m_life)] {
+            if (!life.expired()) {
+                crash();
+            }
+        });
+        break;
+    }
+}
+
 void stand_in_platform_target::take_hold_call(const std::shared_ptr<http_exchange> &caller,
                                               const std::string &body) {
     const nlohmann::json in = nlohmann::json::parse(body);
@@ -720,6 +842,10 @@
     return holds;
 }
 
+instant platform_cluster::now() {
+    return steady_instant();
+}
+
 void platform_cluster::run_for(duration time) {
     run_until([] { return false; }, time);
 }
@@ -820,6 +946,10 @@
                         {"keyed-once", route("keyed-once", "unsafe", "keyed")},
                         {"plain-safe", route("plain-safe", "safe", "plain")},
                         {"plain-once", route("plain-once", "unsafe", "plain")}};
+    if (m_options.downloads) {
+        config["routes"]["keyed-download"] = route("keyed-download", "download", "keyed");
+        config["routes"]["plain-download"] = route("plain-download", "download", "plain");
+    }
     config["services"] = {
         {"keyed", {{"sharded", true}, {"health_path", "/healthz"}, {"grants", m_options.grants}}},
         {"plain", {{"health_path", "/healthz"}}}};
@@ -962,8 +1092,25 @@
     });
 }
 
-void platform_cluster::note_run(const std::string &id, const std::string &body) {
+void platform_cluster::note_broken(const std::string &id, std::size_t target) {
+    run_record &runs = m_runs[id];
+    runs.broken = runs.broken || runs.target == target;
+}
+
+void platform_cluster::note_cut(const std::string &id, std::size_t target) {
+    run_record &runs = m_runs[id];
+    if (runs.count > 0 && runs.target == target) {
+        runs.cut = steady_instant();
+    }
+}
+
+void platform_cluster::note_run(const std::string &id, const std::string &body,
+                                const stand_in_platform_target &target) {
     run_record &runs = m_runs[id];
+    runs.target = target.place();
+    runs.life = target.life();
+    runs.broken = false;
+    runs.cut = {};
     runs.began = runs.count++ == 0 ? steady_instant() : runs.began;
     const auto sent = m_bodies.find(id);
     if (sent == m_bodies.end() || sent->second != body) {
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -50,10 +50,40 @@
     std::size_t queue = std::numeric_limits<std::size_t>::max();
 };
 
+/// How a stand-in target sends an answer piece by piece.
+struct answer_manner {
+    enum class ending : std::uint8_t {
+        whole,
+        closed,      ///< it closes the connection in the middle of the answer
+        reset,       ///< it resets the connection there
+        process_ends ///< all of its connections close
+    };
+    ending end = ending::whole;
+    double part = 1;              ///< of the content, sent before it breaks off
+    bool chunked = false;         ///< else its length is told
+    std::size_t piece = 64 << 10; ///< bytes at a time, a few milliseconds apart
+};
+
+/// The runs of a request at targets.
+struct run_record {
+    int count = 0;
+    instant began{};    ///< first
+    instant answered{}; ///< first
+    // ---- of the last run ----
+    std::size_t target = 0;
+    std::string life;    ///< of that target
+    bool broken = false; ///< the target broke its answer off, or ended while at work
+    instant cut{};       ///< when the connection was closed on the target; none: it was not
+};
+
 /// Content of an answer to the path `long_path`: tells its request throughout, `length` bytes or as
 /// many as it takes to tell it once.
 std::string long_answer(const std::string &id, std::size_t length);
 inline constexpr std::string_view long_path = "/a/long/"; ///< bytes of the answer follow
+/// As `long_path`, for answers that have exactly so many bytes and may be too short to tell their
+/// request.
+inline constexpr std::string_view exact_path = "/a/exact/";
+std::string exact_answer(const std::string &id, std::size_t length);
 
 /// A target that speaks the platform's protocol: sends heartbeats, keeps the holds it is given,
 /// runs requests and remembers which.
@@ -85,6 +115,7 @@
     bool leaving() const { return m_leaving; }
     /// Requests of callers that have come to this place, in any life.
     std::uint64_t requests() const { return m_requests; }
+    std::size_t place() const { return m_place; }
     bool up() const { return m_server != nullptr; }
     /// Runs that ended the process, ever; see `platform_cluster::send_crashing`.
     std::uint64_t crashes() const { return m_crashes; }
@@ -117,6 +148,10 @@
     void run(const std::shared_ptr<http_exchange> &caller, const std::string &body,
              std::vector<header_field> headers);
     void start_queued();
+    struct sending;
+    /// Sends a piece of an answer and comes back for the next.
+    void send_piece(const std::shared_ptr<sending> &answer);
+    void break_off(const sending &answer);
     bool holds_key(std::uint32_t key, instant now) const;
     std::string listening_address() const;
     void take_hold_call(const std::shared_ptr<http_exchange> &caller, const std::string &body);
@@ -150,6 +185,7 @@
     std::size_t m_running = 0;
     std::deque<std::function<void()>> m_queue; ///< runs that wait for a slot
     std::uint64_t m_left_unanswered = 0;
+    std::set<std::string> m_at_work; ///< requests that are not answered whole
     std::shared_ptr<bool> m_life;
 };
 
@@ -214,6 +250,9 @@
         std::chrono::seconds timeout{2};          ///< of all routes
         /// How long a run at a target takes; empty: `work`.
         std::function<duration(std::size_t target)> work_at;
+        /// How a target sends the answer to a request; empty: whole and at once.
+        std::function<answer_manner(std::size_t target)> answer_manner_at;
+        bool downloads = false; ///< with routes of type `download`, for hosts "SERVICE-download"
         /// No proxies: connections to a process that has ended are refused, as in a real network.
         bool direct = false;
         std::vector<std::string> environment; ///< of the processes: NAME=text
@@ -230,6 +269,8 @@
     void run_for(duration time);
     /// Loop on which all of this runs.
     asio::io_context &io() { return m_io; }
+    /// By the clock of `run_of`.
+    static instant now();
 
     void start_voter(std::size_t place, bool first = false);
     void start_node(std::size_t place);
@@ -330,6 +371,16 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     /// Whether a target has begun to run the request.
     bool has_run(const std::string &id) const { return m_runs.count(id) != 0; }
+    /// Zeros if it has not run.
+    run_record run_of(const std::string &id) const {
+        const auto found = m_runs.find(id);
+        return found == m_runs.end() ? run_record{} : found->second;
+    }
+    /// Whether a life of a target had ended by then.
+    bool life_over(const std::string &life, instant at) const {
+        const auto found = m_ended_lives.find(life);
+        return found != m_ended_lives.end() && found->second <= at;
+    }
     /// Requests whose connection was closed while a target was at work on them.
     const std::vector<std::string> &cut_runs() const { return m_cut_runs; }
     /// Checks what became of all requests sent so far.
@@ -362,7 +413,10 @@
     static void end(pid_t &process);
     static bool ended(pid_t &process);
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
-    void note_run(const std::string &id, const std::string &body);
+    void note_run(const std::string &id, const std::string &body,
+                  const stand_in_platform_target &target);
+    void note_broken(const std::string &id, std::size_t target);
+    void note_cut(const std::string &id, std::size_t target);
     void note_answered(const std::string &id);
     void check_turns(const caller_attempt &attempt);
     void violate(const std::string &what) { m_violations.push_back(what); }
@@ -378,13 +432,9 @@
     std::vector<pid_t> m_nodes;
     std::vector<std::unique_ptr<stand_in_platform_target>> m_targets;
     std::vector<std::shared_ptr<caller_attempt>> m_attempts;
-    struct run_record {
-        int count = 0;
-        instant began{};    ///< first
-        instant answered{}; ///< first
-    };
     std::map<std::string, run_record> m_runs;
     std::vector<std::string> m_cut_runs;
+    std::map<std::string, instant> m_ended_lives;
     std::map<std::string, std::string> m_bodies; ///< by request, as sent
     std::map<std::uint32_t, std::pair<std::uint64_t, std::string>>
         m_tokens; ///< by key: highest, who
