Soak: say of lost requests how far their target was

Cause: whether a lost request was at work, or answered whole and lost on its way, had to be looked up in logs.

Change: the ledger tells when a target has handed over all of an answer. Also counted, and no violation: requests answered 5xx that their target answered whole.

--- a/tests/soak/cut_answers_run.cpp
+++ b/tests/soak/cut_answers_run.cpp
@@ -242,6 +242,9 @@
     attempt.body = whole ? long_answer(attempt.id, 0) : got.body.substr(0, 100) + "...";
     attempt.status = status;
     ++m_owner.m_counts.answers[status];
+    const run_record run = m_owner.m_cluster.run_of(attempt.id);
+    const bool sound = run.whole && !m_owner.m_cluster.life_over(run.life, platform_cluster::now());
+    m_owner.m_counts.failed += status >= 500 && sound ? 1 : 0;
     m_answered = request.what + " answered " + std::to_string(status);
     if (request.closes) {
         for (const sent_request &later : m_open) {
@@ -318,8 +321,10 @@
             lost += "\n    " + request.what + (request.behind ? " behind another" : " first") +
                     ", run " + std::to_string(run.count) + " times, last by target " +
                     std::to_string(run.target) + ", " +
-                    (run.cut == instant{} ? "not cut there" : "cut there") + ", " +
-                    std::to_string(left) + " ms before its deadline";
+                    (run.whole              ? "answered whole there"
+                     : run.cut == instant{} ? "at work there"
+                                            : "cut there") +
+                    ", " + std::to_string(left) + " ms before its deadline";
         }
     }
     if (number > 0) {
@@ -514,7 +519,8 @@
     std::cout << " unanswered: lost " << m_counts.lost << " on " << m_counts.lost_on
               << " connections, out of time " << m_counts.out_of_time << ", broken off "
               << m_counts.broken << ", not run " << m_counts.never_run << ", caller left "
-              << m_counts.left << "; largest node " << m_largest / 1'000'000 << " MB\n";
+              << m_counts.left << "; answered by sound targets, failed at their callers "
+              << m_counts.failed << "; largest node " << m_largest / 1'000'000 << " MB\n";
     for (const std::string &what : m_violations) {
         std::cout << what << "\n";
     }
--- a/tests/soak/cut_answers_run.hpp
+++ b/tests/soak/cut_answers_run.hpp
@@ -42,7 +42,9 @@
         std::uint64_t out_of_time = 0;        ///< as `lost`, but their deadline had passed
         std::uint64_t broken = 0;             ///< their own target broke off
         std::uint64_t never_run = 0;          ///< no target began to run them
-        std::uint64_t left = 0;               ///< their caller closed the connection
+        /// Answered 5xx though the target answered whole: a node had no time or room left.
+        std::uint64_t failed = 0;
+        std::uint64_t left = 0; ///< their caller closed the connection
     };
 
     platform_cluster::options cluster_options(const std::string &programs, std::uint64_t seed);
--- a/tests/support/platform_cluster.cpp
+++ b/tests/support/platform_cluster.cpp
@@ -471,6 +471,7 @@
                             .timer = asio::steady_timer(m_cluster.m_io)}));
             } else {
                 m_at_work.erase(id);
+                m_cluster.note_whole(id, m_place);
                 caller->respond(200, headers, text);
             }
         }
@@ -485,6 +486,7 @@
     const bool breaks = answer->manner.end != answer_manner::ending::whole;
     if (answer->finished) {
         m_at_work.erase(answer->id);
+        m_cluster.note_whole(answer->id, m_place);
         return;
     }
     if (caller.closed()) {
@@ -1092,6 +1094,11 @@
     });
 }
 
+void platform_cluster::note_whole(const std::string &id, std::size_t target) {
+    run_record &runs = m_runs[id];
+    runs.whole = runs.whole || runs.target == target;
+}
+
 void platform_cluster::note_broken(const std::string &id, std::size_t target) {
     run_record &runs = m_runs[id];
     runs.broken = runs.broken || runs.target == target;
@@ -1109,6 +1116,7 @@
     run_record &runs = m_runs[id];
     runs.target = target.place();
     runs.life = target.life();
+    runs.whole = false;
     runs.broken = false;
     runs.cut = {};
     runs.began = runs.count++ == 0 ? steady_instant() : runs.began;
--- a/tests/support/platform_cluster.hpp
+++ b/tests/support/platform_cluster.hpp
@@ -72,6 +72,7 @@
     // ---- of the last run ----
     std::size_t target = 0;
     std::string life;    ///< of that target
+    bool whole = false;  ///< the target has handed over all of its answer
     bool broken = false; ///< the target broke its answer off, or ended while at work
     instant cut{};       ///< when the connection was closed on the target; none: it was not
 };
@@ -415,6 +416,7 @@
     void note_hold(const stand_in_platform_target &holder, const stand_in_hold &hold);
     void note_run(const std::string &id, const std::string &body,
                   const stand_in_platform_target &target);
+    void note_whole(const std::string &id, std::size_t target);
     void note_broken(const std::string &id, std::size_t target);
     void note_cut(const std::string &id, std::size_t target);
     void note_answered(const std::string &id);
