Soak: callers that crowd at one node while answers break off

Cause: the callers of cut_answers are spread over five nodes, where the budget for held answers hardly runs out.

Change: the mode cut_crowded, the same with all callers at one node.

--- a/tests/soak/cut_answers_run.cpp
+++ b/tests/soak/cut_answers_run.cpp
@@ -348,8 +348,8 @@
 
 // ---- all of them ----
 
-cut_answers_run::cut_answers_run(const std::string &programs, std::uint64_t seed)
-    : m_random(seed), m_load(seed), m_cluster(cluster_options(programs, seed)),
+cut_answers_run::cut_answers_run(const std::string &programs, std::uint64_t seed, bool crowded)
+    : m_crowded(crowded), m_random(seed), m_load(seed), m_cluster(cluster_options(programs, seed)),
       m_timer(m_cluster.io()) {
     m_down.assign(m_cluster.nodes(), 0);
 }
@@ -397,7 +397,8 @@
         const auto pace = i % 3 == 0   ? caller::pace::usual
                           : i % 3 == 1 ? caller::pace::slow
                                        : caller::pace::pausing;
-        m_callers.push_back(std::make_unique<caller>(*this, i % m_cluster.nodes(), pace));
+        const std::size_t node = m_crowded ? 0 : i % m_cluster.nodes();
+        m_callers.push_back(std::make_unique<caller>(*this, node, pace));
     }
     tend();
     for (int i = 0; i < steps; ++i) {
--- a/tests/soak/cut_answers_run.hpp
+++ b/tests/soak/cut_answers_run.hpp
@@ -23,7 +23,8 @@
 /// against requests that are lost with an answer in front of them.
 class cut_answers_run {
 public:
-    cut_answers_run(const std::string &programs, std::uint64_t seed);
+    /// `crowded`: all callers are at one node, whose budget for held answers runs out.
+    cut_answers_run(const std::string &programs, std::uint64_t seed, bool crowded);
     ~cut_answers_run();
     cut_answers_run(const cut_answers_run &) = delete;
     cut_answers_run &operator=(const cut_answers_run &) = delete;
@@ -60,6 +61,7 @@
     void report();
     void violate(const std::string &what) { m_violations.push_back(what); }
 
+    bool m_crowded;
     std::mt19937_64 m_random;     ///< of what is disturbed, which load doesn't alter
     std::mt19937_64 m_load;       ///< of requests, runs and answers
     std::vector<bool> m_breaking; ///< by target
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -370,18 +370,19 @@
 } // namespace
 
 /// soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | pipelining | cut_answers |
-/// stops | pressed | starved [NODES]]: plays seeds and names those that failed. With `signals` the
-/// links are left alone, and seeds mean what they meant before these were disturbed; with `calls`
-/// targets get their keys by calls, which go wrong; with `words` they end under a request, name
-/// limits and say that they leave; with `pipelining` callers also send several requests at once and
-/// read slowly, and targets leave some unanswered; with `cut_answers` targets break off in the
-/// middle of answers that have others behind them; with `stops` nodes are restarted in series, with
-/// `pressed` callers also send most to those, with `starved` these get little of the processor as
-/// well.
+/// cut_crowded | stops | pressed | starved [NODES]]: plays seeds and names those that failed. With
+/// `signals` the links are left alone, and seeds mean what they meant before these were disturbed;
+/// with `calls` targets get their keys by calls, which go wrong; with `words` they end under a
+/// request, name limits and say that they leave; with `pipelining` callers also send several
+/// requests at once and read slowly, and targets leave some unanswered; with `cut_answers` targets
+/// break off in the middle of answers that have others behind them, with `cut_crowded` all callers
+/// of these are at one node; with `stops` nodes are restarted in series, with `pressed` callers
+/// also send most to those, with `starved` these get little of the processor as well.
 int main(int count, char **words) {
     if (count < 4) {
-        std::cerr << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
-                     "pipelining | cut_answers | stops | pressed | starved [NODES]]\n";
+        std::cerr
+            << "usage: soak PROGRAMS FIRST_SEED COUNT [STEPS] [signals | calls | words | "
+               "pipelining | cut_answers | cut_crowded | stops | pressed | starved [NODES]]\n";
         return 2;
     }
     const std::uint64_t first = std::stoull(words[2]);
@@ -398,11 +399,13 @@
         {"pressed", {.pressed = true}},
         {"starved", {.pressed = true, .starved = true}}};
     const std::size_t nodes = count > 6 ? std::stoul(words[6]) : 5;
+    const bool cuts = chosen == "cut_answers" || chosen == "cut_crowded";
     std::signal(SIGPIPE, SIG_IGN);
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
         const auto stops = stop_modes.find(chosen);
-        const bool good = chosen == "cut_answers" ? cut_answers_run(words[1], seed).play(steps)
+        const bool good = cuts
+                              ? cut_answers_run(words[1], seed, chosen == "cut_crowded").play(steps)
                           : stops == stop_modes.end()
                               ? soak_run(words[1], seed, what).play(steps)
                               : stops_run(words[1], seed, nodes, stops->second).play(steps);
