Write out whole answers in front of one that breaks off

Answers of sound targets that were whole at the node did not reach their callers: when a later answer on their connection broke off, half sent, the connection was ended at once. What was queued for the caller was dropped, and where it had sent further requests the connection was reset, so that the system dropped its part too.

The connection now ends behind what is queued, as it does after a last answer.

--- a/src/transport/http/http_exchange.cpp
+++ b/src/transport/http/http_exchange.cpp
@@ -129,7 +129,8 @@
         respond(bad_gateway, {}, {});
     } else {
         m_answer_done = true;
-        m_connection->end_now(connection_end::answer_cut);
+        // Whole answers before it may still be queued.
+        m_connection->end_after_writes(connection_end::answer_cut);
     }
 }
 
--- a/src/transport/http/http_server_connection.cpp
+++ b/src/transport/http/http_server_connection.cpp
@@ -378,7 +378,7 @@
     while (!m_exchanges.empty() && m_exchanges.front()->m_answer_done) {
         const auto front = m_exchanges.front();
         if (front->m_close_after) {
-            end_after_writes();
+            end_after_writes(connection_end::answered);
             return;
         }
         if (!front->m_request_done) {
@@ -483,9 +483,9 @@
     }
 }
 
-void http_server_connection::end_after_writes() {
+void http_server_connection::end_after_writes(connection_end cause) {
     const auto self = shared_from_this();
-    note_end(connection_end::answered);
+    note_end(cause);
     m_stream->close_after_writes();
     if (m_server != nullptr) {
         m_server->m_ending.push_back(
--- a/src/transport/http/http_server_connection.hpp
+++ b/src/transport/http/http_server_connection.hpp
@@ -40,6 +40,9 @@
     void check_time(instant now);
     /// Since when the caller has taken nothing of what is queued for it; nothing if none is queued.
     std::optional<instant> stuck_since() const;
+    /// Ends the connection once the answers that are queued have been written. Requests in progress
+    /// are told that their caller has gone.
+    void end_after_writes(connection_end cause);
     /// Ends the connection at once. Requests in progress are told that their caller has gone.
     void end_now(connection_end cause);
     /// Reads what the system holds and ends the connection if it is `idle()` then.
@@ -92,7 +95,6 @@
     bool beyond_unknown_limits(int status) const;
     void settle();
     void bring_forward(http_exchange &exchange);
-    void end_after_writes();
     void note_end(connection_end cause);
     void cancel_exchanges();
     void drop();
--- a/tests/transport/pipelining_test.cpp
+++ b/tests/transport/pipelining_test.cpp
@@ -350,6 +350,25 @@
     }
 }
 
+// Guards against whole answers that are dropped with one behind them that breaks off.
+TEST_CASE("answers before one that breaks off reach a caller that reads late") {
+    constexpr std::size_t size = 8U << 20U; // more than the system's buffers take
+    pipelined_connection client({.pipelining = {.max_unsent = 2 * size}});
+    client.pause_reading(true);
+    client.send(get("/a") + get(large));
+    REQUIRE(client.until_started(2));
+    client.answer("/a", std::string(size, 'x'));
+    client[large].send_head({.status = 200, .framing = body_framing::length, .content_length = 9});
+    client[large].send_body("cut");
+    client.send(get("/unread"));
+    client.step();
+    client[large].abort();
+    client.pause_reading(false);
+    REQUIRE(client.until([&] { return client.ended(); }));
+    CHECK(count_of(client.received(), "x") == size);
+    CHECK(client.received().find("cut") != std::string::npos);
+}
+
 // Guards against the same where the answer that breaks off had waited for one before it.
 TEST_CASE("an answer that comes to the front half ready is held until it is whole") {
     pipelined_connection client({.held_answers = {.limit = 2000, .reserve = 100}});
