Offer a request once more over a new connection only

A target that does not hold a key yet answers 421, and the node offers the request once more with the same id, mostly over the same connection. A late second answer to the first attempt has the id that is waited for: the node would have taken "not run" for the end of an attempt that the target runs, and might have had it run twice. Found by reading, by the reviewer of the fixes; no test shows it yet.

--- a/src/transport/traffic/target_relay.cpp
+++ b/src/transport/traffic/target_relay.cpp
@@ -293,7 +293,9 @@
                std::to_string(std::max<std::int64_t>(1, ms_of(m_deadline - now))));
     set_header(head.headers, names.expected_target, m_target_name);
     m_body.frame(head);
-    m_call = m_host.pool().start(target.address, head, weak_from_this());
+    // A second answer to an earlier attempt has the same id: none can come on a new connection.
+    m_call = m_host.pool().start(target.address, head, weak_from_this(), m_attempted);
+    m_attempted = true;
     m_body.attach(m_call);
 }
 
--- a/src/transport/traffic/target_relay.hpp
+++ b/src/transport/traffic/target_relay.hpp
@@ -84,6 +84,7 @@
     std::uint64_t m_life = 0;  ///< incarnation of the target that was given the request
     std::shared_ptr<http_call> m_call;
     int m_status = 0;
+    bool m_attempted = false;   ///< it was offered to the target before
     bool m_key_refused = false; ///< the target does not hold the key, by the answer that comes
     bool m_not_executed = false;
     bool m_counted = false;  ///< for the load of its key
