Keep an ended connection until its caller's system has the answers

An ended connection was closed two seconds after the system had taken its last bytes. A caller that reads later than that had not got them all yet, and its next request met a closed socket: the system reset the connection and dropped the rest.

--- a/src/transport/http/http_server.cpp
+++ b/src/transport/http/http_server.cpp
@@ -157,7 +157,8 @@
         if (std::exchange(ending.taken, stream->taken()) != stream->taken()) {
             ending.moved = now;
         }
-        const duration allowed = stream->queued() == 0 ? linger_limit : late_reader_limit;
+        const bool delivered = stream->queued() == 0 && stream->acknowledged();
+        const duration allowed = delivered ? linger_limit : late_reader_limit;
         if (ending.moved + allowed < now) {
             stream->close();
         }
