Ask the address of the known target whether it was replaced

Whether the target that reports has taken the place of the known one was asked at the address that the report names. A second target at another port would have ended the first one's holds while it lived. Found by reading, by the reviewer of the fixes.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -555,7 +555,10 @@
     m_probed_at = m_last_tick;
     const auto asked_beside =
         m_target ? std::optional(m_target->life()) : std::optional<target_incarnation>();
-    m_probe(beat.address, [this, name = beat.name, asked_beside](const target_health &found) {
+    const std::string &usual = m_options.target_address;
+    const std::string address =
+        m_target ? m_target->address : (usual.empty() ? beat.address : usual);
+    m_probe(address, [this, name = beat.name, asked_beside](const target_health &found) {
         m_probing.clear();
         log_event(log_level::info, "target_checked", {{"reported", name}, {"found", found.name}});
         if (found.name != name) {
