Do not take a target for ended that reports before it listens

A refused connection counted from the moment of the first heartbeat on. A target that reports and listens a few milliseconds later would have been dropped, and its life refused for 30 s. Found by reading, by the reviewer.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -27,6 +27,8 @@
 constexpr duration keys_wait_over_interval = std::chrono::milliseconds(300);
 /// Counts over a longer time than this are no present load.
 constexpr double longest_load_interval = 5;
+/// A target may report so long before it takes connections.
+constexpr duration reports_before_listening = std::chrono::milliseconds(200);
 /// Pause between two questions who listens at the target's address.
 constexpr duration identity_check_interval = std::chrono::milliseconds(200);
 /// A target's limit may change with each answer.
@@ -721,7 +723,7 @@
 }
 
 void node_agent::target_refused(instant attempt_begun, moment at) {
-    if (attempt_begun < m_found_at) {
+    if (attempt_begun < m_found_at + reports_before_listening) {
         return; // it may have been made at the life before
     }
     m_inherited_until = std::min(m_inherited_until, attempt_begun);
