Do not register a target anew that is gone while its lease is kept

If the leader ended the registration of a target whose lease is kept until its holds have run out, the next renewal announced the ended life as one to register: keys were given to it that nobody serves. Found by reading, by the reviewer of the fixes.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -194,7 +194,9 @@
     update_cold_limit(at.now);
     ask_whether_cold(at.now);
     decide_waiting(at.now, ready());
-    if (m_lease_kept_until != instant{} && m_lease_kept_until <= at.now) {
+    // Without its number the target that is gone would be registered anew.
+    const bool lost = m_lease.number() == no_target;
+    if (m_lease_kept_until != instant{} && (m_lease_kept_until <= at.now || lost)) {
         m_lease_kept_until = {};
         m_lease.give_up(at);
     }
