Take up a kept report once its address has told who listens

A report that was kept until the address had told who listens there was judged by the moment at which it came, so it was kept again until the next heartbeat: up to an interval in which its keys were not served.

--- a/src/transport/traffic/node_agent.cpp
+++ b/src/transport/traffic/node_agent.cpp
@@ -473,7 +473,8 @@
         keep_unjudged(beat, at); // announced now, it would end the registration of the one before
         return false;
     }
-    if (!m_target && at.now < m_inherited_until && registered_before(beat.name) != nullptr) {
+    const bool inherits = m_last_told.now < m_inherited_until; // a kept report is judged later
+    if (!m_target && inherits && registered_before(beat.name) != nullptr) {
         keep_unjudged(beat, at); // it may be a late call of a target before the one that is here
         check_identity(beat);
         return false;
