Hold the next grant back after a broken connection

Its connection for these calls was reset, and the next grant went over a new one within the same millisecond, before the heartbeat of the new life was read.

After a grant whose connection broke before its answer, the next one waits for the retry delay (50 ms), in which the heartbeat of the next life, or a refused connection, mostly comes. What the next life takes nevertheless runs out before the keys go on, as before.

Test: "after a broken connection the next grant waits for news of the target": a grant was due at once before.

--- a/include/peppertack/coordination/hold_call_scheduler.hpp
+++ b/include/peppertack/coordination/hold_call_scheduler.hpp
@@ -180,6 +180,7 @@
         m_releasing;                    ///< by first hash and token of the range
     instant m_previous_process_until{}; ///< grants of an earlier process may run until then; zero:
                                         ///< not set yet
+    instant m_broken_at{}; ///< when the connection of a grant last broke before its answer
     std::uint32_t m_consecutive_lost_grants = 0; ///< lost grants since the last answered one
 };
 
--- a/src/coordination/hold_call_scheduler.cpp
+++ b/src/coordination/hold_call_scheduler.cpp
@@ -51,7 +51,7 @@
                                      instant now) {
     const bool silent =
         m_consecutive_lost_grants > 0 && last_heartbeat + m_options.heartbeat_timeout < now;
-    if (silent || token_rejected(now)) {
+    if (silent || token_rejected(now) || now < m_broken_at + m_options.retry_delay) {
         return;
     }
     std::size_t unanswered = 0;
@@ -206,6 +206,12 @@
     }
     m_consecutive_lost_grants =
         how.result == hold_call_end::kind::lost ? m_consecutive_lost_grants + 1 : 0;
+    // Over a new connection the next grant would reach whichever process has taken the place of one
+    // that has ended. Its heartbeat, or a refused connection, mostly comes before the delay is
+    // over.
+    const bool broken = how.result == hold_call_end::kind::lost && item.written &&
+                        now < *item.written + m_options.answer_timeout;
+    m_broken_at = broken ? now : m_broken_at;
     if (target == nullptr) {
         return;
     }
--- a/tests/coordination/hold_call_scheduler_test.cpp
+++ b/tests/coordination/hold_call_scheduler_test.cpp
@@ -315,6 +315,17 @@
     CHECK(node.lease.released(node.manager).size() == 1);
 }
 
+// Guards against a token of an earlier life in the hands of the next: a target was started again,
+// and the grant after the one that broke off reached it before its first heartbeat came.
+TEST_CASE("after a broken connection the next grant waits for news of the target") {
+    scheduler_fixture node;
+    const hold_call grant = node.only_due(start);
+    node.carry_out(grant, start, lost, start + 1ms);
+    CHECK(node.due(start + 2ms).empty());
+    CHECK(node.due(start + 50ms).empty());
+    CHECK(node.due(start + 51ms).size() == 1);
+}
+
 // Guards against keys that stay unserved although a later call shows that they are free: several
 // ranges move at once, and only one release goes over the connection of the grants.
 TEST_CASE("a release is repeated once the grants before it are known to be carried out") {
