Do not take the end of a reset connection for the end of an answer

Callers saw a 200 with a part of the body as a whole answer: a target answered a long upload at once, without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the system tells an error of a connection once, to whichever call comes first. While an upload waits for room the reset wakes the writer and the reader together; the writer runs first and its `send` takes ECONNRESET. The `recv` that follows returns 0, which `byte_stream::read_some` passed on as an end in order, and that ends an answer without a length. The same held for a connection that the system gave up (TCP_USER_TIMEOUT), and for the end that is looked for behind the bytes of a caller.

Change: an end is in order only if no error was noted before, or EPIPE, which the system tells where the reset came behind the other side's end. That answer is whole, and is still delivered. All readers of the engine share the stream: requests to targets and to other nodes, calls for keys and health checks.

The stand-in server of the hostile callers' tests now ends connections in these ways; its flag `closes`, which nothing set, is gone with the parameter of the check that passed it on.

--- a/include/peppertack/transport/http/byte_stream.hpp
+++ b/include/peppertack/transport/http/byte_stream.hpp
@@ -26,7 +26,8 @@
         virtual void on_bytes(std::string_view bytes) = 0;
         /// What was queued has been handed to the system.
         virtual void on_drained() {}
-        /// The other side is gone. `in_order`: it ended its stream, with nothing lost on the way.
+        /// The other side is gone. `in_order`: it ended its stream, with nothing lost on the way,
+        /// whatever became of the connection afterwards.
         virtual void on_closed(bool in_order) = 0;
     };
 
@@ -60,7 +61,8 @@
     bool has_unread();
     /// Reads now what the system holds, up to the size of the buffer. Precondition: not paused.
     void read_now();
-    /// The system's error number that ended the stream; 0 if it has not ended, or ended in order.
+    /// The system's error number that ended the stream; 0 if there was none. EPIPE: the other side
+    /// ended in order and reset the connection afterwards.
     int error() const { return m_error; }
     /// Bound on how long bytes that were sent may go unacknowledged, or the other side may take
     /// none. The system ends the connection then.
@@ -93,6 +95,7 @@
     void watch_paused();
     bool ended_behind_unread();
     void note_error(int error);
+    bool ended_in_order() const;
     int pending_error();
     void lost(bool in_order);
 
--- a/src/transport/http/byte_stream.cpp
+++ b/src/transport/http/byte_stream.cpp
@@ -170,7 +170,7 @@
             m_owner->on_bytes({buffer.data(), static_cast<std::size_t>(size)});
         }
         if (m_peer_ended) {
-            lost(true);
+            lost(ended_in_order());
         } else {
             wait_readable();
         }
@@ -178,7 +178,7 @@
         wait_readable();
     } else {
         note_error(size < 0 ? errno : 0);
-        lost(size == 0);
+        lost(size == 0 && ended_in_order());
     }
 }
 
@@ -210,6 +210,12 @@
     m_error = m_error == 0 ? error : m_error;
 }
 
+/// The system tells an error once, to whichever call comes first: once `send` has been told of a
+/// reset, `recv` returns 0 as at an end in order. EPIPE tells of a reset behind such an end.
+bool byte_stream::ended_in_order() const {
+    return m_error == 0 || m_error == EPIPE;
+}
+
 int byte_stream::pending_error() {
     int error = 0;
     socklen_t size = sizeof error;
--- /dev/null
+++ b/tests/platform/broken_answers_test.cpp
@@ -0,0 +1,63 @@
+#include "cluster_checks.hpp"
+#include "hostile_crowd.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peppertack;
+using namespace peppertack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t upload_size = 32U << 20U; ///< more than the system buffers on the way
+constexpr std::size_t other_node = 0;
+constexpr std::size_t own_node = 1; ///< beside the target
+
+/// A cluster whose only target without keys answers each request with these bytes.
+class broken_target_cluster {
+public:
+    explicit broken_target_cluster(byte_plan answer,
+                                   hostile_server::ending end = hostile_server::ending::open)
+        : m_cluster({.programs = PEPPERTACK_PROGRAMS,
+                     .services = {"keyed", "plain"},
+                     .link_mbps = 1000,
+                     .max_body = 2 * upload_size}) {
+        bring_up(m_cluster);
+        const std::string instance = m_cluster.target(own_node).name();
+        m_server.emplace(m_cluster.io(), hostile_server::options{
+                                             .address = m_cluster.target(own_node).leave_address(),
+                                             .instance = instance,
+                                             .answer = std::move(answer),
+                                             .end = end});
+        std::string reason;
+        REQUIRE_MESSAGE(m_server->start(reason), reason);
+    }
+
+    /// Waits for the answer to a request that reaches the target, and checks that none of the
+    /// target's bytes pass as an answer, nor as a promise that the request did not run.
+    void check_not_answered(const std::shared_ptr<caller_attempt> &attempt) {
+        REQUIRE(m_cluster.run_until([&] { return attempt->status != 0; }));
+        CHECK((attempt->status == 502 || attempt->status == -1));
+        CHECK(m_server->answers() > 0);
+    }
+    platform_cluster &operator*() { return m_cluster; }
+
+private:
+    platform_cluster m_cluster;
+    std::optional<hostile_server> m_server;
+};
+
+} // namespace
+
+TEST_CASE("an answer without a length that is reset during the upload is no success") {
+    // Guards against a part of an answer that reaches the caller as all of it.
+    byte_plan answer{.begin = "HTTP/1.1 200 OK\r\n\r\n", .unit = "part", .units = 1};
+    SUBCASE("short") {}
+    SUBCASE("longer than a node holds back") {
+        answer.units = 64U << 10U;
+    }
+    broken_target_cluster broken(answer, hostile_server::ending::reset);
+    for (const std::size_t node : {other_node, own_node}) {
+        broken.check_not_answered((*broken).upload(node, upload_size));
+    }
+}
--- a/tests/platform/hostile_callers_test.cpp
+++ b/tests/platform/hostile_callers_test.cpp
@@ -261,15 +261,14 @@
 }
 
 /// Has a target answer each request with what the plan says, and callers ask for it.
-void check_outlasts_answers(const byte_plan &answer, bool closes = false) {
+void check_outlasts_answers(const byte_plan &answer) {
     const platform_cluster::options limits = lowered();
     platform_cluster cluster(limits);
     bring_up(cluster);
     const std::string instance = cluster.target(1).name();
-    hostile_server server(cluster.io(), {.address = cluster.target(1).leave_address(),
-                                         .instance = instance,
-                                         .answer = answer,
-                                         .closes = closes});
+    hostile_server server(
+        cluster.io(),
+        {.address = cluster.target(1).leave_address(), .instance = instance, .answer = answer});
     std::string reason;
     REQUIRE_MESSAGE(server.start(reason), reason);
     usage_watch watch(cluster, limits);
--- a/tests/support/hostile_crowd.cpp
+++ b/tests/support/hostile_crowd.cpp
@@ -214,7 +214,7 @@
 class hostile_server::connection final : public std::enable_shared_from_this<connection> {
 public:
     connection(asio::ip::tcp::socket socket, const options &settings)
-        : m_socket(std::move(socket)), m_instance(settings.instance), m_closes(settings.closes),
+        : m_socket(std::move(socket)), m_instance(settings.instance), m_end(settings.end),
           m_writer(settings.answer) {
         asio::error_code ignored;
         m_socket.non_blocking(true, ignored);
@@ -265,9 +265,7 @@
     }
     void write() {
         if (m_writer.done()) {
-            if (m_closes) {
-                close();
-            }
+            end();
             return;
         }
         m_socket.async_wait(asio::socket_base::wait_write,
@@ -283,9 +281,22 @@
                             });
     }
 
+    void end() {
+        asio::error_code ignored;
+        if (m_end == ending::ended || m_end == ending::ended_and_reset) {
+            m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        }
+        if (m_end == ending::reset || m_end == ending::ended_and_reset) {
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        if (m_end != ending::open && m_end != ending::ended) {
+            close();
+        }
+    }
+
     asio::ip::tcp::socket m_socket;
     std::string m_instance;
-    bool m_closes;
+    ending m_end;
     plan_writer m_writer;
     std::string m_in;
     bool m_answering = false;
--- a/tests/support/hostile_crowd.hpp
+++ b/tests/support/hostile_crowd.hpp
@@ -67,14 +67,23 @@
 };
 
 /// Takes the place of a server: answers calls without an X-Request-Id as a healthy server does,
-/// and each request with what a plan says. Not thread safe; belongs to one loop.
+/// and each request with what a plan says, as soon as its head has come and without reading its
+/// body. Not thread safe; belongs to one loop.
 class hostile_server {
 public:
+    /// What becomes of the connection once the answer is written.
+    enum class ending : std::uint8_t {
+        open,
+        closed,
+        ended, ///< the sending side only
+        reset,
+        ended_and_reset, ///< the sending side ends in order, and a reset follows
+    };
     struct options {
         std::string address;  ///< "IP:port"
         std::string instance; ///< that it tells
         byte_plan answer;
-        bool closes = false; ///< once the answer is written
+        ending end = ending::open;
     };
 
     hostile_server(asio::io_context &io, options settings);
--- /dev/null
+++ b/tests/transport/broken_answers_test.cpp
@@ -0,0 +1,124 @@
+#include "hostile_crowd.hpp"
+#include "local_cluster.hpp"
+#include "peppertack/transport/http/http_client_pool.hpp"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace peppertack;
+using namespace peppertack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t upload_size = 32U << 20U; ///< more than the system buffers
+constexpr std::size_t piece_size = 256U << 10U;
+
+struct collected_answer final : http_response_handler {
+    void on_response_head(http_head head) override { status = head.status; }
+    void on_response_body(std::string_view piece) override { body.append(piece); }
+    void on_response_end() override { ended = true; }
+    void on_call_failed(call_failure why, const std::string &) override { failure = why; }
+    bool over() const { return ended || failure.has_value(); }
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    std::optional<call_failure> failure;
+};
+
+/// Makes calls to a server that answers each with the same bytes.
+class caller_of_broken_server {
+public:
+    explicit caller_of_broken_server(const std::string &answer,
+                                     hostile_server::ending end = hostile_server::ending::open)
+        : m_address("127.0.0.1:" + std::to_string(free_port())),
+          m_server(m_io, {.address = m_address, .answer = {.begin = answer}, .end = end}),
+          m_pool(m_io, {.id_header = "X-Request-Id"}) {
+        std::string reason;
+        REQUIRE_MESSAGE(m_server.start(reason), reason);
+    }
+
+    /// A call whose body is longer than the server reads, handed over at once.
+    collected_answer upload() {
+        const auto answer = std::make_shared<collected_answer>();
+        const auto open = begin_upload(answer);
+        open->send_body(std::string(upload_size, 'u'));
+        return wait_for(*answer);
+    }
+
+    /// The same, handed over piece by piece.
+    collected_answer upload_in_pieces() {
+        const auto answer = std::make_shared<collected_answer>();
+        const auto open = begin_upload(answer);
+        const std::string piece(piece_size, 'u');
+        for (std::size_t sent = 0; sent < upload_size && !answer->over(); sent += piece_size) {
+            open->send_body(piece);
+            m_io.restart();
+            m_io.run_one_for(1ms);
+        }
+        return wait_for(*answer);
+    }
+
+private:
+    static http_head head(const std::string &method) {
+        http_head result;
+        result.method = method;
+        result.target = "/";
+        result.headers = {{"Host", "h"}, {"X-Request-Id", "1"}};
+        return result;
+    }
+
+    std::shared_ptr<http_call> begin_upload(const std::shared_ptr<collected_answer> &answer) {
+        http_head request = head("POST");
+        request.framing = body_framing::length;
+        request.content_length = upload_size;
+        return m_pool.start(m_address, request, answer);
+    }
+
+    collected_answer wait_for(const collected_answer &answer) {
+        const auto limit = std::chrono::steady_clock::now() + 5s;
+        while (!answer.over() && std::chrono::steady_clock::now() < limit) {
+            m_io.restart();
+            m_io.run_one_for(20ms);
+        }
+        return answer;
+    }
+
+    asio::io_context m_io;
+    std::string m_address;
+    hostile_server m_server;
+    http_client_pool m_pool;
+};
+
+constexpr const char *without_length = "HTTP/1.1 200 OK\r\n\r\npart";
+
+} // namespace
+
+// Guards against a part of an answer that is taken for all of it where a write is the first to
+// learn of the reset.
+TEST_CASE("an answer without a length is not whole if a reset ends it during the upload") {
+    caller_of_broken_server caller(without_length, hostile_server::ending::reset);
+    collected_answer answer;
+    SUBCASE("that waits to be written") {
+        answer = caller.upload();
+    }
+    SUBCASE("that is handed over piece by piece") {
+        answer = caller.upload_in_pieces();
+    }
+    CHECK_FALSE(answer.ended);
+    CHECK(answer.failure.has_value());
+}
+
+// Guards against an early answer that is lost because its server reads no more of the upload.
+TEST_CASE("an answer without a length that ended in order is whole, whatever follows") {
+    using ending = hostile_server::ending;
+    for (const ending end : {ending::ended, ending::ended_and_reset}) {
+        for (int round = 0; round < 5; ++round) {
+            caller_of_broken_server caller(without_length, end);
+            const collected_answer answer = caller.upload();
+            CHECK(answer.ended);
+            CHECK(answer.body == "part");
+        }
+    }
+}
