--- a/include/peppertack/transport/http/http_reader.hpp
+++ b/include/peppertack/transport/http/http_reader.hpp
@@ -20,7 +20,8 @@
 
 /// Reads HTTP/1.1 messages from a connection, one at a time. Strict: whatever two parties could
 /// frame differently (two lengths, a length with chunks, folded lines, bare line feeds) is refused,
-/// since that is how one request is smuggled inside another. Not thread safe.
+/// since that is how one request is smuggled inside another. So are responses whose status is not
+/// one of HTTP (100 to 599), or 101, and names of fields that are no tokens. Not thread safe.
 class http_reader {
 public:
     enum class kind : std::uint8_t { requests, responses };
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -17,7 +17,8 @@
 class broken_target_cluster {
 public:
     explicit broken_target_cluster(byte_plan answer,
-                                   hostile_server::ending end = hostile_server::ending::open)
+                                   hostile_server::ending end = hostile_server::ending::open,
+                                   bool unhealthy = false)
         : m_cluster({.programs = PEPPERTACK_PROGRAMS,
                      .services = {"keyed", "plain"},
                      .link_mbps = 1000,
@@ -28,7 +29,8 @@
                                              .address = m_cluster.target(own_node).leave_address(),
                                              .instance = instance,
                                              .answer = std::move(answer),
-                                             .end = end});
+                                             .end = end,
+                                             .unhealthy = unhealthy});
         std::string reason;
         REQUIRE_MESSAGE(m_server->start(reason), reason);
     }
@@ -40,6 +42,13 @@
         CHECK((attempt->status == 502 || attempt->status == -1));
         CHECK(m_server->answers() > 0);
     }
+    /// The target listens again, and requests are served.
+    void check_serves_afterwards() {
+        m_server.reset();
+        m_cluster.target(own_node).start();
+        CHECK(m_cluster.serves());
+        check_all(m_cluster);
+    }
     platform_cluster &operator*() { return m_cluster; }
 
 private:
@@ -60,4 +69,22 @@
     for (const std::size_t node : {other_node, own_node}) {
         broken.check_not_answered((*broken).upload(node, upload_size));
     }
+    broken.check_serves_afterwards();
+}
+
+TEST_CASE("an answer with a status that HTTP does not have is no answer") {
+    // Guards against bytes that are no answer in the protocol and reach the caller as one.
+    bool unhealthy = false;
+    SUBCASE("to requests") {}
+    SUBCASE("to requests and health checks") {
+        unhealthy = true;
+    }
+    broken_target_cluster broken({.begin = "HTTP/1.1 000 No\r\nContent-Length: 2\r\n\r\nno"},
+                                 hostile_server::ending::open, unhealthy);
+    for (const std::size_t node : {other_node, own_node}) {
+        const auto begun = platform_cluster::now();
+        broken.check_not_answered((*broken).send(node, false, true, 0));
+        CHECK(platform_cluster::now() - begun < 1s); // of a deadline of 1.5 s
+    }
+    broken.check_serves_afterwards();
 }
--- a/tests/support/hostile_crowd.cpp
+++ b/tests/support/hostile_crowd.cpp
@@ -215,7 +215,7 @@
 public:
     connection(asio::ip::tcp::socket socket, const options &settings)
         : m_socket(std::move(socket)), m_instance(settings.instance), m_end(settings.end),
-          m_writer(settings.answer) {
+          m_unhealthy(settings.unhealthy), m_writer(settings.answer) {
         asio::error_code ignored;
         m_socket.non_blocking(true, ignored);
     }
@@ -251,7 +251,7 @@
             read();
             return;
         }
-        if (m_in.find("X-Request-Id:") < end) {
+        if (m_unhealthy || m_in.find("X-Request-Id:") < end) {
             m_answering = true;
             write();
             return;
@@ -297,6 +297,7 @@
     asio::ip::tcp::socket m_socket;
     std::string m_instance;
     ending m_end;
+    bool m_unhealthy;
     plan_writer m_writer;
     std::string m_in;
     bool m_answering = false;
--- a/tests/support/hostile_crowd.hpp
+++ b/tests/support/hostile_crowd.hpp
@@ -66,9 +66,9 @@
     std::vector<std::shared_ptr<connection>> m_connections;
 };
 
-/// Takes the place of a server: answers calls without an X-Request-Id as a healthy server does,
-/// and each request with what a plan says, as soon as its head has come and without reading its
-/// body. Not thread safe; belongs to one loop.
+/// Takes the place of a server: answers calls without an X-Request-Id as a healthy server does
+/// unless told otherwise, and each request with what a plan says, as soon as its head has come and
+/// without reading its body. Not thread safe; belongs to one loop.
 class hostile_server {
 public:
     /// What becomes of the connection once the answer is written.
@@ -84,6 +84,7 @@
         std::string instance; ///< that it tells
         byte_plan answer;
         ending end = ending::open;
+        bool unhealthy = false; ///< health checks are answered as requests are
     };
 
     hostile_server(asio::io_context &io, options settings);
--- a/tests/transport/broken_answers_test.cpp
+++ b/tests/transport/broken_answers_test.cpp
@@ -39,6 +39,14 @@
         REQUIRE_MESSAGE(m_server.start(reason), reason);
     }
 
+    /// A call without a body.
+    collected_answer get() {
+        const auto answer = std::make_shared<collected_answer>();
+        const auto open = m_pool.start(m_address, head("GET"), answer);
+        open->request_done();
+        return wait_for(*answer);
+    }
+
     /// A call whose body is longer than the server reads, handed over at once.
     collected_answer upload() {
         const auto answer = std::make_shared<collected_answer>();
@@ -122,3 +130,32 @@
         }
     }
 }
+
+// Guards against bytes that are no answer in the protocol and reach the caller as one, and against
+// a call that waits for another answer behind them.
+TEST_CASE("an answer with a status that HTTP does not have fails the call at once") {
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        for (const std::string rest : {"\r\n", "Content-Length: 2\r\n\r\nno",
+                                       "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"}) {
+            CAPTURE(rest);
+            const std::string whole = "HTTP/1.1 " + status + " No\r\n" + rest;
+            CHECK(caller_of_broken_server(whole).get().failure == call_failure::no_answer);
+            CHECK(caller_of_broken_server("HTTP/1.1 100 Continue\r\n\r\n" + whole).get().failure ==
+                  call_failure::no_answer);
+        }
+    }
+}
+
+// Guards against a range of statuses that is too narrow.
+TEST_CASE("answers with the first and the last status of HTTP are passed on") {
+    for (const int status : {200, 599}) {
+        const collected_answer answer =
+            caller_of_broken_server("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 " +
+                                    std::to_string(status) + " It\r\nContent-Length: 2\r\n\r\nis")
+                .get();
+        CHECK(answer.ended);
+        CHECK(answer.status == status);
+        CHECK(answer.body == "is");
+    }
+}
--- a/tests/transport/hold_call_runner_test.cpp
+++ b/tests/transport/hold_call_runner_test.cpp
@@ -138,3 +138,18 @@
     }
     CHECK(one.run_until([&] { return link.ended; })); // a release is the last call
 }
+
+// Guards against a call that waits for the answer behind one with a status that HTTP does not have.
+TEST_CASE("an answer with a status that HTTP does not have loses the call for keys at once") {
+    for (const auto what : {hold_call::kind::grant, hold_call::kind::release}) {
+        runner_fixture one;
+        one.runner.start({.id = 1, .what = what}, one.target.address());
+        REQUIRE(one.run_until([&] {
+            return one.target.links.size() == 1 && !one.target.links[0]->received.empty();
+        }));
+        scripted_target::write(*one.target.links[0],
+                               "HTTP/1.1 000 No\r\nHandover: h\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(one.run_until([&] { return one.ended(1); }));
+        CHECK(one.ends[1].result == hold_call_end::kind::lost);
+    }
+}
