Keep tests of answers with a field name that is no token

Handled already by the engine: the parser of the library refuses a blank, a tab, a control byte, DEL, no name, no colon and a folded line in the head of a final or an interim answer and in a trailer, and the call fails at once. So nothing else changes for it here.

--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -88,3 +88,24 @@
     }
     broken.check_serves_afterwards();
 }
+
+TEST_CASE("an answer with a field name that is no token is no answer") {
+    // Guards against a line that is passed on though it is no field.
+    std::string name;
+    SUBCASE("a blank") {
+        name = "Bad Name";
+    }
+    SUBCASE("a control byte") {
+        name = "Bad\x01Name";
+    }
+    SUBCASE("a blank before the colon of a length") {
+        name = "Content-Length ";
+    }
+    broken_target_cluster broken(
+        {.begin = "HTTP/1.1 200 OK\r\n" + name + ": 1\r\nContent-Length: 2\r\n\r\nok"},
+        hostile_server::ending::open, true);
+    for (const std::size_t node : {other_node, own_node}) {
+        broken.check_not_answered((*broken).send(node, false, true, 0));
+    }
+    broken.check_serves_afterwards();
+}
--- a/tests/transport/broken_answers_test.cpp
+++ b/tests/transport/broken_answers_test.cpp
@@ -159,3 +159,27 @@
         CHECK(answer.body == "is");
     }
 }
+
+// Guards against a line that is passed on though it is no field, or that hides where the body ends.
+TEST_CASE("an answer with a field name that is no token fails the call at once") {
+    for (const std::string &line :
+         {std::string("Content-Length : 2"), std::string("Content-Length\t: 2"),
+          std::string("Transfer-Encoding : chunked"), std::string("Bad Name: x"),
+          std::string("Bad\x01Name: x"), std::string("Bad\x7fName: x"), std::string(": x"),
+          std::string(" Leading: x"), std::string("Bad\0Name: x", 11), std::string("Bad\rName: x"),
+          std::string("Bad\nName: x"), std::string("Bad\x0bName: x"), std::string("no colon")}) {
+        CAPTURE(line);
+        const std::string good = "Content-Length: 2\r\n";
+        for (const std::string &head : {line + "\r\n" + good, good + line + "\r\n"}) {
+            caller_of_broken_server caller("HTTP/1.1 200 OK\r\n" + head + "\r\nok");
+            CHECK(caller.get().failure.has_value());
+        }
+        caller_of_broken_server interim("HTTP/1.1 103 Early Hints\r\n" + line +
+                                        "\r\n\r\nHTTP/1.1 200 OK\r\n" + good + "\r\nok");
+        CHECK(interim.get().failure.has_value());
+        caller_of_broken_server trailer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        "2\r\nok\r\n0\r\n" +
+                                        line + "\r\n\r\n");
+        CHECK(trailer.get().failure.has_value());
+    }
+}
