Read targets' answers in peppertackd by the engine

Callers of `peppertackd` got as an answer, outcome `ran`: one with status 000 (and 099, 101, 600); one in whose head the name of a field held a blank or a control byte, with that line passed on; one with a line without a colon, which was dropped; one with two lengths, cut to the first. Interim answers other than 100 were taken for final ones, and values of fields were unescaped, so that "%0A" became a line feed.

Cause: cpp-httplib does not check what it reads, and `target_client` passed on what it was given.

Weighed: checking the library's result, which can't see a folded or dropped line, nor what a second length hid; or reading by `transport/http`, which is strict and decides all of this once. Chosen: the second. `target_client` runs an `http_client_pool` on a thread of its own; callers' threads wait for its result. A request is made and written in one step, after a look at how long it may still be sent, so the margin for opening a connection is gone. A call's deadline now bounds all of it, not each read. The pool writes the body of a request that is made late as any other body, so that a target may begin to read it late.

Evidence, on the code before (these tests, the product's files taken back): "a target's answer with a status that HTTP does not have counts as lost" failed for each of its 4 statuses, "... with a line that is no field, or with two lengths ..." in 21 of 24 checks, "... is handed on as it came ..." gave 103 for 599. With the change all pass, and the transport suite did once (14,465 checks).

Answers of more than 32 KiB of head or 256 MiB of body are now refused, as by the engine on the users' platform.

--- a/include/peppertack/transport/target_client.hpp
+++ b/include/peppertack/transport/target_client.hpp
@@ -5,46 +5,37 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <unordered_map>
-#include <vector>
-
-namespace httplib {
-class Client;
-}
 
 namespace peppertack {
 
-/// Connections to the local target, kept open between requests. Thread safe.
+/// Connections to the local target, kept open between requests. Answers are read by the engine of
+/// `transport/http`, on a thread of its own. Thread safe.
 class target_client {
 public:
     using clock = std::function<instant()>;
 
+    /// `now`: called on any thread.
     explicit target_client(clock now);
+    /// Precondition: no `run` is under way.
     ~target_client();
+    target_client(const target_client &) = delete;
+    target_client &operator=(const target_client &) = delete;
 
-    /// Where the target listens, host:port. Connections to another address are dropped.
+    /// Where the target listens, IP:port. Idle connections to another address are dropped.
     void set_address(const std::string &address);
-    /// Runs a call on this thread until its answer, its deadline or `cancel`.
+    /// Runs a call and waits until its answer, its deadline or `cancel`. No byte of it is sent at
+    /// or after `not_after`. `lost` also if the answer is none in HTTP/1.1.
     call_result run(const target_call &call);
-    /// Ends a running call; its `run` reports `lost`, or `not_sent` if it had not begun.
+    /// Ends a running call; its `run` reports `lost`, or `not_sent` if nothing was sent.
     void cancel(std::uint64_t call);
     /// Whether something accepts connections at the target's address.
     bool reachable();
     std::string address() const;
 
 private:
-    struct slot;
-
-    std::shared_ptr<slot> take(std::uint64_t call);
-    void give_back(std::uint64_t call, const std::shared_ptr<slot> &used, bool reusable);
-
-    clock m_now;
-    mutable std::mutex m_mutex;
-    std::string m_address;
-    std::vector<std::shared_ptr<slot>> m_idle;
-    std::unordered_map<std::uint64_t, std::shared_ptr<slot>> m_running;
+    class impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 } // namespace peppertack
--- a/src/transport/http/http_client_pool.cpp
+++ b/src/transport/http/http_client_pool.cpp
@@ -242,7 +242,7 @@
             return;
         }
         begin_request(request->head);
-        write(request->body);
+        write_body(request->body);
         request_done();
     }
 
