Check targets' answers that peers of peppertackd send

A node passed on whatever status and names of fields a forwarded answer had, or one kept under an idempotency key: in a rolling upgrade, answers of nodes that check less, or that were recorded by those before, would still have reached callers.

Change: such an answer is read as lost with an unknown outcome (`target-lost`, 502) where Cap'n Proto messages are decoded, so for replies, fates and remembered keys alike. Refusing the message whole would have left the caller waiting. What a status and a name of a field may be is now in one place (`protocol/http_syntax.hpp`), which the engine's reader uses too. Answers of other nodes on the users' platform come as HTTP and pass the reader.

--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -1,8 +1,10 @@
 #include "peppertack/protocol/codec.hpp"
 
 #include "messages.capnp.h"
+#include "peppertack/protocol/http_syntax.hpp"
 #include "peppertack/state/text_compression.hpp"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
@@ -342,6 +344,14 @@
     out.setRetryAfterUs(value.retry_after.count());
 }
 
+/// Whether a target's answer can be passed on. A peer that checks less may have taken bytes for an
+/// answer that are none.
+bool is_answer(const caller_response &value) {
+    return is_final_status(value.status) &&
+           std::all_of(value.headers.begin(), value.headers.end(),
+                       [](const header_field &field) { return is_field_name(field.name); });
+}
+
 caller_response read(wire::CallerResponse::Reader in) {
     caller_response value;
     value.result = enum_of(in.getResult(), outcome::unknown);
@@ -353,6 +363,14 @@
     value.owner_address = string_of(in.getOwnerAddress());
     value.token = in.getToken();
     value.retry_after = duration(in.getRetryAfterUs());
+    const bool answered = value.result == outcome::ran && value.error == error_kind::none;
+    if (answered && !is_answer(value)) {
+        value.result = outcome::unknown;
+        value.error = error_kind::target_lost;
+        value.status = 0;
+        value.headers.clear();
+        value.body = nullptr;
+    }
     return value;
 }
 
--- a/src/transport/http/http_reader.cpp
+++ b/src/transport/http/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "peppertack/transport/http/http_reader.hpp"
 
+#include "peppertack/protocol/http_syntax.hpp"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <utility>
@@ -17,15 +19,6 @@
 constexpr int bad_request = 400;
 constexpr int header_too_large = 431;
 constexpr int body_too_large = 413;
-constexpr int switching_protocols = 101;
-constexpr int first_status = 100;
-constexpr int last_status = 599;
-
-/// Statuses of RFC 9110, 15, but for the one that ends HTTP on a connection, which no request of
-/// this system asks for.
-bool may_answer(int status) {
-    return status >= first_status && status <= last_status && status != switching_protocols;
-}
 
 } // namespace
 
@@ -52,7 +45,7 @@
         m_version = version;
     }
     void on_response_impl(int status, text, int version, code &error) override {
-        if (!may_answer(status)) {
+        if (!is_response_status(status)) {
             error = beast::http::error::bad_status;
             return;
         }
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -134,6 +134,38 @@
     CHECK(std::get<hello>(*decode_message(encode(greeting), reason)) == greeting);
 }
 
+// Guards against an answer that a peer, of another version perhaps, took in without a look at it.
+TEST_CASE("a target's answer that is none in HTTP is read from a peer as lost") {
+    const auto read_back = [](const caller_response &sent) {
+        std::string reason;
+        const auto read = decode_message(encode(message(forward_reply{{1, 2}, sent})), reason);
+        REQUIRE_MESSAGE(read, reason);
+        return std::get<forward_reply>(std::get<message>(*read)).response;
+    };
+    const auto check_lost = [&](const caller_response &sent) {
+        const caller_response got = read_back(sent);
+        CHECK(got.result == outcome::unknown);
+        CHECK(got.error == error_kind::target_lost);
+        CHECK(got.headers.empty());
+        CHECK(got.body == nullptr);
+        CHECK(got.token == sent.token);
+    };
+    for (const int status : {0, 99, 103, 600}) {
+        caller_response sent = sample_response();
+        sent.status = status;
+        check_lost(sent);
+    }
+    for (const std::string &name : {std::string("Bad Name"), std::string("Bad\x01Name"),
+                                    std::string("Length "), std::string()}) {
+        caller_response sent = sample_response();
+        sent.headers.push_back({name, "x"});
+        check_lost(sent);
+    }
+    CHECK(read_back(sample_response()).result == outcome::ran);
+    const caller_response refusal{.error = error_kind::overloaded}; // no target has answered
+    CHECK(read_back(refusal).error == error_kind::overloaded);
+}
+
 TEST_CASE("hostile bytes get an error, never a crash") {
     const std::vector<message> all = samples();
     CHECK(rc::check("changed bytes of every message", [&] {
