Share the collected answer of the engine's tests

The tests of broken answers had a copy of it. Besides, the doc comment of `target_client::run` said that no byte is sent after `not_after`; it is the beginning that has to come before. No change of behaviour.

--- a/include/peppertack/transport/target_client.hpp
+++ b/include/peppertack/transport/target_client.hpp
@@ -24,8 +24,8 @@
 
     /// Where the target listens, IP:port. Idle connections to another address are dropped.
     void set_address(const std::string &address);
-    /// Runs a call and waits until its answer, its deadline or `cancel`. No byte of it is sent at
-    /// or after `not_after`. `lost` also if the answer is none in HTTP/1.1.
+    /// Runs a call and waits until its answer, its deadline or `cancel`. Nothing is sent unless it
+    /// is begun before `not_after`. `lost` also if the answer is none in HTTP/1.1.
     call_result run(const target_call &call);
     /// Ends a running call; its `run` reports `lost`, or `not_sent` if nothing was sent.
     void cancel(std::uint64_t call);
--- a/tests/transport/broken_answers_test.cpp
+++ b/tests/transport/broken_answers_test.cpp
@@ -1,10 +1,10 @@
+#include "collected_answer.hpp"
 #include "hostile_crowd.hpp"
 #include "local_cluster.hpp"
 #include "peppertack/transport/http/http_client_pool.hpp"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
-#include <optional>
 
 using namespace peppertack;
 using namespace peppertack::testing;
@@ -15,18 +15,6 @@
 constexpr std::size_t upload_size = 32U << 20U; ///< more than the system buffers
 constexpr std::size_t piece_size = 256U << 10U;
 
-struct collected_answer final : http_response_handler {
-    void on_response_head(http_head head) override { status = head.status; }
-    void on_response_body(std::string_view piece) override { body.append(piece); }
-    void on_response_end() override { ended = true; }
-    void on_call_failed(call_failure why, const std::string &) override { failure = why; }
-    bool over() const { return ended || failure.has_value(); }
-    int status = 0;
-    std::string body;
-    bool ended = false;
-    std::optional<call_failure> failure;
-};
-
 /// Makes calls to a server that answers each with the same bytes.
 class caller_of_broken_server {
 public:
