Let the upload stand still before the stand-in resets it

Now the reset comes 600 ms after the answer, each node is asked twice, and the status is told where a check fails.

--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t other_node = 0;
 constexpr std::size_t own_node = 1; ///< beside the target
 
+/// Long enough for an upload that nobody reads to stand still on the whole way.
+constexpr duration upload_stalls = 600ms;
+
 /// A cluster whose only target without keys answers each request with these bytes.
 class broken_target_cluster {
 public:
@@ -25,12 +28,15 @@
                      .max_body = 2 * upload_size}) {
         bring_up(m_cluster);
         const std::string instance = m_cluster.target(own_node).name();
-        m_server.emplace(m_cluster.io(), hostile_server::options{
-                                             .address = m_cluster.target(own_node).leave_address(),
-                                             .instance = instance,
-                                             .answer = std::move(answer),
-                                             .end = end,
-                                             .unhealthy = unhealthy});
+        m_server.emplace(
+            m_cluster.io(),
+            hostile_server::options{
+                .address = m_cluster.target(own_node).leave_address(),
+                .instance = instance,
+                .answer = std::move(answer),
+                .end = end,
+                .end_after = end == hostile_server::ending::open ? duration{} : upload_stalls,
+                .unhealthy = unhealthy});
         std::string reason;
         REQUIRE_MESSAGE(m_server->start(reason), reason);
     }
@@ -39,6 +45,7 @@
     /// target's bytes pass as an answer, nor as a promise that the request did not run.
     void check_not_answered(const std::shared_ptr<caller_attempt> &attempt) {
         REQUIRE(m_cluster.run_until([&] { return attempt->status != 0; }));
+        CAPTURE(attempt->status);
         CHECK((attempt->status == 502 || attempt->status == -1));
         CHECK(m_server->answers() > 0);
     }
@@ -66,7 +73,8 @@
         answer.units = 64U << 10U;
     }
     broken_target_cluster broken(answer, hostile_server::ending::reset);
-    for (const std::size_t node : {other_node, own_node}) {
+    (*broken).set_deadline(2000ms);
+    for (const std::size_t node : {other_node, own_node, other_node, own_node}) {
         broken.check_not_answered((*broken).upload(node, upload_size));
     }
     broken.check_serves_afterwards();
--- a/tests/support/hostile_crowd.cpp
+++ b/tests/support/hostile_crowd.cpp
@@ -215,6 +215,7 @@
 public:
     connection(asio::ip::tcp::socket socket, const options &settings)
         : m_socket(std::move(socket)), m_instance(settings.instance), m_end(settings.end),
+          m_end_after(settings.end_after), m_end_timer(m_socket.get_executor()),
           m_unhealthy(settings.unhealthy), m_writer(settings.answer) {
         asio::error_code ignored;
         m_socket.non_blocking(true, ignored);
@@ -265,7 +266,12 @@
     }
     void write() {
         if (m_writer.done()) {
-            end();
+            m_end_timer.expires_after(m_end_after);
+            m_end_timer.async_wait([self = shared_from_this()](asio::error_code error) {
+                if (!error) {
+                    self->end();
+                }
+            });
             return;
         }
         m_socket.async_wait(asio::socket_base::wait_write,
@@ -297,6 +303,8 @@
     asio::ip::tcp::socket m_socket;
     std::string m_instance;
     ending m_end;
+    duration m_end_after;
+    asio::steady_timer m_end_timer;
     bool m_unhealthy;
     plan_writer m_writer;
     std::string m_in;
--- a/tests/support/hostile_crowd.hpp
+++ b/tests/support/hostile_crowd.hpp
@@ -84,6 +84,7 @@
         std::string instance; ///< that it tells
         byte_plan answer;
         ending end = ending::open;
+        duration end_after{};   ///< from when the answer is written
         bool unhealthy = false; ///< health checks are answered as requests are
     };
 
